Begin the records and the fold

Cause: every entry must accept and reject the same proposals without an election or a store between entries.

Change: records with version 7 UUIDs, and a deterministic fold over their offsets that judges publications, members, groups, claims and condemned fingerprints. What must be forgotten is forgotten in the time of the log, and only once the fold would refuse a second copy by its age.

Ruled out: term records for controllers. The fold already knows who is assigned at each offset, so a late record of an earlier controller is void without one more record kind.

Not yet run under failure.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+GOBIN := $(shell go env GOPATH)/bin
+LINT_VERSION := v2.15.0
+
+.PHONY: build test lint fmt run up down soak measure bench tools ci
+
+build:
+	go build -o bin/lovagelever .
+	go build -o bin/standin ./standin
+
+test:
+	go test -race -count=1 ./...
+
+fmt:
+	gofmt -w .
+
+tools:
+	@$(GOBIN)/golangci-lint version 2>/dev/null | grep -q "$(LINT_VERSION:v%=%)" || \
+		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+lint: tools
+	$(GOBIN)/golangci-lint run ./...
+
+ci:
+	bash .ci/run
--- /dev/null
+++ b/assigner/doc.go
@@ -0,0 +1,2 @@
+// Package assigner assigns duties to entries by rendezvous hashing.
+package assigner
--- /dev/null
+++ b/main.go
@@ -0,0 +1,4 @@
+// Command lovagelever serves language models whose replicas span several VMs.
+package main
+
+func main() {}
--- /dev/null
+++ b/reducer/member.go
@@ -0,0 +1,69 @@
+package reducer
+
+import "github.com/lovagelever/lovagelever/recorder"
+
+func (sta *State) applyJoin(mem recorder.Member) Reason {
+	if mem.Incarnation == "" || mem.Name == "" {
+		return ReasonMalformed
+	}
+	_, live := sta.Members[mem.Incarnation]
+	_, gone := sta.Departed[mem.Incarnation]
+	if live || gone {
+		return ReasonDuplicate
+	}
+	for inc, old := range sta.Members {
+		if old.Name == mem.Name {
+			sta.depart(inc, Departed{Name: old.Name, Evicted: true})
+		}
+	}
+	sta.Members[mem.Incarnation] = Member{Member: mem, Joined: sta.Offset}
+	return Accepted
+}
+
+func (sta *State) applyDrain(dep recorder.Departure) Reason {
+	mem, live := sta.Members[dep.Incarnation]
+	if !live {
+		return ReasonUnknownMember
+	}
+	mem.Draining = true
+	sta.Members[dep.Incarnation] = mem
+	return Accepted
+}
+
+func (sta *State) applyLeave(dep recorder.Departure) Reason {
+	mem, live := sta.Members[dep.Incarnation]
+	if !live {
+		return ReasonUnknownMember
+	}
+	sta.depart(dep.Incarnation, Departed{Name: mem.Name, Successor: dep.Successor})
+	return Accepted
+}
+
+func (sta *State) applyEvict(writer string, dep recorder.Departure) Reason {
+	if _, live := sta.Members[writer]; !live {
+		return ReasonNotMember
+	}
+	mem, live := sta.Members[dep.Incarnation]
+	if !live {
+		return ReasonUnknownMember
+	}
+	sta.depart(dep.Incarnation, Departed{Name: mem.Name, Evicted: true})
+	return Accepted
+}
+
+func (sta *State) depart(inc string, dep Departed) {
+	delete(sta.Members, inc)
+	dep.Offset = sta.Offset
+	sta.Departed[inc] = dep
+	if len(sta.Departed) <= MaxDeparted {
+		return
+	}
+	oldest := inc
+	for name, old := range sta.Departed {
+		lead := sta.Departed[oldest]
+		if old.Offset < lead.Offset || old.Offset == lead.Offset && name < oldest {
+			oldest = name
+		}
+	}
+	delete(sta.Departed, oldest)
+}
--- /dev/null
+++ b/reducer/publication.go
@@ -0,0 +1,48 @@
+package reducer
+
+import (
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/recorder"
+)
+
+func (sta *State) applyPublication(pub recorder.Publication) Reason {
+	if pub.BasedOn != sta.Revision {
+		return ReasonConflict
+	}
+	next := sta.Catalog.Apply(pub.Change)
+	if len(cataloger.Validate(next)) > 0 {
+		return ReasonInvalid
+	}
+	sta.Catalog = next
+	sta.Revision++
+	sta.RevisionAt = sta.Offset
+	sta.retireUnfounded()
+	return Accepted
+}
+
+// retireUnfounded drops the groups that the catalog no longer bears out.
+func (sta *State) retireUnfounded() {
+	for name, grp := range sta.Groups {
+		if !sta.founded(grp) {
+			sta.dropGroup(name)
+		}
+	}
+}
+
+func (sta *State) founded(grp Group) bool {
+	mod, known := sta.Catalog.Inventory.Models[grp.Model]
+	if !known || mod.VMsPerReplica != len(grp.VMs) {
+		return false
+	}
+	for _, name := range grp.VMs {
+		vm, known := sta.Catalog.Inventory.VMs[name]
+		if !known || !fit(vm, mod) || vm.Domain != grp.Domain || vm.Zone != grp.Zone {
+			return false
+		}
+	}
+	return true
+}
+
+func fit(vm cataloger.VM, mod cataloger.Model) bool {
+	return vm.Worker == cataloger.WorkerEngine && vm.Accelerators >= mod.AcceleratorsEach
+}
--- /dev/null
+++ b/reducer/state.go
@@ -0,0 +1,145 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/recorder"
+)
+
+// Limits of what the state remembers, in the time of the log.
+const (
+	IDWindow      = 5 * time.Minute
+	ClaimWindow   = 15 * time.Minute
+	ClaimSkew     = 2 * time.Minute
+	MaxVoids      = 64
+	MaxCondemned  = 4096
+	CondemnedKept = 24 * time.Hour
+	MaxDeparted   = 1024
+)
+
+// State is the control state after the record at Offset.
+type State struct {
+	Offset     int64                `json:"offset"`
+	At         time.Time            `json:"at"`
+	Chain      uint64               `json:"chain"`
+	Revision   int64                `json:"revision"`
+	RevisionAt int64                `json:"revision_offset"`
+	Catalog    cataloger.Catalog    `json:"catalog"`
+	Members    map[string]Member    `json:"members"`
+	Departed   map[string]Departed  `json:"departed"`
+	Groups     map[string]Group     `json:"groups"`
+	Owners     map[string]string    `json:"owners"`
+	Claims     map[string]Claim     `json:"claims"`
+	Condemned  map[string]Condemned `json:"condemned"`
+	Seen       map[string]Seen      `json:"seen"`
+	Voids      []Void               `json:"voids"`
+	Counts     map[string]int64     `json:"counts"`
+
+	order      datedQueue
+	claimOrder datedQueue
+}
+
+// Member is a live entry; Joined is the offset of its join record.
+type Member struct {
+	recorder.Member
+	Joined   int64 `json:"joined"`
+	Draining bool  `json:"draining"`
+}
+
+// Departed is an incarnation that left or was evicted; Successor may hold its outcomes.
+type Departed struct {
+	Name      string `json:"name"`
+	Offset    int64  `json:"offset"`
+	Evicted   bool   `json:"evicted"`
+	Successor string `json:"successor,omitempty"`
+}
+
+// Group is a live replica group; Fence is the offset of the record that formed it.
+type Group struct {
+	Name      string   `json:"name"`
+	Model     string   `json:"model"`
+	Version   string   `json:"version"`
+	VMs       []string `json:"vms"`
+	Domain    string   `json:"fabric_domain"`
+	Zone      string   `json:"availability_zone"`
+	Region    string   `json:"region"`
+	Fence     int64    `json:"fence"`
+	Quiesced  bool     `json:"quiesced"`
+	FormedFor string   `json:"formed_for"`
+}
+
+// Claim is the accepted right of Owner to run the call of a key.
+type Claim struct {
+	Owner  string    `json:"owner"`
+	Offset int64     `json:"offset"`
+	At     time.Time `json:"at"`
+}
+
+// Condemned is a request fingerprint that is refused.
+type Condemned struct {
+	Workspace string    `json:"workspace"`
+	Offset    int64     `json:"offset"`
+	At        time.Time `json:"at"`
+}
+
+// Seen is the verdict on a record ID that is still within the ID window.
+type Seen struct {
+	Offset   int64     `json:"offset"`
+	At       time.Time `json:"at"`
+	Reason   Reason    `json:"reason,omitempty"`
+	Revision int64     `json:"revision,omitempty"`
+}
+
+// Void is a record that changed nothing, with the reason.
+type Void struct {
+	Offset int64         `json:"offset"`
+	ID     string        `json:"id"`
+	Kind   recorder.Kind `json:"kind"`
+	Writer string        `json:"writer"`
+	Reason Reason        `json:"reason"`
+}
+
+// Reason says why a record is void; the empty reason means that it was accepted.
+type Reason string
+
+// The reasons for which a record is void.
+const (
+	Accepted            Reason = ""
+	ReasonUnknownKind   Reason = "unknown_kind"
+	ReasonNewerVersion  Reason = "newer_version"
+	ReasonMalformed     Reason = "malformed"
+	ReasonDuplicate     Reason = "duplicate"
+	ReasonOutsideWindow Reason = "id_outside_window"
+	ReasonConflict      Reason = "conflict"
+	ReasonInvalid       Reason = "invalid"
+	ReasonNotMember     Reason = "writer_not_member"
+	ReasonNotController Reason = "writer_not_controller"
+	ReasonUnknownMember Reason = "unknown_member"
+	ReasonUnknownGroup  Reason = "unknown_group"
+	ReasonGroupExists   Reason = "group_exists"
+	ReasonUnknownModel  Reason = "unknown_model"
+	ReasonOldVersion    Reason = "old_model_version"
+	ReasonWrongSize     Reason = "wrong_size"
+	ReasonUnknownVM     Reason = "unknown_vm"
+	ReasonVMUnfit       Reason = "vm_unfit"
+	ReasonVMTaken       Reason = "vm_taken"
+	ReasonDomains       Reason = "several_fabric_domains"
+	ReasonZoneOut       Reason = "availability_zone_out"
+	ReasonKeyClaimed    Reason = "key_claimed"
+	ReasonExpired       Reason = "expired"
+)
+
+// NewState returns the state before the first record.
+func NewState() *State {
+	return &State{
+		Members:   map[string]Member{},
+		Departed:  map[string]Departed{},
+		Groups:    map[string]Group{},
+		Owners:    map[string]string{},
+		Claims:    map[string]Claim{},
+		Condemned: map[string]Condemned{},
+		Seen:      map[string]Seen{},
+		Counts:    map[string]int64{},
+	}
+}
--- /dev/null
+++ b/reducer/view.go
@@ -0,0 +1,117 @@
+package reducer
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+	"maps"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/recorder"
+)
+
+// View is an immutable picture of the state for readers; its maps must not be changed.
+type View struct {
+	Offset    int64
+	Chain     uint64
+	Revision  int64
+	Catalog   cataloger.Catalog
+	Members   map[string]Member
+	Departed  map[string]Departed
+	Groups    map[string]Group
+	Owners    map[string]string
+	Condemned map[string]Condemned
+	Homes     map[string]Member
+	Watchers  map[string]Member
+	Control   map[string]Member
+	Snapshots Member
+	Voids     []Void
+	Counts    map[string]int64
+}
+
+// View copies what readers need and works out who has which duty; Homes is by group and by service VM, Watchers by fabric domain, Control by region.
+func (sta *State) View() *View {
+	vie := &View{
+		Offset:    sta.Offset,
+		Chain:     sta.Chain,
+		Revision:  sta.Revision,
+		Catalog:   sta.Catalog,
+		Members:   maps.Clone(sta.Members),
+		Departed:  maps.Clone(sta.Departed),
+		Groups:    maps.Clone(sta.Groups),
+		Owners:    maps.Clone(sta.Owners),
+		Condemned: maps.Clone(sta.Condemned),
+		Homes:     map[string]Member{},
+		Watchers:  map[string]Member{},
+		Control:   map[string]Member{},
+		Voids:     append([]Void{}, sta.Voids...),
+		Counts:    maps.Clone(sta.Counts),
+	}
+	vie.Snapshots, _ = sta.Snapshotter()
+	for name, grp := range sta.Groups {
+		vie.Homes[name], _ = sta.Home(name, grp.Zone)
+	}
+	sta.viewVMs(vie)
+	return vie
+}
+
+func (sta *State) viewVMs(vie *View) {
+	for name, vm := range sta.Catalog.Inventory.VMs {
+		if vm.Worker == cataloger.WorkerService {
+			vie.Homes[name], _ = sta.Home(name, vm.Zone)
+		}
+		if _, known := vie.Watchers[vm.Domain]; !known && vm.Domain != "" {
+			vie.Watchers[vm.Domain], _ = sta.Watcher(vm.Domain, vm.Zone)
+		}
+	}
+	for _, zone := range sta.Catalog.Inventory.Zones {
+		if _, known := vie.Control[zone.Region]; !known {
+			vie.Control[zone.Region], _ = sta.Controller(zone.Region)
+		}
+	}
+}
+
+// Encode writes the state as a snapshot.
+func (sta *State) Encode() (recorder.Snapshot, error) {
+	data, err := json.Marshal(sta)
+	if err != nil {
+		return recorder.Snapshot{}, errors.Annotate(err, "reducer: encode state")
+	}
+	var buf bytes.Buffer
+	zip := gzip.NewWriter(&buf)
+	if _, err := zip.Write(data); err != nil {
+		return recorder.Snapshot{}, errors.Annotate(err, "reducer: compress state")
+	}
+	if err := zip.Close(); err != nil {
+		return recorder.Snapshot{}, errors.Annotate(err, "reducer: compress state")
+	}
+	return recorder.Snapshot{Covers: sta.Offset, State: buf.Bytes(), Checksum: xxhash.Sum64(data)}, nil
+}
+
+// DecodeState reads a snapshot back; it fails with errors.NotValid when the snapshot is damaged.
+func DecodeState(sna recorder.Snapshot) (*State, error) {
+	zip, err := gzip.NewReader(bytes.NewReader(sna.State))
+	if err != nil {
+		return nil, errors.NewNotValid(err, "reducer: snapshot")
+	}
+	data, err := io.ReadAll(zip)
+	if err != nil {
+		return nil, errors.NewNotValid(err, "reducer: snapshot")
+	}
+	if xxhash.Sum64(data) != sna.Checksum {
+		return nil, errors.NotValidf("reducer: checksum of snapshot")
+	}
+	sta := NewState()
+	if err := json.Unmarshal(data, sta); err != nil {
+		return nil, errors.NewNotValid(err, "reducer: snapshot")
+	}
+	if sta.Offset != sna.Covers {
+		return nil, errors.NotValidf("reducer: snapshot that covers %d, with a state at %d,", sna.Covers, sta.Offset)
+	}
+	sta.Restore()
+	return sta, nil
+}
