--- /dev/null
+++ b/logcaller/doc.go
@@ -0,0 +1,2 @@
+// Package logcaller calls the platform's append-only log service.
+package logcaller
--- /dev/null
+++ b/messenger/doc.go
@@ -0,0 +1,2 @@
+// Package messenger calls other entries by net/rpc.
+package messenger
--- a/reducer/apply.go
+++ b/reducer/apply.go
@@ -10,6 +10,16 @@
 	"github.com/lovagelever/lovagelever/recorder"
 )
 
+var rehoming = map[recorder.Kind]bool{
+	recorder.KindPublication: true,
+	recorder.KindJoin:        true,
+	recorder.KindDrain:       true,
+	recorder.KindLeave:       true,
+	recorder.KindEvict:       true,
+	recorder.KindForm:        true,
+	recorder.KindRetire:      true,
+}
+
 // Apply folds the record at the next offset and returns why it is void, or Accepted.
 func (sta *State) Apply(ent recorder.Entry) Reason {
 	if ent.Offset <= sta.Offset {
@@ -24,6 +34,9 @@
 	}
 	sta.forget()
 	rea := sta.judge(ent)
+	if rea == Accepted && rehoming[ent.Record.Kind] {
+		sta.rehome()
+	}
 	sta.remember(ent, rea)
 	sta.assertWhole()
 	return rea
--- a/reducer/duty.go
+++ b/reducer/duty.go
@@ -16,11 +16,6 @@
 	return sta.pick("watcher/"+domain, zone, sta.Catalog.Inventory.Zones[zone].Region)
 }
 
-// Home returns the member that alone admits requests to a group, or to a plain service's VM by its name.
-func (sta *State) Home(unit, zone string) (Member, bool) {
-	return sta.pick("home/"+unit, zone, sta.Catalog.Inventory.Zones[zone].Region)
-}
-
 // Snapshotter returns the member that appends snapshots.
 func (sta *State) Snapshotter() (Member, bool) {
 	return sta.pick("snapshotter", "", "")
--- a/reducer/member.go
+++ b/reducer/member.go
@@ -13,7 +13,7 @@
 	}
 	for inc, old := range sta.Members {
 		if old.Name == mem.Name {
-			sta.depart(inc, Departed{Name: old.Name, Evicted: true})
+			sta.depart(inc, Departed{Name: old.Name, RPCAddress: old.RPCAddress, Evicted: true})
 		}
 	}
 	sta.Members[mem.Incarnation] = Member{Member: mem, Joined: sta.Offset}
@@ -35,7 +35,7 @@
 	if !live {
 		return ReasonUnknownMember
 	}
-	sta.depart(dep.Incarnation, Departed{Name: mem.Name, Successor: dep.Successor})
+	sta.depart(dep.Incarnation, Departed{Name: mem.Name, RPCAddress: mem.RPCAddress, Successor: dep.Successor})
 	return Accepted
 }
 
@@ -47,7 +47,7 @@
 	if !live {
 		return ReasonUnknownMember
 	}
-	sta.depart(dep.Incarnation, Departed{Name: mem.Name, Evicted: true})
+	sta.depart(dep.Incarnation, Departed{Name: mem.Name, RPCAddress: mem.RPCAddress, Evicted: true})
 	return Accepted
 }
 
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -30,6 +30,7 @@
 	Departed   map[string]Departed  `json:"departed"`
 	Groups     map[string]Group     `json:"groups"`
 	Owners     map[string]string    `json:"owners"`
+	Homes      map[string]Home      `json:"homes"`
 	Claims     map[string]Claim     `json:"claims"`
 	Condemned  map[string]Condemned `json:"condemned"`
 	Seen       map[string]Seen      `json:"seen"`
@@ -49,10 +50,11 @@
 
 // Departed is an incarnation that left or was evicted; Successor may hold its outcomes.
 type Departed struct {
-	Name      string `json:"name"`
-	Offset    int64  `json:"offset"`
-	Evicted   bool   `json:"evicted"`
-	Successor string `json:"successor,omitempty"`
+	Name       string `json:"name"`
+	RPCAddress string `json:"rpc_address"`
+	Offset     int64  `json:"offset"`
+	Evicted    bool   `json:"evicted"`
+	Successor  string `json:"successor,omitempty"`
 }
 
 // Group is a live replica group; Fence is the offset of the record that formed it.
@@ -137,6 +139,7 @@
 		Departed:  map[string]Departed{},
 		Groups:    map[string]Group{},
 		Owners:    map[string]string{},
+		Homes:     map[string]Home{},
 		Claims:    map[string]Claim{},
 		Condemned: map[string]Condemned{},
 		Seen:      map[string]Seen{},
--- a/reducer/view.go
+++ b/reducer/view.go
@@ -25,7 +25,7 @@
 	Groups    map[string]Group
 	Owners    map[string]string
 	Condemned map[string]Condemned
-	Homes     map[string]Member
+	Homes     map[string]Home
 	Watchers  map[string]Member
 	Control   map[string]Member
 	Snapshots Member
@@ -33,7 +33,7 @@
 	Counts    map[string]int64
 }
 
-// View copies what readers need and works out who has which duty; Homes is by group and by service VM, Watchers by fabric domain, Control by region.
+// View copies what readers need and works out who has which duty; Homes is by unit, Watchers by fabric domain, Control by region.
 func (sta *State) View() *View {
 	vie := &View{
 		Offset:    sta.Offset,
@@ -45,25 +45,19 @@
 		Groups:    maps.Clone(sta.Groups),
 		Owners:    maps.Clone(sta.Owners),
 		Condemned: maps.Clone(sta.Condemned),
-		Homes:     map[string]Member{},
+		Homes:     sta.Homes,
 		Watchers:  map[string]Member{},
 		Control:   map[string]Member{},
 		Voids:     append([]Void{}, sta.Voids...),
 		Counts:    maps.Clone(sta.Counts),
 	}
 	vie.Snapshots, _ = sta.Snapshotter()
-	for name, grp := range sta.Groups {
-		vie.Homes[name], _ = sta.Home(name, grp.Zone)
-	}
 	sta.viewVMs(vie)
 	return vie
 }
 
 func (sta *State) viewVMs(vie *View) {
-	for name, vm := range sta.Catalog.Inventory.VMs {
-		if vm.Worker == cataloger.WorkerService {
-			vie.Homes[name], _ = sta.Home(name, vm.Zone)
-		}
+	for _, vm := range sta.Catalog.Inventory.VMs {
 		if _, known := vie.Watchers[vm.Domain]; !known && vm.Domain != "" {
 			vie.Watchers[vm.Domain], _ = sta.Watcher(vm.Domain, vm.Zone)
 		}
@@ -115,3 +109,9 @@
 	sta.Restore()
 	return sta, nil
 }
+
+// HomeOf returns the live member that is home of a unit.
+func (vie *View) HomeOf(unit string) (Member, bool) {
+	mem, live := vie.Members[vie.Homes[unit].Incarnation]
+	return mem, live
+}
