Watch backend servers, judge freshness, evict and steer

Cause: groups must be confirmed by read-back, and an entry that cannot know of a drain must stop taking work.

Change: watcher (each VM has one responsible entry), freshener (log, or most peers; publishing needs both), evictor (asks witnesses, silent when itself cut off), joiner (new incarnation after an eviction), steerer and orderer (orders withheld when the own view is stale).

Not yet run under failure.

--- /dev/null
+++ b/evictor/doc.go
@@ -0,0 +1,2 @@
+// Package evictor proposes to evict entries that no longer answer.
+package evictor
--- /dev/null
+++ b/evictor/evictor.go
@@ -0,0 +1,135 @@
+package evictor
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lovagelever/lovagelever/follower"
+	"github.com/lovagelever/lovagelever/freshener"
+	"github.com/lovagelever/lovagelever/recorder"
+	"github.com/lovagelever/lovagelever/reducer"
+)
+
+const (
+	witnesses     = 3
+	appendTimeout = 5 * time.Second
+)
+
+// Peers tells which peers this entry watches and when each was heard.
+type Peers interface {
+	Self() string
+	Fingers() []string
+	Heard(inc string) time.Time
+}
+
+// Witness asks another entry whether it reaches a member.
+type Witness interface {
+	Reaches(ctx context.Context, witness, target reducer.Member) bool
+}
+
+// Appender appends records.
+type Appender interface {
+	Append(ctx context.Context, rec recorder.Record) (follower.Judged, error)
+}
+
+// Options are what an evictor needs; a peer silent for SuspectAfter is suspected.
+type Options struct {
+	View         func() *reducer.View
+	Standing     func() freshener.Standing
+	Peers        Peers
+	Witness      Witness
+	Appender     Appender
+	Clock        clockwork.Clock
+	Logger       logrus.FieldLogger
+	SuspectAfter time.Duration
+}
+
+// Evictor watches the peers of one entry.
+type Evictor struct {
+	opt  Options
+	seen map[string]time.Time
+}
+
+// New returns an evictor.
+func New(opt Options) *Evictor {
+	return &Evictor{opt: opt, seen: map[string]time.Time{}}
+}
+
+// Run checks the peers until the context ends.
+func (evi *Evictor) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		evi.Check(ctx)
+		select {
+		case <-ctx.Done():
+		case <-evi.opt.Clock.After(evi.opt.SuspectAfter / 4):
+		}
+	}
+}
+
+// Check proposes to evict each watched peer that neither this entry nor a witness reaches.
+// An entry that is itself cut off from the log or from most peers proposes nothing.
+func (evi *Evictor) Check(ctx context.Context) {
+	if !evi.opt.Standing().MayPublish {
+		clear(evi.seen)
+		return
+	}
+	vie := evi.opt.View()
+	now := evi.opt.Clock.Now()
+	for _, inc := range evi.opt.Peers.Fingers() {
+		mem, live := vie.Members[inc]
+		if !live {
+			continue
+		}
+		if evi.silent(inc, now) && !evi.witnessed(ctx, vie, mem) {
+			evi.evict(ctx, mem)
+		}
+	}
+}
+
+func (evi *Evictor) silent(inc string, now time.Time) bool {
+	first, known := evi.seen[inc]
+	if !known {
+		evi.seen[inc] = now
+		return false
+	}
+	last := evi.opt.Peers.Heard(inc)
+	if last.Before(first) {
+		last = first
+	}
+	return now.Sub(last) > evi.opt.SuspectAfter
+}
+
+func (evi *Evictor) witnessed(ctx context.Context, vie *reducer.View, target reducer.Member) bool {
+	asked := 0
+	for inc, mem := range vie.Members {
+		if inc == target.Incarnation || inc == evi.opt.Peers.Self() || asked == witnesses {
+			continue
+		}
+		asked++
+		if evi.opt.Witness.Reaches(ctx, mem, target) {
+			return true
+		}
+	}
+	return false
+}
+
+func (evi *Evictor) evict(ctx context.Context, mem reducer.Member) {
+	log := evi.opt.Logger.WithFields(logrus.Fields{"entry": mem.Name, "incarnation": mem.Incarnation})
+	rec, err := recorder.New(recorder.KindEvict, evi.opt.Peers.Self(), recorder.Departure{Incarnation: mem.Incarnation, Reason: "silent"})
+	if err != nil {
+		log.WithError(err).Error("eviction not made")
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, appendTimeout)
+	defer stop()
+	jud, err := evi.opt.Appender.Append(ctx, rec)
+	if err != nil {
+		log.WithError(err).Warn("eviction not settled")
+		return
+	}
+	log.WithField("reason", jud.Reason).Warn("entry evicted")
+	delete(evi.seen, mem.Incarnation)
+}
--- /dev/null
+++ b/freshener/doc.go
@@ -0,0 +1,2 @@
+// Package freshener judges whether an entry knows enough to take new work.
+package freshener
--- /dev/null
+++ b/joiner/doc.go
@@ -0,0 +1,2 @@
+// Package joiner makes an entry a member and lets it leave.
+package joiner
--- /dev/null
+++ b/lister/doc.go
@@ -0,0 +1,2 @@
+// Package lister reads the platform's lagging list of VMs.
+package lister
--- /dev/null
+++ b/orderer/doc.go
@@ -0,0 +1,2 @@
+// Package orderer sends orders to model engines.
+package orderer
--- /dev/null
+++ b/prober/doc.go
@@ -0,0 +1,2 @@
+// Package prober asks backend servers for their status.
+package prober
--- /dev/null
+++ b/steerer/order.go
@@ -0,0 +1,75 @@
+package steerer
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lovagelever/lovagelever/orderer"
+	"github.com/lovagelever/lovagelever/planner"
+	"github.com/lovagelever/lovagelever/reducer"
+)
+
+func (ste *Steerer) order(ctx context.Context, act planner.Action) {
+	switch {
+	case act.Load != nil:
+		ste.send(ctx, act.Load.VM, act.Load.Address, loadOrder(*act.Load))
+	case act.Stage != nil:
+		ste.send(ctx, act.Stage.VM, act.Stage.Address, stageOrder(*act.Stage))
+	case act.Unload != nil:
+		unl := act.Unload
+		ste.send(ctx, unl.VM, unl.Address, orderer.Order{Order: orderer.Unload, Group: unl.Group, Fence: unl.Fence})
+	}
+}
+
+func loadOrder(loa planner.LoadOrder) orderer.Order {
+	ord := orderer.Order{
+		Order:    orderer.Load,
+		Group:    loa.Group,
+		Fence:    loa.Fence,
+		Model:    loa.Model,
+		Version:  loa.Version,
+		Adapters: loa.Adapters,
+		Weights:  loa.WeightsGigabytes,
+		Rank:     loa.Rank,
+	}
+	for _, mem := range loa.Members {
+		ord.Members = append(ord.Members, orderer.Member(mem))
+	}
+	return ord
+}
+
+func stageOrder(sta planner.Stage) orderer.Order {
+	return orderer.Order{
+		Order:    orderer.Stage,
+		Fence:    sta.Fence,
+		Model:    sta.Model,
+		Version:  sta.Version,
+		Adapters: sta.Adapters,
+		Weights:  sta.WeightsGigabytes,
+	}
+}
+
+// send sends an order unless, right before, this entry's own view is stale or no longer bears the order out.
+func (ste *Steerer) send(ctx context.Context, vm, address string, ord orderer.Order) {
+	log := ste.opt.Logger.WithFields(logrus.Fields{"order": ord.Order, "vm": vm, "group": ord.Group, "fence": ord.Fence})
+	go func() {
+		if !ste.opt.Standing().MayDecide || !borneOut(ste.opt.View(), vm, ord) {
+			log.Info("order withheld")
+			return
+		}
+		if err := ste.opt.Orders.Send(ctx, address, ord); err != nil {
+			log.WithError(err).Warn("order not taken")
+			return
+		}
+		log.Debug("order taken")
+	}()
+}
+
+func borneOut(vie *reducer.View, vm string, ord orderer.Order) bool {
+	owner := vie.Owners[vm]
+	if ord.Order != orderer.Load {
+		return owner == ""
+	}
+	return owner == ord.Group && vie.Groups[owner].Fence == ord.Fence
+}
--- /dev/null
+++ b/watcher/observe.go
@@ -0,0 +1,67 @@
+package watcher
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/lovagelever/lovagelever/planner"
+	"github.com/lovagelever/lovagelever/reducer"
+)
+
+// Observe gathers what the responsible entries say of every VM; times are when this entry learned of them.
+func (wat *Watcher) Observe(vie *reducer.View) map[string]planner.Observation {
+	now := wat.opt.Clock.Now()
+	wat.mtx.Lock()
+	defer wat.mtx.Unlock()
+	out := make(map[string]planner.Observation, len(vie.Catalog.Inventory.VMs))
+	for vm := range vie.Catalog.Inventory.VMs {
+		body, told := wat.opt.Facts.Get(subjectVM+vm, Responsible(vie, vm))
+		var sig Sight
+		if !told || json.Unmarshal(body, &sig) != nil {
+			continue
+		}
+		out[vm] = observation(wat.receive(vm, sig, now))
+	}
+	for vm := range wat.got {
+		if _, known := vie.Catalog.Inventory.VMs[vm]; !known {
+			delete(wat.got, vm)
+		}
+	}
+	return out
+}
+
+func (wat *Watcher) receive(vm string, sig Sight, now time.Time) received {
+	old, known := wat.got[vm]
+	rec := received{sight: sig, since: old.since, at: old.at}
+	if !known || old.sight.Alive != sig.Alive {
+		rec.since = now
+	}
+	if !known || old.sight != sig {
+		rec.at = now
+	}
+	wat.got[vm] = rec
+	return rec
+}
+
+func observation(rec received) planner.Observation {
+	sig := rec.sight
+	obs := planner.Observation{
+		Health:   planner.HealthLive,
+		Since:    rec.since,
+		At:       rec.at,
+		Group:    sig.Group,
+		Fence:    sig.Fence,
+		Model:    sig.Model,
+		Version:  sig.Version,
+		State:    sig.State,
+		Reason:   sig.Reason,
+		Warm:     sig.Warm,
+		Running:  sig.Running,
+		StepTime: time.Duration(sig.StepMS * float64(time.Millisecond)),
+		Started:  sig.Started,
+	}
+	if !sig.Alive {
+		obs.Health = planner.HealthDead
+	}
+	return obs
+}
--- /dev/null
+++ b/watcher/stage.go
@@ -0,0 +1,80 @@
+package watcher
+
+import (
+	"time"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/prober"
+	"github.com/lovagelever/lovagelever/reducer"
+)
+
+// Stage says whether a unit serves, and if not why.
+type Stage string
+
+// The stages of a unit.
+const (
+	StageLoading  Stage = "loading"
+	StageServing  Stage = "serving"
+	StageQuiesced Stage = "quiesced"
+	StageBroken   Stage = "broken"
+	StageZoneOut  Stage = "zone_out"
+	StageGone     Stage = "gone"
+)
+
+// Stage judges a unit that has its home here: it serves only while every member has recently reported the same group and fence.
+func (wat *Watcher) Stage(vie *reducer.View, unit string) (Stage, string) {
+	grp, grouped := vie.Groups[unit]
+	if !grouped {
+		return wat.serviceStage(vie, unit)
+	}
+	switch {
+	case grp.Quiesced:
+		return StageQuiesced, "no new work"
+	case vie.Catalog.Rules.ZoneOut(grp.Zone):
+		return StageZoneOut, "availability zone " + grp.Zone + " is out"
+	}
+	now := wat.opt.Clock.Now()
+	for _, vm := range grp.VMs {
+		pro, known := wat.pro.Get(vm)
+		if sta, why := wat.memberStage(grp, vm, pro, known, now); sta != StageServing {
+			return sta, why
+		}
+	}
+	return StageServing, ""
+}
+
+func (wat *Watcher) memberStage(grp reducer.Group, vm string, pro prober.Probe, known bool, now time.Time) (Stage, string) {
+	sta := pro.Status
+	switch {
+	case !known:
+		return StageLoading, "VM " + vm + " not probed yet"
+	case !pro.FailingSince.IsZero() || !wat.Recent(pro, now):
+		return StageBroken, "VM " + vm + " does not answer"
+	case sta.Group != grp.Name || sta.Fence != grp.Fence:
+		return StageLoading, "VM " + vm + " is not in the group"
+	case sta.State != prober.Ready:
+		return StageLoading, "VM " + vm + " is " + sta.State
+	case sta.Model != grp.Model || sta.Version != grp.Version:
+		return StageLoading, "VM " + vm + " has another model"
+	default:
+		return StageServing, ""
+	}
+}
+
+func (wat *Watcher) serviceStage(vie *reducer.View, unit string) (Stage, string) {
+	vm, known := vie.Catalog.Inventory.VMs[unit]
+	if !known || vm.Worker != cataloger.WorkerService {
+		return StageGone, "not in the inventory"
+	}
+	if vie.Catalog.Rules.ZoneOut(vm.Zone) {
+		return StageZoneOut, "availability zone " + vm.Zone + " is out"
+	}
+	pro, probed := wat.pro.Get(unit)
+	if !probed || !pro.FailingSince.IsZero() || !wat.Recent(pro, wat.opt.Clock.Now()) {
+		return StageBroken, "VM " + unit + " does not answer"
+	}
+	if pro.Status.State != prober.Ready {
+		return StageLoading, "VM " + unit + " is " + pro.Status.State
+	}
+	return StageServing, ""
+}
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,174 @@
+package watcher
+
+import (
+	"encoding/json"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/gossiper"
+	"github.com/lovagelever/lovagelever/prober"
+	"github.com/lovagelever/lovagelever/reducer"
+)
+
+const (
+	subjectVM = "vm/"
+	beatEvery = 15 * time.Second
+	// missedProbes is how many intervals an answer counts as recent.
+	missedProbes = 3
+)
+
+// Facts passes facts between entries.
+type Facts interface {
+	Set(subject string, body []byte)
+	Get(subject, origin string) ([]byte, bool)
+	All(prefix string) []gossiper.Fact
+}
+
+// Options are what a watcher needs.
+type Options struct {
+	View     func() *reducer.View
+	Self     func() string
+	Facts    Facts
+	Clock    clockwork.Clock
+	Interval time.Duration
+	Client   prober.Options
+	OnReport func(unit string, pro prober.Probe)
+	OnProbe  func(vm string)
+}
+
+// Sight is what a watcher passes on of one VM; it changes seldom.
+type Sight struct {
+	Alive   bool    `json:"alive"`
+	Group   string  `json:"group,omitempty"`
+	Fence   int64   `json:"fence,omitempty"`
+	Model   string  `json:"model,omitempty"`
+	Version string  `json:"version,omitempty"`
+	State   string  `json:"state,omitempty"`
+	Reason  string  `json:"reason,omitempty"`
+	Warm    bool    `json:"warm,omitempty"`
+	Running int     `json:"running,omitempty"`
+	StepMS  float64 `json:"step_ms,omitempty"`
+	Started string  `json:"started,omitempty"`
+	Beat    int64   `json:"beat"`
+}
+
+// Watcher watches the VMs of one entry.
+type Watcher struct {
+	opt Options
+	pro *prober.Prober
+	mtx sync.Mutex
+	got map[string]received
+}
+
+type received struct {
+	sight Sight
+	since time.Time
+	at    time.Time
+}
+
+// New returns a watcher; its prober is to be run.
+func New(opt Options) *Watcher {
+	wat := &Watcher{opt: opt, got: map[string]received{}}
+	probing := opt.Client
+	probing.Clock = opt.Clock
+	probing.Interval = opt.Interval
+	probing.Targets = wat.targets
+	probing.Before = opt.OnProbe
+	probing.OnProbe = wat.onProbe
+	wat.pro = prober.New(probing)
+	return wat
+}
+
+// Prober is the prober of the watcher.
+func (wat *Watcher) Prober() *prober.Prober {
+	return wat.pro
+}
+
+// Responsible is the incarnation that probes a VM.
+func Responsible(vie *reducer.View, vm string) string {
+	if grp, grouped := vie.Owners[vm]; grouped {
+		return vie.Homes[grp].Incarnation
+	}
+	spec := vie.Catalog.Inventory.VMs[vm]
+	if spec.Worker == cataloger.WorkerService {
+		return vie.Homes[vm].Incarnation
+	}
+	return vie.Watchers[spec.Domain].Incarnation
+}
+
+func (wat *Watcher) targets() []prober.Target {
+	vie := wat.opt.View()
+	self := wat.opt.Self()
+	var out []prober.Target
+	for name, vm := range vie.Catalog.Inventory.VMs {
+		if Responsible(vie, name) == self {
+			out = append(out, prober.Target{VM: name, Address: vm.Address})
+		}
+	}
+	return out
+}
+
+func (wat *Watcher) onProbe(vm string, pro prober.Probe) {
+	wat.tell(vm, pro)
+	vie := wat.opt.View()
+	if unit, first := unitOf(vie, vm); first {
+		wat.opt.OnReport(unit, pro)
+	}
+}
+
+// unitOf returns the unit whose load a VM reports: its group if it is rank 0, or itself if it is a service VM.
+func unitOf(vie *reducer.View, vm string) (string, bool) {
+	if grp, grouped := vie.Groups[vie.Owners[vm]]; grouped {
+		return grp.Name, grp.VMs[0] == vm
+	}
+	return vm, vie.Catalog.Inventory.VMs[vm].Worker == cataloger.WorkerService
+}
+
+func (wat *Watcher) tell(vm string, pro prober.Probe) {
+	sta := pro.Status
+	sig := Sight{
+		Alive:   pro.FailingSince.IsZero(),
+		Group:   sta.Group,
+		Fence:   sta.Fence,
+		Model:   sta.Model,
+		Version: sta.Version,
+		State:   sta.State,
+		Reason:  sta.Reason,
+		Warm:    sta.Warm,
+		Running: coarse(sta.Running + sta.Queued),
+		StepMS:  coarseMS(sta.StepMS),
+		Started: sta.Started,
+		Beat:    wat.opt.Clock.Now().UnixNano() / int64(beatEvery),
+	}
+	data, err := json.Marshal(sig)
+	if err != nil {
+		return
+	}
+	wat.opt.Facts.Set(subjectVM+vm, data)
+}
+
+// coarse rounds a count up to a power of two, so that facts change seldom.
+func coarse(count int) int {
+	if count <= 1 {
+		return count
+	}
+	return 1 << int(math.Ceil(math.Log2(float64(count))))
+}
+
+// coarseMS rounds a time to steps of a quarter.
+func coarseMS(val float64) float64 {
+	if val <= 0 {
+		return 0
+	}
+	steps := math.Round(math.Log(val) / math.Log(1.25))
+	return math.Round(100*math.Pow(1.25, steps)) / 100
+}
+
+// Recent reports whether a probe is so new that the VM counts as there.
+func (wat *Watcher) Recent(pro prober.Probe, now time.Time) bool {
+	return !pro.Asked.IsZero() && now.Sub(pro.Asked) <= missedProbes*wat.opt.Interval
+}
