--- /dev/null
+++ b/keeper/fact.go
@@ -0,0 +1,72 @@
+package keeper
+
+import (
+	"encoding/json"
+	"math"
+
+	"github.com/lovagelever/lovagelever/reducer"
+	"github.com/lovagelever/lovagelever/watcher"
+)
+
+const subjectUnit = "unit/"
+
+// Standing is what a home tells the other entries of a unit; counts are rounded up to powers of two.
+type Standing struct {
+	Stage   watcher.Stage `json:"stage"`
+	Reason  string        `json:"reason,omitempty"`
+	Fence   int64         `json:"fence"`
+	Warm    bool          `json:"warm"`
+	Running int           `json:"running"`
+	Waiting int           `json:"waiting"`
+	Limit   int           `json:"limit"`
+	Started string        `json:"started"`
+}
+
+func (kee *Keeper) tell(unit string, stage watcher.Stage, why string) {
+	adm, _ := kee.opt.Admitter.Status(unit)
+	sta := Standing{
+		Stage:   stage,
+		Reason:  why,
+		Fence:   adm.Fence,
+		Warm:    adm.Warm,
+		Running: coarse(adm.Running + adm.Foreign),
+		Waiting: coarse(adm.Waiting),
+		Limit:   adm.Limit,
+		Started: kee.started(unit),
+	}
+	data, err := json.Marshal(sta)
+	if err != nil {
+		return
+	}
+	kee.opt.Facts.Set(subjectUnit+unit, data)
+}
+
+func (kee *Keeper) started(unit string) string {
+	vie := kee.opt.View()
+	vm := unit
+	if grp, grouped := vie.Groups[unit]; grouped {
+		vm = grp.VMs[0]
+	}
+	pro, _ := kee.opt.Stager.Prober().Get(vm)
+	return pro.Status.Started
+}
+
+// Standing returns what the home of a unit says of it.
+func (kee *Keeper) Standing(vie *reducer.View, unit string) (Standing, bool) {
+	body, told := kee.opt.Facts.Get(subjectUnit+unit, vie.Homes[unit].Incarnation)
+	var sta Standing
+	if !told || json.Unmarshal(body, &sta) != nil {
+		return Standing{}, false
+	}
+	if grp, grouped := vie.Groups[unit]; grouped && grp.Fence != sta.Fence {
+		return Standing{}, false
+	}
+	return sta, true
+}
+
+func coarse(count int) int {
+	if count <= 1 {
+		return count
+	}
+	return 1 << int(math.Ceil(math.Log2(float64(count))))
+}
--- /dev/null
+++ b/keeper/takeover.go
@@ -0,0 +1,120 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovagelever/lovagelever/reducer"
+)
+
+const yieldTimeout = 2 * time.Second
+
+// YieldRequest asks a former home to admit nothing more to a unit, as of an offset.
+type YieldRequest struct {
+	Incarnation string
+	Unit        string
+	Offset      int64
+}
+
+// YieldAnswer says that the former home has given the unit up, or that the incarnation no longer runs.
+type YieldAnswer struct {
+	Yielded bool
+	Gone    bool
+}
+
+// takeover is what a home knows of the former homes of a unit.
+type takeover struct {
+	since     int64
+	began     time.Time
+	confirmed map[string]bool
+	asking    bool
+}
+
+// claim tells how sure this home of a unit is that no other entry admits to it.
+type claim int
+
+const (
+	claimNone claim = iota
+	claimHalf
+	claimSole
+)
+
+// claimOn judges the claim on a unit and asks the former homes that have not confirmed.
+func (kee *Keeper) claimOn(ctx context.Context, unit string, hom reducer.Home) claim {
+	kee.mtx.Lock()
+	defer kee.mtx.Unlock()
+	tak := kee.takeovers[unit]
+	if tak == nil || tak.since != hom.Since {
+		tak = &takeover{since: hom.Since, began: kee.opt.Clock.Now(), confirmed: map[string]bool{}}
+		kee.takeovers[unit] = tak
+	}
+	if tak.complete(hom) {
+		return claimSole
+	}
+	if !tak.asking {
+		tak.asking = true
+		go kee.askFormer(ctx, unit, hom, tak)
+	}
+	if kee.opt.Clock.Since(tak.began) > kee.opt.TakeoverAfter {
+		return claimHalf
+	}
+	return claimNone
+}
+
+func (tak *takeover) complete(hom reducer.Home) bool {
+	for _, inc := range hom.Former {
+		if !tak.confirmed[inc] {
+			return false
+		}
+	}
+	return true
+}
+
+func (kee *Keeper) askFormer(ctx context.Context, unit string, hom reducer.Home, tak *takeover) {
+	vie := kee.opt.View()
+	for _, inc := range hom.Former {
+		ans, err := kee.askOne(ctx, vie, YieldRequest{Incarnation: inc, Unit: unit, Offset: hom.Since})
+		if err != nil || !ans.Yielded && !ans.Gone {
+			kee.opt.Clock.Sleep(kee.opt.Interval / 2)
+			continue
+		}
+		kee.mtx.Lock()
+		tak.confirmed[inc] = true
+		kee.mtx.Unlock()
+	}
+	kee.mtx.Lock()
+	tak.asking = false
+	kee.mtx.Unlock()
+	kee.nudge()
+}
+
+func (kee *Keeper) askOne(ctx context.Context, vie *reducer.View, req YieldRequest) (YieldAnswer, error) {
+	address := vie.Departed[req.Incarnation].RPCAddress
+	if mem, live := vie.Members[req.Incarnation]; live {
+		address = mem.RPCAddress
+	}
+	ctx, stop := context.WithTimeout(ctx, yieldTimeout)
+	defer stop()
+	return kee.opt.Yield(ctx, address, req)
+}
+
+// Yield gives a unit up once this entry has folded the offset at which it moved.
+func (kee *Keeper) Yield(ctx context.Context, req YieldRequest) YieldAnswer {
+	ctx, stop := context.WithTimeout(ctx, yieldTimeout/2)
+	defer stop()
+	for {
+		changed := kee.opt.Changed()
+		if req.Incarnation != kee.opt.Self() {
+			return YieldAnswer{Gone: true}
+		}
+		if kee.opt.View().Offset >= req.Offset {
+			kee.Round(ctx)
+			return YieldAnswer{Yielded: true}
+		}
+		select {
+		case <-ctx.Done():
+			return YieldAnswer{}
+		case <-changed:
+		}
+	}
+}
