Add first working stand-ins of the platform and the backend servers

Cause: nothing speaks the protocols of docs/PLATFORM.md yet, so no part that calls the platform or a backend server can be run. Ruled out: a simulator of the whole cluster; the users want small fakes. Change: logkeeper, vmlister, weightkeeper, enginefaker and servicefaker, with jsoncoder, disturber and hoster below them, and the command standin. Before: standin did nothing.

--- /dev/null
+++ b/disturber/doc.go
@@ -0,0 +1,2 @@
+// Package disturber makes an HTTP handler fail as its faults say.
+package disturber
--- /dev/null
+++ b/disturber/faults.go
@@ -0,0 +1,61 @@
+package disturber
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/jsoncoder"
+)
+
+// Faults are the faults that every stand-in has.
+type Faults struct {
+	Down       bool     `json:"down,omitempty"`
+	SlowMS     int64    `json:"slow_ms,omitempty"`
+	CutSources []string `json:"cut_sources,omitempty"`
+	Pause      bool     `json:"pause,omitempty"`
+}
+
+// Endpoint returns the handler of POST /v1/faults: it lays the fields of the body over the current faults, and an empty object clears all.
+func Endpoint[T any](current func() T, set func(T) error) http.HandlerFunc {
+	var mut sync.Mutex
+	return func(wtr http.ResponseWriter, req *http.Request) {
+		mut.Lock()
+		defer mut.Unlock()
+		flt, err := overlay(req.Body, current())
+		if err != nil {
+			jsoncoder.Fail(wtr, http.StatusBadRequest, err)
+			return
+		}
+		if err := set(flt); err != nil {
+			jsoncoder.Fail(wtr, http.StatusBadRequest, err)
+			return
+		}
+		jsoncoder.Write(wtr, http.StatusOK, current())
+	}
+}
+
+func overlay[T any](body io.Reader, flt T) (T, error) {
+	var fields map[string]json.RawMessage
+	data, err := io.ReadAll(io.LimitReader(body, jsoncoder.MaxBody))
+	if err != nil {
+		return flt, errors.NewNotValid(err, "disturber: read faults")
+	}
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return flt, errors.NewNotValid(err, "disturber: decode faults")
+	}
+	if len(fields) == 0 {
+		var none T
+		return none, nil
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&flt); err != nil {
+		return flt, errors.NewNotValid(err, "disturber: decode faults")
+	}
+	return flt, nil
+}
--- /dev/null
+++ b/enginefaker/chat.go
@@ -0,0 +1,117 @@
+package enginefaker
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/lovagelever/lovagelever/jsoncoder"
+)
+
+type chatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+}
+
+type refusal struct {
+	Reason string `json:"reason"`
+}
+
+// verdict says whether a request was accepted; reason is empty when it was.
+type verdict struct {
+	reason string
+	group  string
+	fence  int64
+}
+
+func (eng *engine) serveChat(wtr http.ResponseWriter, req *http.Request) {
+	body, err := jsoncoder.Read[chatRequest](req)
+	if err != nil {
+		jsoncoder.Fail(wtr, http.StatusBadRequest, err)
+		return
+	}
+	jb := newJob(req.Header.Get("X-Request-Id"), int(headerNumber(req, "X-Priority")),
+		int(headerNumber(req, "X-Resume-From")), body.Messages, body.MaxTokens, eng.fkr.opt.CrashMarker)
+	ver := eng.accept(jb, req.Header.Get("X-Group"), headerNumber(req, "X-Fence"))
+	switch ver.reason {
+	case "":
+		eng.stream(wtr, req, jb)
+	case refusedFence:
+		jsoncoder.Write(wtr, http.StatusConflict, fenceAnswer{Group: ver.group, Fence: ver.fence})
+	default:
+		jsoncoder.Write(wtr, http.StatusServiceUnavailable, refusal{Reason: ver.reason})
+	}
+}
+
+func (eng *engine) serveCancel(wtr http.ResponseWriter, req *http.Request) {
+	id := req.PathValue("id")
+	if !eng.cancel(func(jb *job) bool { return jb.id == id }) {
+		wtr.WriteHeader(http.StatusNotFound)
+		return
+	}
+	wtr.WriteHeader(http.StatusOK)
+}
+
+// headerNumber returns 0 for a header that is absent or no number.
+func headerNumber(req *http.Request, name string) int64 {
+	num, _ := strconv.ParseInt(req.Header.Get(name), 10, 64)
+	return num
+}
+
+// accept asks the members and puts the request into the queue.
+func (eng *engine) accept(jb *job, group string, fence int64) verdict {
+	ord, ver := eng.checkOrder(group, fence)
+	if ver.reason != "" {
+		return ver
+	}
+	_, err := eng.ask(ord, memberCall{Accepted: true})
+	eng.fkr.mut.Lock()
+	defer eng.fkr.mut.Unlock()
+	if err != nil || !eng.readyIn(ord) || !eng.matesReady(ord) {
+		return eng.refuse(refusedNotReady)
+	}
+	if len(eng.queue) >= eng.fkr.opt.QueueLimit {
+		return eng.refuse(refusedOverloaded)
+	}
+	eng.start(jb, ord)
+	return verdict{}
+}
+
+func (eng *engine) checkOrder(group string, fence int64) (order, verdict) {
+	eng.fkr.mut.Lock()
+	defer eng.fkr.mut.Unlock()
+	if eng.state == stateEmpty && eng.reason == reasonFellOver {
+		return order{}, eng.refuse(refusedCold)
+	}
+	if eng.ord.Group != group || eng.ord.Fence != fence {
+		return order{}, eng.refuse(refusedFence)
+	}
+	if eng.state != stateReady || eng.ord.Rank != 0 {
+		return order{}, eng.refuse(refusedNotReady)
+	}
+	return eng.ord, verdict{}
+}
+
+func (eng *engine) refuse(reason string) verdict {
+	eng.cnt.Refused[reason]++
+	return verdict{reason: reason, group: eng.ord.Group, fence: eng.ord.Fence}
+}
+
+func (eng *engine) start(jb *job, ord order) {
+	eng.cnt.Started++
+	for _, mate := range eng.mates(ord) {
+		mate.cnt.AcceptedAtMS = eng.fkr.opt.Clock.Now().UnixMilli()
+	}
+	eng.enqueue(jb)
+	if !eng.warm() && len(eng.running)+len(eng.queue) > eng.fkr.opt.ColdLimit {
+		eng.cnt.FellOver++
+		eng.restart(reasonFellOver)
+		return
+	}
+	eng.note()
+	if !eng.stepping {
+		eng.stepping = true
+		go eng.run()
+	}
+}
--- /dev/null
+++ b/enginefaker/doc.go
@@ -0,0 +1,2 @@
+// Package enginefaker stands in for the model engines of one fabric domain.
+package enginefaker
--- /dev/null
+++ b/enginefaker/engine.go
@@ -0,0 +1,134 @@
+package enginefaker
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/disturber"
+	"github.com/lovagelever/lovagelever/hoster"
+)
+
+// States of an engine.
+const (
+	stateEmpty   = "empty"
+	stateLoading = "loading"
+	stateReady   = "ready"
+)
+
+const (
+	reasonFellOver = "fell over"
+	callTimeout    = 5 * time.Second
+)
+
+// engine is the model engine of one VM; the mutex of its Faker guards the fields after client.
+type engine struct {
+	fkr    *Faker
+	name   string
+	checks bool
+	dis    *disturber.Disturber
+	host   *hoster.Host
+	client *http.Client
+
+	flt     VMFaults
+	dead    bool
+	started string
+	// generation counts the changes of the order.
+	generation int64
+	seen       int64
+	ord        order
+	state      string
+	reason     string
+	held       []string
+
+	queue    []*job
+	running  []*job
+	latest   *job
+	stepping bool
+	step     time.Duration
+	busy     time.Duration
+	// remoteSlow is the largest slow factor of the members in other processes.
+	remoteSlow float64
+
+	cache    *cache
+	events   []event
+	eventSeq int64
+	reports  []datedReport
+	cnt      vmCounts
+}
+
+func newEngine(fkr *Faker, name string, vm cataloger.VM) *engine {
+	eng := &engine{
+		fkr: fkr, name: name, checks: vm.ChecksFence, dis: disturber.New(fkr.opt.Clock),
+		client: newClient(vm.Address), cnt: vmCounts{Refused: map[string]int{}},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", eng.serveStatus)
+	mux.HandleFunc("POST /v1/order", eng.serveOrder)
+	mux.HandleFunc("POST /v1/chat/completions", eng.serveChat)
+	mux.HandleFunc("DELETE /v1/requests/{id}", eng.serveCancel)
+	mux.HandleFunc("GET /v1/events", eng.serveEvents)
+	mux.HandleFunc("POST /v1/member", eng.serveMember)
+	eng.host = hoster.New(vm.Address, fkr.dis.Wrap(eng.dis.Wrap(mux)))
+	eng.restart("started")
+	return eng
+}
+
+// newClient dials from the IP of the VM.
+func newClient(address string) *http.Client {
+	dlr := net.Dialer{Timeout: callTimeout}
+	if own, err := net.ResolveTCPAddr("tcp", address); err == nil {
+		dlr.LocalAddr = &net.TCPAddr{IP: own.IP}
+	}
+	return &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: dlr.DialContext}}
+}
+
+// restart breaks every request and starts empty.
+func (eng *engine) restart(reason string) {
+	eng.breakJobs()
+	eng.started = uuid.NewString()
+	eng.seen, eng.busy, eng.held = 0, 0, nil
+	eng.cache = &cache{limit: eng.fkr.opt.CacheTokens}
+	eng.turn(order{}, stateEmpty, reason)
+}
+
+// turn takes an order and a state together.
+func (eng *engine) turn(ord order, state, reason string) {
+	eng.generation++
+	eng.ord, eng.state, eng.reason = ord, state, reason
+	eng.remoteSlow = 1
+	eng.fkr.aud.note(eng.name, ord, state)
+	eng.note()
+}
+
+func (eng *engine) warm() bool {
+	return eng.busy >= eng.fkr.opt.WarmAfter
+}
+
+func (eng *engine) setFaults(flt VMFaults) error {
+	eng.fkr.mut.Lock()
+	kill := flt.Kill && !eng.dead && !flt.Revive
+	revive := flt.Revive && eng.dead
+	if kill || revive {
+		eng.dead = kill
+		eng.restart("started")
+	}
+	if flt.TurnCold {
+		eng.busy = 0
+		eng.note()
+	}
+	flt.Kill, flt.Revive, flt.TurnCold = eng.dead, false, false
+	eng.flt = flt
+	eng.fkr.mut.Unlock()
+	_ = eng.dis.Set(flt.Faults)
+	if kill {
+		eng.host.Close()
+	}
+	if revive {
+		return eng.host.Start()
+	}
+	return nil
+}
--- /dev/null
+++ b/enginefaker/job.go
@@ -0,0 +1,92 @@
+package enginefaker
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// job is one request on rank 0.
+type job struct {
+	id       string
+	priority int
+	marked   bool
+	key      string
+	prompt   int
+	tokens   []string
+	// next is the index of the next token, prefill what is left of the prompt, and chunk what the current step does of it.
+	next    int
+	prefill int
+	chunk   int
+	broken  bool
+	out     chan int
+}
+
+func newJob(id string, priority, resume int, msgs []Message, maxTokens int, marker string) *job {
+	prompt := Prompt(msgs)
+	toks := Answer(msgs, maxTokens)
+	next := min(max(resume, 0), len(toks))
+	return &job{
+		id: id, priority: priority, marked: strings.Contains(prompt, marker), key: prefixKey(prompt),
+		prompt: promptTokens(prompt), tokens: toks, next: next, out: make(chan int, len(toks)-next),
+	}
+}
+
+func (jb *job) done() bool {
+	return jb.next >= len(jb.tokens)
+}
+
+// fail ends the job before its last token.
+func (jb *job) fail() {
+	jb.broken = true
+	close(jb.out)
+}
+
+// emit hands the next token out and reports whether it was the last.
+func (jb *job) emit() bool {
+	if !jb.done() {
+		jb.out <- jb.next
+		jb.next++
+	}
+	if !jb.done() {
+		return false
+	}
+	close(jb.out)
+	return true
+}
+
+func (eng *engine) jobs() []*job {
+	return slices.Concat(eng.running, eng.queue)
+}
+
+func (eng *engine) breakJobs() {
+	for _, jb := range eng.jobs() {
+		jb.fail()
+		eng.cnt.Broken++
+	}
+	eng.running, eng.queue = nil, nil
+}
+
+// enqueue puts the job behind those of its priority and above.
+func (eng *engine) enqueue(jb *job) {
+	eng.queue = append(eng.queue, jb)
+	slices.SortStableFunc(eng.queue, func(one, two *job) int { return cmp.Compare(two.priority, one.priority) })
+}
+
+// cancel ends the requests that match and reports whether there were any.
+func (eng *engine) cancel(matches func(*job) bool) bool {
+	eng.fkr.mut.Lock()
+	defer eng.fkr.mut.Unlock()
+	known := false
+	for _, jb := range eng.jobs() {
+		if matches(jb) {
+			known = true
+			jb.fail()
+			eng.cnt.Cancelled++
+		}
+	}
+	eng.running = slices.DeleteFunc(eng.running, matches)
+	eng.queue = slices.DeleteFunc(eng.queue, matches)
+	eng.note()
+	return known
+}
--- /dev/null
+++ b/enginefaker/tokens.go
@@ -0,0 +1,58 @@
+package enginefaker
+
+import (
+	"encoding/binary"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	shortestAnswer = 16
+	answerSpread   = 240
+	bytesPerToken  = 4
+)
+
+var words = strings.Fields(`amber arch balcony blue bright candle ceiling cue dawn dim dusk east fade floor
+	gate glow gold green halt hall hold lamp level line low mast morning night north note outing pale platform
+	red rest ring row scene seat slow soft south stage stop tier timetable track train violet warm west white`)
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Prompt returns the text that an engine makes of the messages.
+func Prompt(msgs []Message) string {
+	var bld strings.Builder
+	for _, msg := range msgs {
+		bld.WriteString(msg.Role + "\n" + msg.Content + "\n")
+	}
+	return bld.String()
+}
+
+// Answer returns the tokens of the whole answer to the messages; a positive maxTokens bounds their number.
+func Answer(msgs []Message, maxTokens int) []string {
+	seed := xxhash.Sum64String(Prompt(msgs))
+	num := shortestAnswer + int(seed%answerSpread)
+	if maxTokens > 0 {
+		num = min(num, maxTokens)
+	}
+	toks := make([]string, num)
+	for idx := range toks {
+		toks[idx] = token(seed, idx)
+	}
+	return toks
+}
+
+func token(seed uint64, idx int) string {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], seed)
+	binary.LittleEndian.PutUint64(buf[8:], uint64(idx))
+	return words[xxhash.Sum64(buf[:])%uint64(len(words))] + " "
+}
+
+func promptTokens(prompt string) int {
+	return len(prompt)/bytesPerToken + 1
+}
--- /dev/null
+++ b/jsoncoder/doc.go
@@ -0,0 +1,2 @@
+// Package jsoncoder reads and writes JSON bodies over HTTP.
+package jsoncoder
--- /dev/null
+++ b/logkeeper/doc.go
@@ -0,0 +1,2 @@
+// Package logkeeper stands in for the platform's log service.
+package logkeeper
--- /dev/null
+++ b/servicefaker/doc.go
@@ -0,0 +1,2 @@
+// Package servicefaker stands in for the VMs of one plain service.
+package servicefaker
--- /dev/null
+++ b/standcommander/doc.go
@@ -0,0 +1,2 @@
+// Package standcommander is the command line of the stand-ins.
+package standcommander
--- /dev/null
+++ b/standcommander/service.go
@@ -0,0 +1,47 @@
+package standcommander
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/lovagelever/lovagelever/servicefaker"
+)
+
+func serviceCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "service",
+		Usage: "run the VMs of one plain service",
+		Flags: []cli.Flag{
+			inventoryFlag(),
+			&cli.StringFlag{Name: "service", Required: true, Usage: "`NAME` of the service"},
+			&cli.StringFlag{Name: "control", Required: true, Usage: "`IP:PORT` for faults and counts"},
+			&cli.DurationFlag{Name: "work", Usage: "`DURATION` of one call (default 5ms)"},
+			&cli.DurationFlag{Name: "warm-after", Usage: "become warm after this `DURATION` under load (default 5s)"},
+			&cli.IntFlag{Name: "cold-limit", Usage: "fall over above `N` calls while cold (default from the inventory)"},
+			&cli.IntFlag{Name: "warm-limit", Usage: "refuse above `N` calls (default twice the inventory's warm limit)"},
+		},
+		Action: runService,
+	}
+}
+
+func runService(ctx context.Context, cmd *cli.Command) error {
+	inv, err := readInventory(cmd.String("inventory"))
+	if err != nil {
+		return err
+	}
+	fkr := servicefaker.New(servicefaker.Options{
+		Inventory: inv,
+		Service:   cmd.String("service"),
+		Control:   cmd.String("control"),
+		Work:      cmd.Duration("work"),
+		WarmAfter: cmd.Duration("warm-after"),
+		ColdLimit: cmd.Int("cold-limit"),
+		WarmLimit: cmd.Int("warm-limit"),
+	})
+	if err := fkr.Start(); err != nil {
+		return err
+	}
+	defer fkr.Close()
+	return waitForEnd(ctx, cmd.Name, cmd.String("control"))
+}
--- /dev/null
+++ b/standcommander/weight_store.go
@@ -0,0 +1,26 @@
+package standcommander
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/lovagelever/lovagelever/weightkeeper"
+)
+
+const defaultRate = 10.0
+
+func weightStoreCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "weight_store",
+		Usage: "run the weight store",
+		Flags: []cli.Flag{
+			listenFlag("127.0.0.1:7103"),
+			&cli.FloatFlag{Name: "gigabytes-per-second", Value: defaultRate, Usage: "`RATE` that all loads share"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			kpr := weightkeeper.New(weightkeeper.Options{GigabytesPerSecond: cmd.Float("gigabytes-per-second")})
+			return serve(ctx, cmd.Name, cmd.String("listen"), kpr.Handler())
+		},
+	}
+}
--- /dev/null
+++ b/vmlister/doc.go
@@ -0,0 +1,2 @@
+// Package vmlister stands in for the platform's lagging list of VMs.
+package vmlister
--- /dev/null
+++ b/vmlister/vmlister.go
@@ -0,0 +1,142 @@
+package vmlister
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/disturber"
+	"github.com/lovagelever/lovagelever/jsoncoder"
+)
+
+// States of a VM in the list.
+const (
+	StateLive    = "live"
+	StateLeaving = "leaving"
+)
+
+// VM is an entry of the list.
+type VM struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	State      string `json:"state"`
+	LeavesInMS int64  `json:"leaves_in_ms,omitempty"`
+}
+
+// Options set up a list; readers see a change after Lag.
+type Options struct {
+	Clock clockwork.Clock
+	Lag   time.Duration
+	VMs   []VM
+}
+
+type change struct {
+	at   time.Time
+	name string
+	vm   *VM
+}
+
+type entry struct {
+	vm     VM
+	leaves time.Time
+}
+
+// Lister is a list of VMs that shows its changes late.
+type Lister struct {
+	opt   Options
+	dis   *disturber.Disturber
+	mut   sync.Mutex
+	shown map[string]entry
+	late  []change
+}
+
+type list struct {
+	VMs []VM `json:"vms"`
+}
+
+// New makes a list that shows the VMs of the options at once.
+func New(opt Options) *Lister {
+	if opt.Clock == nil {
+		opt.Clock = clockwork.NewRealClock()
+	}
+	lst := &Lister{opt: opt, dis: disturber.New(opt.Clock), shown: map[string]entry{}}
+	for _, vm := range opt.VMs {
+		lst.apply(change{at: opt.Clock.Now(), name: vm.Name, vm: &vm})
+	}
+	return lst
+}
+
+// Handler serves the list, its changes and its faults over HTTP.
+func (lst *Lister) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/vms", lst.dis.Wrap(http.HandlerFunc(lst.serveList)))
+	mux.HandleFunc("POST /v1/vms", lst.serveSet)
+	mux.HandleFunc("DELETE /v1/vms/{name}", lst.serveRemove)
+	mux.HandleFunc("POST /v1/faults", disturber.Endpoint(lst.dis.Faults, lst.dis.Set))
+	return mux
+}
+
+func (lst *Lister) serveList(wtr http.ResponseWriter, _ *http.Request) {
+	jsoncoder.Write(wtr, http.StatusOK, list{VMs: lst.visible()})
+}
+
+func (lst *Lister) serveSet(wtr http.ResponseWriter, req *http.Request) {
+	vm, err := jsoncoder.Read[VM](req)
+	if err == nil && (vm.Name == "" || (vm.State != StateLive && vm.State != StateLeaving)) {
+		err = errors.NotValidf("vmlister: VM %q with state %q", vm.Name, vm.State)
+	}
+	if err != nil {
+		jsoncoder.Fail(wtr, http.StatusBadRequest, err)
+		return
+	}
+	lst.change(vm.Name, &vm)
+	jsoncoder.Write(wtr, http.StatusOK, vm)
+}
+
+func (lst *Lister) serveRemove(wtr http.ResponseWriter, req *http.Request) {
+	lst.change(req.PathValue("name"), nil)
+	wtr.WriteHeader(http.StatusOK)
+}
+
+func (lst *Lister) change(name string, vm *VM) {
+	lst.mut.Lock()
+	defer lst.mut.Unlock()
+	lst.late = append(lst.late, change{at: lst.opt.Clock.Now(), name: name, vm: vm})
+}
+
+func (lst *Lister) visible() []VM {
+	lst.mut.Lock()
+	defer lst.mut.Unlock()
+	now := lst.opt.Clock.Now()
+	for len(lst.late) > 0 && !lst.late[0].at.Add(lst.opt.Lag).After(now) {
+		lst.apply(lst.late[0])
+		lst.late = lst.late[1:]
+	}
+	vms := make([]VM, 0, len(lst.shown))
+	for _, name := range slices.Sorted(maps.Keys(lst.shown)) {
+		vms = append(vms, lst.shown[name].at(now))
+	}
+	return vms
+}
+
+func (lst *Lister) apply(chg change) {
+	if chg.vm == nil {
+		delete(lst.shown, chg.name)
+		return
+	}
+	leaves := chg.at.Add(time.Duration(chg.vm.LeavesInMS) * time.Millisecond)
+	lst.shown[chg.name] = entry{vm: *chg.vm, leaves: leaves}
+}
+
+func (ent entry) at(now time.Time) VM {
+	vm := ent.vm
+	if vm.State == StateLeaving {
+		vm.LeavesInMS = max(0, ent.leaves.Sub(now).Milliseconds())
+	}
+	return vm
+}
