Add the settings, the command line, the examples and the caller

Cause: an entry process needs settings, operators need a way to publish and read back, and a run of both deployments needs files and scripts. Ruled out: reading publications straight into the catalog's types, since the decoder stops at a repeated key and forgets lines. The reader walks the YAML tree against the types instead, takes out what does not fit and judges the rest. Change: packages pinpointer, configurer, checker, requester, publisher, commander and trier, the faults of a catalog in cataloger, two example deployments, scripts to start, run and stop them, and the caller. Before: the command line did nothing and every catalog was valid.

--- a/Makefile
+++ b/Makefile
@@ -1,3 +1,4 @@
+DEPLOYMENT ?= alokrekha
 GOBIN := $(shell go env GOPATH)/bin
 LINT_VERSION := v2.15.0
 
@@ -6,10 +7,20 @@
 build:
 	go build -o bin/lovagelever .
 	go build -o bin/standin ./standin
+	go build -o bin/caller ./caller
 
 test:
 	go test -race -count=1 ./...
 
+run: build
+	scripts/run.sh
+
+up: build
+	scripts/up.sh $(DEPLOYMENT)
+
+down:
+	scripts/down.sh $(DEPLOYMENT)
+
 fmt:
 	gofmt -w .
 
--- /dev/null
+++ b/cataloger/validate_vm.go
@@ -0,0 +1,60 @@
+package cataloger
+
+func (val *validator) checkVMs() {
+	inv := val.cat.Inventory
+	holders := map[string]string{}
+	domains := map[string]VM{}
+	for _, name := range sortedKeys(inv.VMs) {
+		vm := inv.VMs[name]
+		path := "inventory.vms." + name
+		if _, known := inv.Zones[vm.Zone]; !known {
+			val.report(path+".availability_zone", "unknown availability zone %q", vm.Zone)
+		}
+		if other, taken := holders[vm.Address]; taken && vm.Address != "" {
+			val.report(path+".address", "%s is the address of VM %q too", vm.Address, other)
+		}
+		holders[vm.Address] = name
+		val.checkWorker(path, vm)
+		val.checkDomain(path, vm, domains)
+	}
+}
+
+func (val *validator) checkWorker(path string, vm VM) {
+	switch vm.Worker {
+	case WorkerEngine:
+		val.checkEngine(path, vm)
+	case WorkerService:
+		if _, known := val.cat.Inventory.Services[vm.Service]; !known {
+			val.report(path+".service", "unknown service %q", vm.Service)
+		}
+	default:
+		val.report(path+".worker", "unknown kind of worker %q, use %q or %q", vm.Worker, WorkerEngine, WorkerService)
+	}
+}
+
+func (val *validator) checkEngine(path string, vm VM) {
+	if vm.Domain == "" {
+		val.report(path+".fabric_domain", "an engine needs a fabric domain")
+	}
+	if vm.Accelerators < 1 {
+		val.report(path+".accelerators", "an engine needs accelerators, not %d", vm.Accelerators)
+	}
+	if vm.Address == "" {
+		val.report(path+".address", "an engine needs an address")
+	}
+}
+
+func (val *validator) checkDomain(path string, vm VM, domains map[string]VM) {
+	if vm.Domain == "" {
+		return
+	}
+	val.checkName(path+".fabric_domain", vm.Domain)
+	first, seen := domains[vm.Domain]
+	if !seen {
+		domains[vm.Domain] = vm
+		return
+	}
+	if first.Zone != vm.Zone {
+		val.report(path+".fabric_domain", "fabric domain %q spans availability zones %q and %q", vm.Domain, first.Zone, vm.Zone)
+	}
+}
--- /dev/null
+++ b/checker/doc.go
@@ -0,0 +1,2 @@
+// Package checker reads publication files and finds every fault in them.
+package checker
--- /dev/null
+++ b/checker/file.go
@@ -0,0 +1,34 @@
+package checker
+
+import (
+	"os"
+
+	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+)
+
+// File is the name and the content of one publication file.
+type File struct {
+	Name string
+	Data []byte
+}
+
+// Publication is what publication files ask for; a part that is nil stays as it is.
+type Publication struct {
+	Inventory *cataloger.Inventory `json:"inventory,omitempty" yaml:"inventory"`
+	Rules     *cataloger.Rules     `json:"rules,omitempty" yaml:"rules"`
+}
+
+// Load reads publication files; it fails with the error of the first that can't be read.
+func Load(names []string) ([]File, error) {
+	files := make([]File, 0, len(names))
+	for _, name := range names {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return nil, errors.Annotate(err, "checker: read publication")
+		}
+		files = append(files, File{Name: name, Data: data})
+	}
+	return files, nil
+}
--- /dev/null
+++ b/checker/walk.go
@@ -0,0 +1,161 @@
+package checker
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+)
+
+var (
+	publicationType = reflect.TypeFor[Publication]()
+	durationType    = reflect.TypeFor[cataloger.Duration]()
+)
+
+// walker compares the shape of one file with the types that it is read into, and takes out what does not fit.
+type walker struct {
+	chk  *checker
+	file string
+}
+
+// walk reports whether the node fits the type.
+func (wlk walker) walk(path string, node *yaml.Node, typ reflect.Type) bool {
+	if node.Kind == yaml.AliasNode {
+		return wlk.refuse(path, node, "write the value out, references are not read")
+	}
+	wlk.keep(path, node)
+	if node.Tag == "!!null" {
+		return wlk.refuse(path, node, "has no value")
+	}
+	switch {
+	case typ == durationType:
+		return wlk.duration(path, node)
+	case typ.Kind() == reflect.Pointer:
+		return wlk.walk(path, node, typ.Elem())
+	case typ.Kind() == reflect.Struct, typ.Kind() == reflect.Map:
+		return wlk.mapping(path, node, typ)
+	case typ.Kind() == reflect.Slice:
+		return wlk.sequence(path, node, typ.Elem())
+	default:
+		return wlk.scalar(path, node, typ)
+	}
+}
+
+func (wlk walker) mapping(path string, node *yaml.Node, typ reflect.Type) bool {
+	if node.Kind != yaml.MappingNode {
+		return wlk.refuse(path, node, "must be a mapping of keys to values")
+	}
+	var kept []*yaml.Node
+	seen := map[string]int{}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		key, val := node.Content[i], node.Content[i+1]
+		if wlk.member(path, key, val, typ, seen) {
+			kept = append(kept, key, val)
+		}
+	}
+	node.Content = kept
+	return true
+}
+
+// member reports whether one key of a mapping and its value fit.
+func (wlk walker) member(path string, key, val *yaml.Node, typ reflect.Type, seen map[string]int) bool {
+	sub := join(path, key.Value)
+	if line, again := seen[key.Value]; again {
+		return wlk.refuse(sub, key, fmt.Sprintf("given before at line %d", line))
+	}
+	seen[key.Value] = key.Line
+	elem, known := elemType(typ, key.Value)
+	if !known {
+		return wlk.refuse(sub, key, "unknown key")
+	}
+	if other, given := wlk.chk.places[sub]; given && path == "" {
+		return wlk.refuse(sub, key, fmt.Sprintf("given before in %s at line %d", other.file, other.line))
+	}
+	wlk.keep(sub, key)
+	return wlk.walk(sub, val, elem)
+}
+
+func (wlk walker) sequence(path string, node *yaml.Node, elem reflect.Type) bool {
+	if node.Kind != yaml.SequenceNode {
+		return wlk.refuse(path, node, "must be a list")
+	}
+	fits := true
+	for i, item := range node.Content {
+		sub := fmt.Sprintf("%s.%d", path, i)
+		fits = wlk.walk(sub, item, elem) && fits
+	}
+	return fits
+}
+
+func (wlk walker) duration(path string, node *yaml.Node) bool {
+	var dur cataloger.Duration
+	if node.Kind != yaml.ScalarNode || node.Tag != "!!str" || node.Decode(&dur) != nil {
+		return wlk.refuse(path, node, "must be a duration with its unit, such as 16s or 490ms")
+	}
+	if dur < 0 {
+		return wlk.refuse(path, node, "must not be below zero")
+	}
+	return true
+}
+
+func (wlk walker) scalar(path string, node *yaml.Node, typ reflect.Type) bool {
+	if node.Kind != yaml.ScalarNode {
+		return wlk.refuse(path, node, "must be one plain value")
+	}
+	fits := node.Decode(reflect.New(typ).Interface()) == nil
+	if typ.Kind() == reflect.String {
+		fits = node.Tag == "!!str"
+	}
+	if !fits {
+		return wlk.refuse(path, node, fmt.Sprintf("%q is no %s", node.Value, word(typ)))
+	}
+	return true
+}
+
+func (wlk walker) keep(path string, node *yaml.Node) {
+	if _, kept := wlk.chk.places[path]; !kept {
+		wlk.chk.places[path] = place{file: wlk.file, line: node.Line}
+	}
+}
+
+func (wlk walker) refuse(path string, node *yaml.Node, message string) bool {
+	wlk.chk.faulty[path] = true
+	wlk.chk.report(place{file: wlk.file, line: node.Line}, path, message)
+	return false
+}
+
+func elemType(typ reflect.Type, key string) (reflect.Type, bool) {
+	if typ.Kind() == reflect.Map {
+		return typ.Elem(), true
+	}
+	for i := range typ.NumField() {
+		fld := typ.Field(i)
+		if name, _, _ := strings.Cut(fld.Tag.Get("yaml"), ","); name == key {
+			return fld.Type, true
+		}
+	}
+	return nil, false
+}
+
+func word(typ reflect.Type) string {
+	switch typ.Kind() {
+	case reflect.Int:
+		return "whole number"
+	case reflect.Float64:
+		return "number"
+	case reflect.Bool:
+		return "true or false"
+	default:
+		return "text (put it in quotes)"
+	}
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
--- /dev/null
+++ b/commander/doc.go
@@ -0,0 +1,2 @@
+// Package commander is the command line.
+package commander
--- /dev/null
+++ b/configurer/doc.go
@@ -0,0 +1,2 @@
+// Package configurer reads the settings of one entry.
+package configurer
--- /dev/null
+++ b/configurer/option.go
@@ -0,0 +1,40 @@
+package configurer
+
+import "time"
+
+// option is one setting: its key, its default, how it is checked and kept, and what it means.
+type option struct {
+	name     string
+	fallback string
+	required bool
+	field    field
+	doc      string
+}
+
+// options returns the table of all settings, in the order in which they are printed.
+func options() []option {
+	return []option{
+		{"name", "", true, text(func(set *Settings) *string { return &set.Name }, checkName), "name of this entry, unique in the deployment"},
+		{"availability_zone", "", true, text(func(set *Settings) *string { return &set.Zone }, checkName), "availability zone of this entry"},
+		{"region", "", true, text(func(set *Settings) *string { return &set.Region }, checkName), "region of this entry"},
+		{"address", "", true, text(func(set *Settings) *string { return &set.Address }, checkAddress), "address that callers connect to"},
+		{"rpc_address", "", true, text(func(set *Settings) *string { return &set.RPCAddress }, checkAddress), "address that other entries connect to"},
+		{"advertise_address", "", false, text(func(set *Settings) *string { return &set.AdvertiseAddress }, checkAddress), "address given to callers; the default is address"},
+		{"advertise_rpc_address", "", false, text(func(set *Settings) *string { return &set.AdvertiseRPCAddress }, checkAddress), "address given to other entries; the default is rpc_address"},
+		{"log_address", "", true, text(func(set *Settings) *string { return &set.LogAddress }, checkAddress), "address of the platform's log service"},
+		{"vm_list_address", "", true, text(func(set *Settings) *string { return &set.VMListAddress }, checkAddress), "address of the platform's VM list"},
+		{"weight_store_address", "", true, text(func(set *Settings) *string { return &set.WeightStoreAddress }, checkAddress), "address of the platform's weight store"},
+		{"log_level", "info", false, text(func(set *Settings) *string { return &set.LogLevel }, oneOf("trace", "debug", "info", "warning", "error")), "lowest level that is logged"},
+		{"log_format", "text", false, text(func(set *Settings) *string { return &set.LogFormat }, oneOf("text", "json")), "format of the program's own log lines"},
+		{"probe_interval", "1s", false, duration(func(set *Settings) *time.Duration { return &set.ProbeInterval }), "time between two probes of a backend server"},
+		{"fresh_for", "3s", false, duration(func(set *Settings) *time.Duration { return &set.FreshFor }), "how long an entry takes new work without news"},
+		{"suspect_after", "3s", false, duration(func(set *Settings) *time.Duration { return &set.SuspectAfter }), "silence after which another entry is suspected"},
+		{"locate_valid_for", "5s", false, duration(func(set *Settings) *time.Duration { return &set.LocateValidFor }), "how long callers keep an answer of locate"},
+		{"request_timeout", "60s", false, duration(func(set *Settings) *time.Duration { return &set.RequestTimeout }), "longest time for one request"},
+		{"queue_timeout", "5s", false, duration(func(set *Settings) *time.Duration { return &set.QueueTimeout }), "longest wait of a request before it runs"},
+		{"stop_timeout", "30s", false, duration(func(set *Settings) *time.Duration { return &set.StopTimeout }), "longest time for a graceful shutdown"},
+		{"snapshot_every_records", "1000", false, count(func(set *Settings) *int { return &set.SnapshotEveryRecords }), "records between two snapshots in the log"},
+		{"max_body_bytes", "1048576", false, count(func(set *Settings) *int { return &set.MaxBodyBytes }), "largest body of a request"},
+		{"outcome_window", "5m", false, duration(func(set *Settings) *time.Duration { return &set.OutcomeWindow }), "how long the outcome of an idempotency key is kept"},
+	}
+}
--- /dev/null
+++ b/configurer/print.go
@@ -0,0 +1,19 @@
+package configurer
+
+import (
+	"io"
+
+	"github.com/juju/errors"
+	"go.yaml.in/yaml/v3"
+)
+
+// Print writes the effective settings as YAML, each with its meaning.
+func Print(out io.Writer, set Settings) error {
+	root := yaml.Node{Kind: yaml.MappingNode}
+	for _, opt := range options() {
+		key := &yaml.Node{Kind: yaml.ScalarNode, Value: opt.name}
+		val := &yaml.Node{Kind: yaml.ScalarNode, Value: opt.field.get(set), LineComment: opt.doc}
+		root.Content = append(root.Content, key, val)
+	}
+	return errors.Annotate(yaml.NewEncoder(out).Encode(&root), "configurer: print settings")
+}
--- /dev/null
+++ b/configurer/settings.go
@@ -0,0 +1,29 @@
+package configurer
+
+import "time"
+
+// Settings is what one entry is told at its start; addresses are IP:PORT.
+type Settings struct {
+	Name                 string
+	Zone                 string
+	Region               string
+	Address              string
+	RPCAddress           string
+	AdvertiseAddress     string
+	AdvertiseRPCAddress  string
+	LogAddress           string
+	VMListAddress        string
+	WeightStoreAddress   string
+	LogLevel             string
+	LogFormat            string
+	ProbeInterval        time.Duration
+	FreshFor             time.Duration
+	SuspectAfter         time.Duration
+	LocateValidFor       time.Duration
+	RequestTimeout       time.Duration
+	QueueTimeout         time.Duration
+	StopTimeout          time.Duration
+	SnapshotEveryRecords int
+	MaxBodyBytes         int
+	OutcomeWindow        time.Duration
+}
--- /dev/null
+++ b/configurer/together.go
@@ -0,0 +1,48 @@
+package configurer
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// checkTogether reports the settings that contradict each other.
+func (rea *reader) checkTogether() {
+	set := rea.set
+	rea.notSame("rpc_address", set.RPCAddress, "address", set.Address)
+	rea.notSame("advertise_rpc_address", set.AdvertiseRPCAddress, "advertise_address", set.AdvertiseAddress)
+	rea.notAny("advertise_address", set.AdvertiseAddress)
+	rea.notAny("advertise_rpc_address", set.AdvertiseRPCAddress)
+	rea.notAbove("probe_interval", set.ProbeInterval, "fresh_for", set.FreshFor)
+	rea.notAbove("probe_interval", set.ProbeInterval, "suspect_after", set.SuspectAfter)
+	rea.notAbove("queue_timeout", set.QueueTimeout, "request_timeout", set.RequestTimeout)
+	rea.notAbove("request_timeout", set.RequestTimeout, "outcome_window", set.OutcomeWindow)
+}
+
+func (rea *reader) notSame(key, val, other, otherVal string) {
+	if val != "" && val == otherVal {
+		rea.report(rea.lineOf(key, other), key, "must differ from "+other)
+	}
+}
+
+func (rea *reader) notAny(key, val string) {
+	adr, err := netip.ParseAddrPort(val)
+	if err == nil && adr.Addr().IsUnspecified() {
+		rea.report(rea.lineOf(key, "address"), key, fmt.Sprintf("%s can't be connected to", val))
+	}
+}
+
+func (rea *reader) notAbove(key string, val time.Duration, other string, otherVal time.Duration) {
+	if val > 0 && otherVal > 0 && val > otherVal {
+		rea.report(rea.lineOf(key, other), key, fmt.Sprintf("%v must not be above %s, which is %v", val, other, otherVal))
+	}
+}
+
+func (rea *reader) lineOf(keys ...string) int {
+	for _, key := range keys {
+		if line := rea.lines[key]; line > 0 {
+			return line
+		}
+	}
+	return rea.start
+}
--- /dev/null
+++ b/pinpointer/doc.go
@@ -0,0 +1,2 @@
+// Package pinpointer ties problems of a YAML file to their line and key.
+package pinpointer
--- /dev/null
+++ b/publisher/doc.go
@@ -0,0 +1,2 @@
+// Package publisher sends a publication and waits until it is in force at every entry.
+package publisher
