Admit requests to a unit at its one home

Cause: nothing decided yet how many requests a backend server gets. Change: refuser (typed refusals), limiter (cold limit, slow start, foreign load, uncertain homes), queuer (priorities, fair shares, deadlines) and admitter, which joins one limiter and one queue for each unit. Ruled out: counting foreign load as running minus own outstanding at the probe; reports lag, so own requests that started since would hide it. It is bounded from both sides instead. Before: no admission.

--- /dev/null
+++ b/admitter/admitter_test.go
@@ -0,0 +1,121 @@
+package admitter_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/admitter"
+	"github.com/lovagelever/lovagelever/limiter"
+	"github.com/lovagelever/lovagelever/refuser"
+)
+
+type result struct {
+	ticket admitter.Ticket
+	err    error
+}
+
+var _ = Describe("Admitter", func() {
+	var clk *clockwork.FakeClock
+	var adm *admitter.Admitter
+	cfg := admitter.Config{Name: "u", Fence: 7, State: admitter.Serving, ColdLimit: 2, WarmLimit: 8, Untouched: true}
+
+	BeforeEach(func() {
+		clk = clockwork.NewFakeClock()
+		adm = admitter.New(admitter.Options{Incarnation: "e1", Clock: clk})
+		adm.Update(cfg)
+	})
+
+	admit := func(req admitter.Request) (admitter.Ticket, error) {
+		req.Unit, req.Holder = "u", "h-"+req.ID
+		return adm.Admit(context.Background(), req)
+	}
+	waiting := func() int {
+		sta, _ := adm.Status("u")
+		return sta.Waiting
+	}
+	later := func(req admitter.Request) chan result {
+		out := make(chan result, 1)
+		before := waiting()
+		go func() {
+			tic, err := admit(req)
+			out <- result{tic, err}
+		}()
+		Eventually(waiting).Should(Equal(before + 1))
+		return out
+	}
+	fill := func() []admitter.Ticket {
+		var out []admitter.Ticket
+		for num := range 2 {
+			tic, err := admit(admitter.Request{ID: fmt.Sprint("r", num)})
+			Expect(err).NotTo(HaveOccurred())
+			out = append(out, tic)
+		}
+		return out
+	}
+
+	It("grants up to the cold limit and hands a released place on", func() {
+		tics := fill()
+		Expect(tics[0]).To(Equal(admitter.Ticket{ID: "e1-1", Unit: "u", Fence: 7, ValidFor: time.Second}))
+		out := later(admitter.Request{ID: "w"})
+		Expect(waiting()).To(Equal(1))
+		Expect(adm.Release(tics[0].ID, limiter.Outcome{})).To(Succeed())
+		Expect((<-out).err).NotTo(HaveOccurred())
+		Expect(errors.Is(adm.Release(tics[0].ID, limiter.Outcome{}), errors.NotFound)).To(BeTrue())
+	})
+
+	endings := []struct {
+		name string
+		end  func()
+	}{
+		{"quiesced", func() { adm.Quiesce("u") }},
+		{"taken out with its zone", func() { out := cfg; out.State = admitter.ZoneOut; adm.Update(out) }},
+		{"moved to another home", func() { out := cfg; out.State = admitter.NotHome; adm.Update(out) }},
+		{"formed anew", func() { out := cfg; out.Fence = 8; out.Untouched = false; adm.Update(out) }},
+		{"dissolved", func() { adm.Remove("u") }},
+		{"past the deadline", func() { clk.Advance(3 * time.Second) }},
+		{"withdrawn", func() { _ = adm.Withdraw("u", "w") }},
+		{"without its holder", func() { adm.Forget("h-w") }},
+	}
+	for _, tst := range endings {
+		It("refuses a waiting request that is "+tst.name, func() {
+			fill()
+			out := later(admitter.Request{ID: "w", Within: 2 * time.Second})
+			Expect(clk.BlockUntilContext(context.Background(), 1)).To(Succeed())
+			tst.end()
+			Expect(refuser.From((<-out).err).Type).To(Equal(refuser.TypeNotRun))
+		})
+	}
+
+	It("keeps the place of an evicted holder until a report covers it", func() {
+		fill()
+		adm.Forget("h-r0")
+		out := later(admitter.Request{ID: "w"})
+		adm.Report("u", limiter.Report{At: clk.Now(), Running: 1})
+		Expect(waiting()).To(Equal(1))
+		clk.Advance(3 * time.Second)
+		adm.Report("u", limiter.Report{At: clk.Now(), Running: 1})
+		Expect((<-out).err).NotTo(HaveOccurred())
+	})
+
+	It("runs one suspect request at a time", func() {
+		tic, err := admit(admitter.Request{ID: "s1", Suspect: true})
+		Expect(err).NotTo(HaveOccurred())
+		out := later(admitter.Request{ID: "s2", Suspect: true})
+		_, err = admit(admitter.Request{ID: "plain"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(adm.Release(tic.ID, limiter.Outcome{})).To(Succeed())
+		Expect((<-out).err).NotTo(HaveOccurred())
+	})
+
+	It("refuses a second request with the ID of one that has a ticket", func() {
+		fill()
+		_, err := admit(admitter.Request{ID: "r0"})
+		Expect(refuser.From(err).Type).To(Equal(refuser.TypeConflict))
+	})
+})
--- /dev/null
+++ b/admitter/update.go
@@ -0,0 +1,115 @@
+package admitter
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/lovagelever/lovagelever/limiter"
+	"github.com/lovagelever/lovagelever/queuer"
+	"github.com/lovagelever/lovagelever/refuser"
+)
+
+// Update takes a unit on or changes it; a new fence makes it a new unit.
+func (adm *Admitter) Update(cfg Config) {
+	adm.mux.Lock()
+	defer adm.mux.Unlock()
+	uni := adm.units[cfg.Name]
+	if uni != nil && uni.cfg.Fence != cfg.Fence {
+		adm.remove(uni, "the unit has another fencing token")
+		uni = nil
+	}
+	if uni == nil {
+		uni = adm.add(cfg)
+	}
+	uni.cfg = cfg
+	uni.limiter.Resize(cfg.ColdLimit, cfg.WarmLimit)
+	adm.setState(uni, cfg.State)
+}
+
+// Quiesce refuses what waits for a unit and lets what runs end.
+func (adm *Admitter) Quiesce(unitName string) {
+	adm.mux.Lock()
+	defer adm.mux.Unlock()
+	if uni := adm.units[unitName]; uni != nil {
+		adm.setState(uni, Quiesced)
+	}
+}
+
+// Remove refuses what waits for a unit and drops its tickets.
+func (adm *Admitter) Remove(unitName string) {
+	adm.mux.Lock()
+	defer adm.mux.Unlock()
+	if uni := adm.units[unitName]; uni != nil {
+		adm.remove(uni, "the unit was dissolved")
+	}
+}
+
+// Status returns the load of a unit; known is false for one that is not here.
+func (adm *Admitter) Status(unitName string) (sta Status, known bool) {
+	adm.mux.Lock()
+	defer adm.mux.Unlock()
+	uni := adm.units[unitName]
+	if uni == nil {
+		return Status{}, false
+	}
+	return uni.status(), true
+}
+
+// Statuses returns the load of all units, ordered by name.
+func (adm *Admitter) Statuses() []Status {
+	adm.mux.Lock()
+	defer adm.mux.Unlock()
+	out := make([]Status, 0, len(adm.units))
+	for _, uni := range adm.units {
+		out = append(out, uni.status())
+	}
+	slices.SortFunc(out, func(sta, oth Status) int { return strings.Compare(sta.Name, oth.Name) })
+	return out
+}
+
+func (adm *Admitter) add(cfg Config) *unit {
+	lim := adm.opt.NewLimiter(limiter.Options{
+		ColdLimit: cfg.ColdLimit,
+		WarmLimit: cfg.WarmLimit,
+		ReportLag: adm.opt.ReportLag,
+		Validity:  adm.opt.Validity,
+		Untouched: cfg.Untouched,
+		Clock:     adm.opt.Clock,
+	})
+	uni := &unit{cfg: cfg, limiter: lim, queue: queuer.New(adm.opt.Queue), waiting: map[string]*waiter{}, running: map[string]*grant{}}
+	adm.units[cfg.Name] = uni
+	return uni
+}
+
+func (adm *Admitter) remove(uni *unit, message string) {
+	uni.refuseAll(refuser.NotRun(message, refuser.DefaultRetryAfter))
+	for id, gra := range adm.tickets {
+		if gra.unit == uni {
+			delete(adm.tickets, id)
+		}
+	}
+	delete(adm.units, uni.cfg.Name)
+}
+
+func (adm *Admitter) setState(uni *unit, sta State) {
+	uni.state = sta
+	uni.limiter.SetMode(sta.mode())
+	if sta.admits() {
+		adm.pump(uni)
+		return
+	}
+	uni.refuseAll(refuser.NotRun(sta.refusal(), refuser.DefaultRetryAfter))
+}
+
+func (uni *unit) status() Status {
+	return Status{
+		Name:    uni.cfg.Name,
+		Fence:   uni.cfg.Fence,
+		State:   uni.state,
+		Running: uni.limiter.Running(),
+		Foreign: uni.limiter.Foreign(),
+		Waiting: uni.queue.Len(),
+		Limit:   uni.limiter.Limit(),
+		Warm:    uni.limiter.Warm(),
+	}
+}
--- /dev/null
+++ b/refuser/doc.go
@@ -0,0 +1,2 @@
+// Package refuser defines the typed refusals that callers get.
+package refuser
