Place and plan replica groups

Cause: nothing decided yet which VMs form a group, or when a group is formed, repaired, drained or retired. Ruled out: un-quiescing a group in place, as the fold has no such record; a quiesced group that is still wanted is formed anew with the same VMs. Conclusion: the interface may be built on.

--- /dev/null
+++ b/placer/doc.go
@@ -0,0 +1,2 @@
+// Package placer chooses the VMs of a new replica group.
+package placer
--- /dev/null
+++ b/planner/spares.go
@@ -0,0 +1,116 @@
+package planner
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/placer"
+	"github.com/lovagelever/lovagelever/recorder"
+)
+
+func (rnd *round) free(vm string) bool {
+	return rnd.vie.Owners[vm] == "" && !rnd.taken[vm]
+}
+
+func (rnd *round) usable(vm string) bool {
+	obs := rnd.obs.VMs[vm]
+	return obs.Health == HealthLive && !obs.Leaving && !rnd.suspected(vm)
+}
+
+func (rnd *round) suspected(vm string) bool {
+	_, avoided := rnd.mem.avoided[vm]
+	return avoided || rnd.straggles(vm)
+}
+
+// spares returns up to num free VMs of a domain that fit the model, those that hold its weights first.
+func (rnd *round) spares(domain, model string, num int) []string {
+	mod := rnd.inv.Models[model]
+	var out []string
+	for _, name := range rnd.vms {
+		vm := rnd.inv.VMs[name]
+		if vm.Domain == domain && vm.Accelerators >= mod.AcceleratorsEach && rnd.free(name) && rnd.usable(name) {
+			out = append(out, name)
+		}
+	}
+	slices.SortStableFunc(out, func(one, two string) int {
+		if dif := cmp.Compare(rnd.headway(two, model), rnd.headway(one, model)); dif != 0 {
+			return dif
+		}
+		return cmp.Compare(rnd.inv.VMs[one].Accelerators, rnd.inv.VMs[two].Accelerators)
+	})
+	return out[:min(num, len(out))]
+}
+
+func (rnd *round) headway(vm, model string) int {
+	obs := rnd.obs.VMs[vm]
+	if obs.Model != model || obs.Version != rnd.inv.Models[model].Version {
+		return 0
+	}
+	switch obs.State {
+	case StateReady:
+		return 2
+	case StateLoading:
+		return 1
+	}
+	return 0
+}
+
+func (rnd *round) place(model string) (placer.Placement, error) {
+	mod := rnd.inv.Models[model]
+	req := placer.Request{
+		Model:      model,
+		Need:       placer.Need{VMs: mod.VMsPerReplica, AcceleratorsEach: mod.AcceleratorsEach},
+		ZoneGroups: rnd.zoneGroups(model),
+		Needs:      rnd.needs,
+	}
+	for _, name := range rnd.vms {
+		if rnd.free(name) {
+			req.Candidates = append(req.Candidates, rnd.candidate(name, model))
+		}
+	}
+	return rnd.pla.Policy.Place(req)
+}
+
+func (rnd *round) candidate(name, model string) placer.Candidate {
+	vm, obs := rnd.inv.VMs[name], rnd.obs.VMs[name]
+	return placer.Candidate{
+		Name: name, Zone: vm.Zone, Domain: vm.Domain, Accelerators: vm.Accelerators,
+		Holds:     rnd.headway(name, model) > 0,
+		Leaving:   obs.Leaving,
+		Unhealthy: obs.Health != HealthLive,
+		Suspected: rnd.suspected(name),
+		ZoneOut:   rnd.vie.Catalog.Rules.ZoneOut(vm.Zone),
+	}
+}
+
+func (rnd *round) zoneGroups(model string) map[string]int {
+	out := map[string]int{}
+	for _, zone := range rnd.formed[model] {
+		out[zone]++
+	}
+	for _, uni := range rnd.byModel[model] {
+		if uni.active() {
+			out[uni.Zone]++
+		}
+	}
+	return out
+}
+
+func (rnd *round) formOf(model string, vms []string, replaces, why string) recorder.Form {
+	rnd.named++
+	return recorder.Form{
+		Group:    fmt.Sprintf("%s-%d-%d", model, rnd.vie.Offset, rnd.named),
+		Model:    model,
+		Version:  rnd.inv.Models[model].Version,
+		VMs:      vms,
+		Replaces: replaces,
+		Reason:   why,
+	}
+}
+
+// share returns the gigabytes of weights that one VM of a group loads.
+func share(mod cataloger.Model) float64 {
+	return mod.WeightsGigabytes / float64(max(mod.VMsPerReplica, 1))
+}
