--- a/appender/appender.go
+++ b/appender/appender.go
@@ -11,7 +11,10 @@
 	"github.com/lovagelever/lovagelever/recorder"
 )
 
-const retryEvery = 300 * time.Millisecond
+const (
+	retryEvery  = 300 * time.Millisecond
+	sendTimeout = 2 * time.Second
+)
 
 // ErrUnknown says that a record may stand in the log or may yet come to stand there.
 const ErrUnknown = errors.ConstError("outcome of the append is unknown")
@@ -53,7 +56,7 @@
 
 func (app *Appender) send(ctx context.Context, rec recorder.Record) {
 	for ctx.Err() == nil {
-		if _, err := app.log.Append(ctx, rec); err == nil {
+		if app.sendOnce(ctx, rec) == nil {
 			return
 		}
 		select {
@@ -62,3 +65,10 @@
 		}
 	}
 }
+
+func (app *Appender) sendOnce(ctx context.Context, rec recorder.Record) error {
+	ctx, stop := context.WithTimeout(ctx, sendTimeout)
+	defer stop()
+	_, err := app.log.Append(ctx, rec)
+	return err
+}
--- /dev/null
+++ b/completer/counter.go
@@ -0,0 +1,78 @@
+package completer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lovagelever/lovagelever/limiter"
+	"github.com/lovagelever/lovagelever/streamer"
+)
+
+// counter passes tokens on and notes when they came.
+type counter struct {
+	sink   streamer.Sink
+	clk    clockwork.Clock
+	tokens int
+
+	mtx   sync.Mutex
+	first time.Time
+	last  time.Time
+}
+
+// Token passes one token on.
+func (cou *counter) Token(index int, content []byte) error {
+	now := cou.clk.Now()
+	cou.mtx.Lock()
+	if cou.first.IsZero() {
+		cou.first = now
+	}
+	cou.last = now
+	cou.mtx.Unlock()
+	if err := cou.sink.Token(index, content); err != nil {
+		return err
+	}
+	cou.tokens = index + 1
+	return nil
+}
+
+// begin starts the timing of an attempt.
+func (cou *counter) begin() {
+	cou.mtx.Lock()
+	defer cou.mtx.Unlock()
+	cou.first, cou.last = time.Time{}, cou.clk.Now()
+}
+
+// watch ends a stream that stalls.
+func (cou *counter) watch(ctx context.Context, stop context.CancelFunc) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-cou.clk.After(stallAfter / 4):
+		}
+		cou.mtx.Lock()
+		stalled := cou.clk.Since(cou.last) > stallAfter
+		cou.mtx.Unlock()
+		if stalled {
+			stop()
+			return
+		}
+	}
+}
+
+func (cou *counter) outcome(begun time.Time, before int) limiter.Outcome {
+	cou.mtx.Lock()
+	defer cou.mtx.Unlock()
+	out := limiter.Outcome{}
+	if cou.first.IsZero() {
+		return out
+	}
+	out.FirstToken = cou.first.Sub(begun)
+	if steps := cou.tokens - before - 1; steps > 0 {
+		out.Step = cou.last.Sub(cou.first) / time.Duration(steps)
+	}
+	return out
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -26,6 +26,7 @@
 const (
 	readLimit  = 500
 	readWait   = 500 * time.Millisecond
+	readSlack  = 2 * time.Second
 	readPause  = 200 * time.Millisecond
 	keepTail   = 2048
 	keepJudged = 8192
@@ -121,7 +122,9 @@
 func (fol *Follower) Step(ctx context.Context, wait time.Duration) error {
 	asked := fol.opt.Clock.Now()
 	from := fol.nextRead()
-	pag, err := fol.opt.Log.Read(ctx, from, readLimit, wait)
+	reading, stop := context.WithTimeout(ctx, wait+readSlack)
+	defer stop()
+	pag, err := fol.opt.Log.Read(reading, from, readLimit, wait)
 	if gon, gone := errors.AsType[*logcaller.GoneError](err); gone {
 		return fol.heal(ctx, gon.First)
 	}
--- a/follower/reader.go
+++ b/follower/reader.go
@@ -51,6 +51,17 @@
 	return fol.state.Claimable(issuedMS)
 }
 
+// Judged returns the verdict on a record that was folded not long ago.
+func (fol *Follower) Judged(id string) (Judged, bool) {
+	fol.mtx.Lock()
+	defer fol.mtx.Unlock()
+	if jud, known := fol.judged[id]; known {
+		return jud, true
+	}
+	see, known := fol.state.Seen[id]
+	return Judged{Offset: see.Offset, Reason: see.Reason, Revision: see.Revision}, known
+}
+
 // WaitJudged waits until the record has been folded; it fails when the context ends first.
 func (fol *Follower) WaitJudged(ctx context.Context, id string) (Judged, error) {
 	fol.mtx.Lock()
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,237 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/admitter"
+	"github.com/lovagelever/lovagelever/balancer"
+	"github.com/lovagelever/lovagelever/claimer"
+	"github.com/lovagelever/lovagelever/invoker"
+	"github.com/lovagelever/lovagelever/limiter"
+	"github.com/lovagelever/lovagelever/messenger"
+	"github.com/lovagelever/lovagelever/reducer"
+	"github.com/lovagelever/lovagelever/refuser"
+	"github.com/lovagelever/lovagelever/ticketer"
+)
+
+const (
+	maxStarts  = 3
+	maxRefused = 4
+	retryAfter = time.Second
+	maxHops    = 2
+)
+
+// Call is one call of a plain service; Key is empty without an idempotency key, and Hops counts the entries that passed it on.
+type Call struct {
+	RequestID string
+	Workspace string
+	Service   string
+	Method    string
+	Path      string
+	Header    http.Header
+	Body      []byte
+	Key       string
+	Within    time.Duration
+	Hops      int
+}
+
+// Answer is the service's answer, or a refusal.
+type Answer struct {
+	Status   int
+	Header   http.Header
+	Body     []byte
+	Replayed bool
+	Refusal  *refuser.Refusal
+}
+
+// Tickets gets places at the homes of units.
+type Tickets interface {
+	Take(ctx context.Context, req admitter.Request) (ticketer.Held, error)
+	Give(hel ticketer.Held, out limiter.Outcome)
+}
+
+// Services sends calls to service VMs.
+type Services interface {
+	Invoke(ctx context.Context, cal invoker.Call) (invoker.Response, error)
+}
+
+// Balancer picks a unit.
+type Balancer interface {
+	Pick(req balancer.Request, cands []balancer.Candidate) (balancer.Candidate, bool)
+}
+
+// Options are what a forwarder needs; Candidates lists the VMs of a service that serve.
+type Options struct {
+	View       func() *reducer.View
+	Candidates func(vie *reducer.View, service string) []balancer.Candidate
+	Claimer    func() *claimer.Claimer
+	Tickets    Tickets
+	Services   Services
+	Balancer   Balancer
+	Messenger  *messenger.Messenger
+	Clock      clockwork.Clock
+	Queue      time.Duration
+	Zone       string
+}
+
+// Forwarder forwards calls for one entry.
+type Forwarder struct {
+	opt Options
+}
+
+// New returns a forwarder.
+func New(opt Options) *Forwarder {
+	return &Forwarder{opt: opt}
+}
+
+// Forward runs a call, or has the entry that holds its key run it.
+func (fwd *Forwarder) Forward(ctx context.Context, cal Call) Answer {
+	ctx, stop := context.WithTimeout(ctx, cal.Within)
+	defer stop()
+	if fwd.idempotent(cal) || cal.Key == "" {
+		return fwd.run(ctx, cal)
+	}
+	cla := fwd.opt.Claimer()
+	dec, err := cla.Begin(ctx, cal.Key, fingerprint(cal))
+	if err != nil {
+		return refused(refusalOf(err))
+	}
+	switch dec.Verdict {
+	case claimer.VerdictReplay:
+		return replayed(dec.Outcome)
+	case claimer.VerdictForward:
+		return fwd.pass(ctx, cal, dec.Incarnation)
+	default:
+		return fwd.runOnce(ctx, cla, cal)
+	}
+}
+
+func (fwd *Forwarder) idempotent(cal Call) bool {
+	for _, met := range fwd.opt.View().Catalog.Inventory.Services[cal.Service].Idempotent {
+		if met == cal.Method {
+			return true
+		}
+	}
+	return false
+}
+
+// runOnce runs the call of a key and keeps its outcome, also when the caller has gone.
+func (fwd *Forwarder) runOnce(ctx context.Context, cla *claimer.Claimer, cal Call) Answer {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cal.Within)
+	defer stop()
+	finished := false
+	defer func() {
+		if !finished {
+			cla.Finish(cal.Key, claimer.Outcome{State: claimer.StateUnknown})
+		}
+	}()
+	ans := fwd.run(ctx, cal)
+	finished = true
+	cla.Finish(cal.Key, outcomeOf(ans))
+	return ans
+}
+
+// pass hands a call to the incarnation that alone may run its key.
+func (fwd *Forwarder) pass(ctx context.Context, cal Call, inc string) Answer {
+	mem, live := fwd.opt.View().Members[inc]
+	if !live || cal.Hops >= maxHops {
+		return refused(refuser.OutcomeUnknown("the entry that holds the key is gone"))
+	}
+	cal.Hops++
+	ans, err := messenger.Call[Call, Answer](ctx, fwd.opt.Messenger, mem.RPCAddress, "Forward", cal)
+	if err != nil {
+		ref := refuser.OutcomeUnknown("entry " + mem.Name + ", which holds the key, does not answer")
+		ref.RetryAfter = retryAfter
+		return refused(ref)
+	}
+	return ans
+}
+
+// run sends the call to one backend server after the other, as long as none may have run it or the call is idempotent.
+func (fwd *Forwarder) run(ctx context.Context, cal Call) Answer {
+	tried := map[string]bool{}
+	last := refuser.NotRun("no backend server of service "+cal.Service+" serves now", retryAfter)
+	starts := 0
+	for try := 0; try < maxRefused && ctx.Err() == nil; try++ {
+		cands := fwd.opt.Candidates(fwd.opt.View(), cal.Service)
+		can, found := fwd.opt.Balancer.Pick(balancer.Request{Zone: fwd.opt.Zone, Tried: tried}, cands)
+		if !found || tried[can.Unit] {
+			break
+		}
+		tried[can.Unit] = true
+		res, err := fwd.send(ctx, cal, can.Unit, try)
+		if err == nil {
+			return Answer{Status: res.Status, Header: res.Header, Body: res.Body}
+		}
+		last = refuser.From(err)
+		if last.Type != refuser.TypeNotRun {
+			starts++
+			if !fwd.idempotent(cal) || starts >= maxStarts {
+				return refused(last)
+			}
+		}
+	}
+	if starts > 0 {
+		last = refuser.OutcomeUnknown(last.Message)
+		last.RetryAfter = retryAfter
+	}
+	return refused(last)
+}
+
+func (fwd *Forwarder) send(ctx context.Context, cal Call, unit string, try int) (invoker.Response, error) {
+	vie := fwd.opt.View()
+	rul := vie.Catalog.Rules.Workspaces[cal.Workspace]
+	hel, err := fwd.opt.Tickets.Take(ctx, admitter.Request{
+		ID:        cal.RequestID + "." + strconv.Itoa(try),
+		Unit:      unit,
+		Workspace: cal.Workspace,
+		Priority:  rul.Priority,
+		Weight:    max(1, rul.Weight),
+		Cost:      1,
+		Within:    min(fwd.opt.Queue, cal.Within),
+	})
+	if err != nil {
+		return invoker.Response{}, err
+	}
+	if !fwd.opt.Clock.Now().Before(hel.Until) {
+		fwd.opt.Tickets.Give(hel, limiter.Outcome{Undispatched: true})
+		return invoker.Response{}, refuser.NotRun("the ticket was too old", retryAfter)
+	}
+	res, err := fwd.opt.Services.Invoke(ctx, invoker.Call{
+		Method:     cal.Method,
+		Address:    vie.Catalog.Inventory.VMs[unit].Address,
+		Path:       cal.Path,
+		Header:     cal.Header,
+		Body:       cal.Body,
+		RequestID:  cal.RequestID,
+		Repeatable: fwd.idempotent(cal),
+	})
+	if err == nil {
+		fwd.opt.Tickets.Give(hel, limiter.Outcome{})
+		return res, nil
+	}
+	if _, not := errors.AsType[*invoker.NotRunError](err); not {
+		fwd.opt.Tickets.Give(hel, limiter.Outcome{Refused: true})
+		return invoker.Response{}, refuser.NotRun(err.Error(), retryAfter)
+	}
+	fwd.opt.Tickets.Give(hel, limiter.Outcome{Broken: true, MayRun: true})
+	return invoker.Response{}, refuser.OutcomeUnknown(err.Error())
+}
+
+func fingerprint(cal Call) string {
+	dig := xxhash.New()
+	for _, part := range []string{cal.Workspace, cal.Service, cal.Method, cal.Path} {
+		_, _ = dig.WriteString(part)
+		_, _ = dig.Write([]byte{0})
+	}
+	_, _ = dig.Write(cal.Body)
+	return hex.EncodeToString(dig.Sum(nil))
+}
--- /dev/null
+++ b/forwarder/outcome.go
@@ -0,0 +1,45 @@
+package forwarder
+
+import (
+	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/claimer"
+	"github.com/lovagelever/lovagelever/refuser"
+)
+
+func refused(ref refuser.Refusal) Answer {
+	return Answer{Refusal: &ref}
+}
+
+func replayed(out claimer.Outcome) Answer {
+	return Answer{Status: out.Status, Header: out.Header, Body: out.Body, Replayed: true}
+}
+
+func outcomeOf(ans Answer) claimer.Outcome {
+	if ans.Refusal == nil {
+		return claimer.Outcome{State: claimer.StateDone, Status: ans.Status, Header: ans.Header, Body: ans.Body}
+	}
+	if ans.Refusal.Type == refuser.TypeNotRun {
+		return claimer.Outcome{State: claimer.StateNotRun}
+	}
+	return claimer.Outcome{State: claimer.StateUnknown}
+}
+
+func refusalOf(err error) refuser.Refusal {
+	ref, own := errors.AsType[*claimer.Refusal](err)
+	if !own {
+		return refuser.OutcomeUnknown(err.Error())
+	}
+	switch ref.Kind {
+	case claimer.KindNotRun:
+		return refuser.NotRun(ref.Reason, retryAfter)
+	case claimer.KindInvalid:
+		return refuser.Invalid(ref.Reason)
+	case claimer.KindExpired:
+		return refuser.Expired(ref.Reason)
+	case claimer.KindConflict:
+		return refuser.Conflict(ref.Reason)
+	default:
+		return refuser.OutcomeUnknown(ref.Reason)
+	}
+}
--- a/reducer/apply.go
+++ b/reducer/apply.go
@@ -80,6 +80,7 @@
 	case recorder.KindCondemn:
 		return withBody(rec, func(con recorder.Condemn) Reason { return sta.applyCondemn(rec.Writer, con) })
 	case recorder.KindSnapshot:
+		sta.SnapshotAt = sta.Offset
 		return Accepted
 	default:
 		return ReasonUnknownKind
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -25,6 +25,7 @@
 	Chain      uint64               `json:"chain"`
 	Revision   int64                `json:"revision"`
 	RevisionAt int64                `json:"revision_offset"`
+	SnapshotAt int64                `json:"snapshot_offset"`
 	Catalog    cataloger.Catalog    `json:"catalog"`
 	Members    map[string]Member    `json:"members"`
 	Departed   map[string]Departed  `json:"departed"`
--- a/reducer/view.go
+++ b/reducer/view.go
@@ -29,11 +29,12 @@
 	Watchers  map[string]Member
 	Control   map[string]Member
 	Snapshots Member
+	Covered   int64
 	Voids     []Void
 	Counts    map[string]int64
 }
 
-// View copies what readers need and works out who has which duty; Homes is by unit, Watchers by fabric domain, Control by region.
+// View copies what readers need and works out who has which duty; Homes is by unit, Watchers by fabric domain, Control by region, and Covered is the offset of the newest snapshot.
 func (sta *State) View() *View {
 	vie := &View{
 		Offset:    sta.Offset,
@@ -46,6 +47,7 @@
 		Owners:    maps.Clone(sta.Owners),
 		Condemned: maps.Clone(sta.Condemned),
 		Homes:     sta.Homes,
+		Covered:   sta.SnapshotAt,
 		Watchers:  map[string]Member{},
 		Control:   map[string]Member{},
 		Voids:     append([]Void{}, sta.Voids...),
--- /dev/null
+++ b/snapshotter/doc.go
@@ -0,0 +1,2 @@
+// Package snapshotter appends snapshots before the log forgets what came before them.
+package snapshotter
--- a/ticketer/ticketer.go
+++ b/ticketer/ticketer.go
@@ -18,8 +18,8 @@
 const (
 	retryAfter    = time.Second
 	answerSlack   = time.Second
-	giveBackTries = 20
-	giveBackPause = 500 * time.Millisecond
+	giveBackPause = 250 * time.Millisecond
+	giveBackMost  = 5 * time.Second
 	giveBackLimit = 2 * time.Second
 )
 
@@ -133,7 +133,8 @@
 
 // insist repeats a call to a home until it is answered or the home is no member any more.
 func (tic *Ticketer) insist(home reducer.Member, call func(ctx context.Context) error) {
-	for range giveBackTries {
+	pause := giveBackPause
+	for {
 		ctx, stop := context.WithTimeout(context.Background(), giveBackLimit)
 		err := call(ctx)
 		stop()
@@ -143,6 +144,7 @@
 		if _, live := tic.opt.View().Members[home.Incarnation]; !live {
 			return
 		}
-		tic.opt.Clock.Sleep(giveBackPause)
+		tic.opt.Clock.Sleep(pause)
+		pause = min(2*pause, giveBackMost)
 	}
 }
