--- a/Makefile
+++ b/Makefile
@@ -12,10 +12,10 @@
 test:
 	go test -race -count=1 ./...
 
-run: build
+run:
 	scripts/run.sh
 
-up: build
+up:
 	scripts/up.sh $(DEPLOYMENT)
 
 down:
--- a/configurer/together.go
+++ b/configurer/together.go
@@ -10,9 +10,11 @@
 func (rea *reader) checkTogether() {
 	set := rea.set
 	rea.notSame("rpc_address", set.RPCAddress, "address", set.Address)
-	rea.notSame("advertise_rpc_address", set.AdvertiseRPCAddress, "advertise_address", set.AdvertiseAddress)
-	rea.notAny("advertise_address", set.AdvertiseAddress)
-	rea.notAny("advertise_rpc_address", set.AdvertiseRPCAddress)
+	if rea.lines["advertise_address"]+rea.lines["advertise_rpc_address"] > 0 {
+		rea.notSame("advertise_rpc_address", set.AdvertiseRPCAddress, "advertise_address", set.AdvertiseAddress)
+	}
+	rea.notAny("advertise_address", set.AdvertiseAddress, "address")
+	rea.notAny("advertise_rpc_address", set.AdvertiseRPCAddress, "rpc_address")
 	rea.notAbove("probe_interval", set.ProbeInterval, "fresh_for", set.FreshFor)
 	rea.notAbove("probe_interval", set.ProbeInterval, "suspect_after", set.SuspectAfter)
 	rea.notAbove("queue_timeout", set.QueueTimeout, "request_timeout", set.RequestTimeout)
@@ -25,10 +27,10 @@
 	}
 }
 
-func (rea *reader) notAny(key, val string) {
+func (rea *reader) notAny(key, val, base string) {
 	adr, err := netip.ParseAddrPort(val)
 	if err == nil && adr.Addr().IsUnspecified() {
-		rea.report(rea.lineOf(key, "address"), key, fmt.Sprintf("%s can't be connected to", val))
+		rea.report(rea.lineOf(key, base), key, fmt.Sprintf("%s can't be connected to", val))
 	}
 }
 
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -81,6 +81,9 @@
 
 // pause reports whether there is time left after it.
 func (pub *Publisher) pause(ctx context.Context, dur time.Duration) bool {
+	if ctx.Err() != nil {
+		return false
+	}
 	select {
 	case <-ctx.Done():
 		return false
@@ -106,6 +109,8 @@
 		return ErrConflict
 	case ref.Invalid():
 		return ErrInvalid
+	case ref.Final():
+		return ErrNotAccepted
 	default:
 		return ""
 	}
--- a/requester/errors.go
+++ b/requester/errors.go
@@ -15,13 +15,8 @@
 	ErrLostAnswer = errors.ConstError("the answer was lost")
 )
 
-// The types of refusal that the command line tells apart.
-const (
-	RefusedNotRun   = "not_run"
-	RefusedUnknown  = "outcome_unknown"
-	RefusedConflict = "conflict"
-	RefusedInvalid  = "invalid"
-)
+// RefusedNotRun is the type of a refusal after which nothing was and nothing will be handed to a backend server.
+const RefusedNotRun = "not_run"
 
 // Refusal is an answer of an entry that is no success.
 type Refusal struct {
@@ -33,11 +28,14 @@
 	RetryAfterMS int64  `json:"retry_after_ms"`
 }
 
-// Error tells the type, the status and the message.
+// Error tells the type, the status and the message, or all problems of a publication.
 func (ref *Refusal) Error() string {
 	if ref.Type == "" {
 		return fmt.Sprintf("refused with status %d: %s", ref.Status, ref.Body)
 	}
+	if ref.Status == http.StatusUnprocessableEntity {
+		return fmt.Sprintf("%s (status %d): %s", ref.Type, ref.Status, ref.Body)
+	}
 	return fmt.Sprintf("%s (status %d): %s", ref.Type, ref.Status, ref.Message)
 }
 
@@ -53,5 +51,10 @@
 
 // Unknown reports whether the request may have run.
 func (ref *Refusal) Unknown() bool {
-	return ref.Type == RefusedUnknown || ref.Status == http.StatusBadGateway || ref.Status == http.StatusGatewayTimeout
+	return ref.Status >= http.StatusInternalServerError && ref.Type != RefusedNotRun
+}
+
+// Final reports whether the same request would be refused again, by any entry.
+func (ref *Refusal) Final() bool {
+	return ref.Status < http.StatusInternalServerError && ref.Status != http.StatusTooManyRequests
 }
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -86,7 +86,7 @@
 // final reports whether another entry would answer the same.
 func final(err error) bool {
 	ref, refused := errors.AsType[*Refusal](err)
-	return refused && ref.Status < http.StatusInternalServerError && ref.Status != http.StatusTooManyRequests
+	return refused && ref.Final()
 }
 
 func send[T any](ctx context.Context, client *http.Client, method, address, path string, body []byte) (T, error) {
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -18,11 +18,15 @@
 trap 'exit 130' INT TERM
 
 for deployment in alokrekha rail; do
+	if [ -e "run/$deployment/pids" ]; then
+		echo "$deployment is up already; stop it with scripts/down.sh $deployment" >&2
+		exit 1
+	fi
 	DEPLOYMENT=$deployment
 	source scripts/common.sh
 	scripts/up.sh "$DEPLOYMENT" || fail "it did not start"
 	bin/caller first --deployment "$DEPLOYMENT" --service-control "$SERVICE_CONTROL" "${ENTRY_FLAGS[@]}" ||
 		fail "the caller was not served"
 	scripts/down.sh "$DEPLOYMENT" || fail "it did not stop in time"
+	DEPLOYMENT=
 done
-DEPLOYMENT=
