Serve the whole path as separate processes

Cause: a request has to pass through everything the design names before any part can be judged.

Change: the entry process (server), peers to boot from during an outage of the log, a stop timeout that is never below the request timeout, so that a planned stop can let every request end.

Not yet run under failure.

--- a/configurer/field.go
+++ b/configurer/field.go
@@ -60,6 +60,27 @@
 	}
 }
 
+// addresses keeps a list that is written with commas between; it may be empty.
+func addresses(at func(*Settings) *[]string) field {
+	return field{
+		set: func(set *Settings, val string) error {
+			*at(set) = nil
+			for _, one := range strings.Split(val, ",") {
+				one = strings.TrimSpace(one)
+				if one == "" {
+					continue
+				}
+				if err := checkAddress(one); err != nil {
+					return err
+				}
+				*at(set) = append(*at(set), one)
+			}
+			return nil
+		},
+		get: func(set Settings) string { return strings.Join(*at(&set), ", ") },
+	}
+}
+
 func checkName(val string) error {
 	if !namePattern.MatchString(val) {
 		return errors.NotValidf("name %q (use a-z, 0-9, '-', '_' and '.')", val)
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -14,6 +14,7 @@
 	LogAddress           string
 	VMListAddress        string
 	WeightStoreAddress   string
+	Peers                []string
 	LogLevel             string
 	LogFormat            string
 	ProbeInterval        time.Duration
--- a/configurer/together.go
+++ b/configurer/together.go
@@ -19,6 +19,7 @@
 	rea.notAbove("probe_interval", set.ProbeInterval, "suspect_after", set.SuspectAfter)
 	rea.notAbove("queue_timeout", set.QueueTimeout, "request_timeout", set.RequestTimeout)
 	rea.notAbove("request_timeout", set.RequestTimeout, "outcome_window", set.OutcomeWindow)
+	rea.notAbove("request_timeout", set.RequestTimeout, "stop_timeout", set.StopTimeout)
 }
 
 func (rea *reader) notSame(key, val, other, otherVal string) {
--- a/main.go
+++ b/main.go
@@ -7,19 +7,13 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/juju/errors"
-
 	"github.com/lovagelever/lovagelever/commander"
-	"github.com/lovagelever/lovagelever/configurer"
+	"github.com/lovagelever/lovagelever/server"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	code := commander.Main(ctx, os.Args, commander.RunFunc(runEntry))
+	code := commander.Main(ctx, os.Args, commander.RunFunc(server.Run))
 	stop()
 	os.Exit(code)
 }
-
-func runEntry(context.Context, configurer.Settings) error {
-	return errors.NotImplementedf("entry process")
-}
--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"context"
 	"net"
 	"net/rpc"
 	"sync"
@@ -22,7 +23,7 @@
 	if err := srv.RegisterName("Entry", receiver); err != nil {
 		return nil, errors.Annotate(err, "messenger: register")
 	}
-	lis, err := net.Listen("tcp", address)
+	lis, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Annotate(err, "messenger: listen")
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -53,7 +53,7 @@
 	if err == nil {
 		return nil
 	}
-	if _, own := err.(rpc.ServerError); own {
+	if _, own := errors.AsType[rpc.ServerError](err); own {
 		return errors.Annotate(err, "messenger: answer of "+address)
 	}
 	mes.drop(address, cli)
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -142,13 +142,18 @@
 func (pro *Prober) ask(ctx context.Context, tar Target) (Status, error) {
 	ctx, stop := context.WithTimeout(ctx, pro.opt.Interval)
 	defer stop()
+	return Ask(ctx, pro.opt.Client, tar)
+}
+
+// Ask asks one VM for its status; it fails with ErrUnavailable, or errors.NotValid when another VM answers.
+func Ask(ctx context.Context, cli *http.Client, tar Target) (Status, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+tar.Address+"/v1/status", http.NoBody)
 	if err != nil {
 		return Status{}, errors.Annotate(err, "prober: make request")
 	}
-	res, err := pro.opt.Client.Do(req)
+	res, err := cli.Do(req)
 	if err != nil {
-		return Status{}, errors.Annotate(err, "prober: call")
+		return Status{}, errors.Wrap(err, ErrUnavailable)
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
@@ -156,7 +161,7 @@
 	}
 	var sta Status
 	if err := json.NewDecoder(res.Body).Decode(&sta); err != nil {
-		return Status{}, errors.Annotate(err, "prober: decode")
+		return Status{}, errors.Wrap(err, ErrUnavailable)
 	}
 	if sta.VM != tar.VM {
 		return Status{}, errors.NotValidf("prober: answer of VM %q", sta.VM)
--- a/recorder/record.go
+++ b/recorder/record.go
@@ -29,6 +29,16 @@
 	KindSnapshot    Kind = "snapshot"
 )
 
+// Known reports whether this program knows a kind of record.
+func Known(kind Kind) bool {
+	switch kind {
+	case KindPublication, KindJoin, KindDrain, KindLeave, KindEvict, KindForm, KindQuiesce, KindRetire, KindClaims, KindCondemn, KindSnapshot:
+		return true
+	default:
+		return false
+	}
+}
+
 // Record is one proposal in the log; its ID is a version 7 UUID and a second copy changes nothing.
 type Record struct {
 	ID      string          `json:"id"`
--- /dev/null
+++ b/server/complete.go
@@ -0,0 +1,233 @@
+package server
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lovagelever/lovagelever/completer"
+	"github.com/lovagelever/lovagelever/refuser"
+	"github.com/lovagelever/lovagelever/streamer"
+)
+
+const (
+	defaultMaxTokens = 256
+	largestMaxTokens = 1 << 16
+)
+
+// chatRequest is what this entry reads of a chat completion; the rest goes to the engine as it came.
+type chatRequest struct {
+	Model     string          `json:"model"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+}
+
+func (srv *Server) complete(ctx echo.Context) error {
+	workspace, err := srv.enter(ctx)
+	if err != nil {
+		return err
+	}
+	data, err := srv.readBody(ctx)
+	if err != nil {
+		return err
+	}
+	cal, chat, err := srv.chatCall(workspace, data)
+	if err != nil {
+		return err
+	}
+	cal.RequestID = requestID(ctx)
+	srv.running.Add(1)
+	defer srv.running.Done()
+	watch := srv.mtr.begin(workspace, classModel, srv.clk)
+	if chat.Stream {
+		return srv.completeStream(ctx, cal, watch)
+	}
+	return srv.completeWhole(ctx, cal, watch)
+}
+
+func (srv *Server) chatCall(workspace string, data []byte) (completer.Call, chatRequest, error) {
+	var chat chatRequest
+	if err := json.Unmarshal(data, &chat); err != nil {
+		return completer.Call{}, chat, refuser.Invalid("the body is not a chat completion: " + err.Error())
+	}
+	inv := srv.view().Catalog.Inventory
+	if _, known := inv.Models[chat.Model]; !known || !allowed(chat.Model, inv.Workspaces[workspace].Models) {
+		return completer.Call{}, chat, refuser.Unknown("model " + quoted(chat.Model) + " is not open to the workspace")
+	}
+	if len(chat.Messages) == 0 || chat.Messages[0] != '[' {
+		return completer.Call{}, chat, refuser.Invalid("messages must be a list")
+	}
+	if chat.MaxTokens < 0 || chat.MaxTokens > largestMaxTokens {
+		return completer.Call{}, chat, refuser.Invalid("max_tokens must be from 0 to " + strconv.Itoa(largestMaxTokens))
+	}
+	if chat.MaxTokens == 0 {
+		chat.MaxTokens = defaultMaxTokens
+	}
+	body, err := engineBody(data, chat)
+	if err != nil {
+		return completer.Call{}, chat, err
+	}
+	return completer.Call{
+		Workspace: workspace,
+		Model:     chat.Model,
+		Prompt:    string(chat.Messages),
+		MaxTokens: chat.MaxTokens,
+		Content:   chat.Messages,
+		Body:      body,
+		Deadline:  srv.clk.Now().Add(srv.set.RequestTimeout),
+	}, chat, nil
+}
+
+// engineBody asks the engine for a stream whatever the caller asked for.
+func engineBody(data []byte, chat chatRequest) ([]byte, error) {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return nil, refuser.Invalid("the body is not a JSON object")
+	}
+	fields["stream"] = json.RawMessage("true")
+	fields["max_tokens"] = json.RawMessage(strconv.Itoa(chat.MaxTokens))
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return nil, refuser.Invalid("the body could not be passed on")
+	}
+	return body, nil
+}
+
+// gather collects the tokens of an answer that is not streamed to the caller.
+type gather struct {
+	text strings.Builder
+	wat  *stopwatch
+}
+
+// Token adds one token.
+func (gat *gather) Token(_ int, content []byte) error {
+	gat.wat.token()
+	_, err := gat.text.Write(content)
+	return err
+}
+
+func (srv *Server) completeWhole(ctx echo.Context, cal completer.Call, wat *stopwatch) error {
+	gat := &gather{wat: wat}
+	res, err := srv.com.Complete(ctx.Request().Context(), cal, gat)
+	wat.end(err)
+	if err != nil {
+		return err
+	}
+	return ctx.JSON(http.StatusOK, wholeAnswer(cal, gat.text.String(), res))
+}
+
+func wholeAnswer(cal completer.Call, text string, res streamer.Result) map[string]any {
+	return map[string]any{
+		"id":     cal.RequestID,
+		"object": "chat.completion",
+		"model":  cal.Model,
+		"choices": []map[string]any{{
+			"index":         0,
+			"message":       map[string]string{"role": "assistant", "content": text},
+			"finish_reason": res.Finish,
+		}},
+		"usage": usageOf(res),
+	}
+}
+
+func usageOf(res streamer.Result) map[string]int {
+	return map[string]int{
+		"prompt_tokens":     res.PromptTokens,
+		"completion_tokens": res.Tokens,
+		"total_tokens":      res.PromptTokens + res.Tokens,
+	}
+}
+
+// eventSink writes tokens to the caller as server-sent events.
+type eventSink struct {
+	out  *echo.Response
+	wat  *stopwatch
+	head []byte
+	buf  bytes.Buffer
+}
+
+func newEventSink(out *echo.Response, cal completer.Call, wat *stopwatch) *eventSink {
+	name, _ := json.Marshal(cal.Model)
+	head := `data: {"id":"` + cal.RequestID + `","object":"chat.completion.chunk","model":` + string(name) + `,"index":`
+	return &eventSink{out: out, wat: wat, head: []byte(head)}
+}
+
+// Token writes one token and flushes it.
+func (eve *eventSink) Token(index int, content []byte) error {
+	eve.wat.token()
+	eve.open()
+	text, err := json.Marshal(string(content))
+	if err != nil {
+		return err
+	}
+	eve.buf.Reset()
+	eve.buf.Write(eve.head)
+	eve.buf.WriteString(strconv.Itoa(index))
+	eve.buf.WriteString(`,"choices":[{"index":0,"delta":{"content":`)
+	eve.buf.Write(text)
+	eve.buf.WriteString("},\"finish_reason\":null}]}\n\n")
+	return eve.flush()
+}
+
+func (eve *eventSink) open() {
+	if eve.out.Committed {
+		return
+	}
+	eve.out.Header().Set(echo.HeaderContentType, "text/event-stream")
+	eve.out.Header().Set(echo.HeaderCacheControl, "no-cache")
+	eve.out.WriteHeader(http.StatusOK)
+}
+
+func (eve *eventSink) flush() error {
+	if _, err := eve.out.Write(eve.buf.Bytes()); err != nil {
+		return err
+	}
+	eve.out.Flush()
+	return nil
+}
+
+// end writes the usage and the end marker, which only a whole answer has.
+func (eve *eventSink) end(res streamer.Result) error {
+	eve.open()
+	usage, err := json.Marshal(usageOf(res))
+	if err != nil {
+		return err
+	}
+	eve.buf.Reset()
+	eve.buf.Write(eve.head)
+	eve.buf.WriteString(strconv.Itoa(res.Tokens))
+	eve.buf.WriteString(`,"choices":[{"index":0,"delta":{},"finish_reason":"`)
+	eve.buf.WriteString(res.Finish)
+	eve.buf.WriteString(`"}],"usage":`)
+	eve.buf.Write(usage)
+	eve.buf.WriteString("}\n\ndata: [DONE]\n\n")
+	return eve.flush()
+}
+
+// fail writes a refusal into a stream that has begun; without an end marker the answer is not whole.
+func (eve *eventSink) fail(ref refuser.Refusal) {
+	eve.buf.Reset()
+	eve.buf.WriteString("data: ")
+	eve.buf.Write(ref.JSON())
+	eve.buf.WriteString("\n\n")
+	_ = eve.flush()
+}
+
+func (srv *Server) completeStream(ctx echo.Context, cal completer.Call, wat *stopwatch) error {
+	eve := newEventSink(ctx.Response(), cal, wat)
+	res, err := srv.com.Complete(ctx.Request().Context(), cal, eve)
+	wat.end(err)
+	if err == nil {
+		return eve.end(res)
+	}
+	if !ctx.Response().Committed {
+		return err
+	}
+	eve.fail(refuser.From(err).WithRequestID(cal.RequestID))
+	return nil
+}
--- /dev/null
+++ b/server/meter.go
@@ -0,0 +1,93 @@
+package server
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/lovagelever/lovagelever/recorder"
+	"github.com/lovagelever/lovagelever/reducer"
+	"github.com/lovagelever/lovagelever/refuser"
+)
+
+// The classes of requests that objectives are set for.
+const (
+	classModel         = "model"
+	classIdempotent    = "idempotent_call"
+	classNonIdempotent = "non_idempotent_call"
+)
+
+const reportEvery = time.Second
+
+// meter keeps the metrics of an entry; labels are bounded by the inventory and by the refusals' types.
+type meter struct {
+	scope tally.Scope
+	rep   prometheus.Reporter
+}
+
+func newMeter() *meter {
+	reg := client.NewRegistry()
+	rep := prometheus.NewReporter(prometheus.Options{Registerer: reg, Gatherer: reg})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "lovagelever",
+		CachedReporter: rep,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportEvery)
+	return &meter{scope: scope, rep: rep}
+}
+
+func (mtr *meter) handler() http.Handler {
+	return mtr.rep.HTTPHandler()
+}
+
+func (mtr *meter) folded(kind recorder.Kind, rea reducer.Reason) {
+	if !recorder.Known(kind) {
+		kind = "unknown"
+	}
+	verdict := string(rea)
+	if rea == reducer.Accepted {
+		verdict = "accepted"
+	}
+	mtr.scope.Tagged(map[string]string{"kind": string(kind), "verdict": verdict}).Counter("records_folded").Inc(1)
+}
+
+func (mtr *meter) diverged() {
+	mtr.scope.Counter("fold_diverged").Inc(1)
+}
+
+// stopwatch times one request.
+type stopwatch struct {
+	mtr   *meter
+	clk   clockwork.Clock
+	tags  map[string]string
+	begun time.Time
+	once  sync.Once
+	first time.Duration
+}
+
+func (mtr *meter) begin(workspace, class string, clk clockwork.Clock) *stopwatch {
+	return &stopwatch{mtr: mtr, clk: clk, tags: map[string]string{"workspace": workspace, "class": class}, begun: clk.Now()}
+}
+
+func (wat *stopwatch) token() {
+	wat.once.Do(func() {
+		wat.first = wat.clk.Since(wat.begun)
+		wat.mtr.scope.Tagged(wat.tags).Timer("first_token").Record(wat.first)
+	})
+	wat.mtr.scope.Counter("tokens").Inc(1)
+}
+
+func (wat *stopwatch) end(err error) {
+	result := "whole"
+	if err != nil {
+		result = string(refuser.From(err).Type)
+	}
+	scope := wat.mtr.scope.Tagged(wat.tags)
+	scope.Tagged(map[string]string{"result": result}).Counter("requests").Inc(1)
+	scope.Timer("whole").Record(wat.clk.Since(wat.begun))
+}
--- /dev/null
+++ b/server/status.go
@@ -0,0 +1,158 @@
+package server
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lovagelever/lovagelever/messenger"
+	"github.com/lovagelever/lovagelever/placer"
+	"github.com/lovagelever/lovagelever/reducer"
+	"github.com/lovagelever/lovagelever/requester"
+	"github.com/lovagelever/lovagelever/watcher"
+)
+
+const (
+	selfTimeout = time.Second
+	maxAsking   = 64
+)
+
+func (srv *Server) selfStatus(ctx echo.Context) error {
+	return ctx.JSON(http.StatusOK, srv.describe())
+}
+
+func (srv *Server) describe() requester.Entry {
+	vie := srv.view()
+	booted, _ := srv.fol.Founded()
+	homed := 0
+	for unit, hom := range vie.Homes {
+		if _, grouped := vie.Groups[unit]; grouped && hom.Incarnation == srv.self() {
+			homed++
+		}
+	}
+	return requester.Entry{
+		Name:         srv.set.Name,
+		Incarnation:  srv.self(),
+		Zone:         srv.set.Zone,
+		Address:      srv.set.AdvertiseAddress,
+		Reachable:    true,
+		Fresh:        srv.standing().Fresh,
+		Revision:     vie.Revision,
+		Offset:       vie.Offset,
+		Draining:     srv.draining.Load(),
+		BootedFrom:   booted,
+		GroupsAtHome: homed,
+	}
+}
+
+func (srv *Server) status(ctx echo.Context) error {
+	vie := srv.view()
+	return ctx.JSON(http.StatusOK, requester.Status{
+		Revision: vie.Revision,
+		Asked:    srv.set.Name,
+		Entries:  srv.askEntries(ctx.Request().Context(), vie),
+		Groups:   srv.groupStatus(vie),
+		Voids:    voidStatus(vie),
+		Models:   srv.modelStatus(vie),
+	})
+}
+
+// askEntries asks every member how far it is; one that does not answer is said to be not reachable.
+func (srv *Server) askEntries(ctx context.Context, vie *reducer.View) []requester.Entry {
+	var wai sync.WaitGroup
+	var mtx sync.Mutex
+	var out []requester.Entry
+	slots := make(chan struct{}, maxAsking)
+	for _, mem := range vie.Members {
+		wai.Add(1)
+		go func() {
+			defer wai.Done()
+			slots <- struct{}{}
+			ent := srv.askEntry(ctx, mem)
+			<-slots
+			mtx.Lock()
+			defer mtx.Unlock()
+			out = append(out, ent)
+		}()
+	}
+	wai.Wait()
+	slices.SortFunc(out, func(one, two requester.Entry) int { return cmp.Compare(one.Name, two.Name) })
+	return out
+}
+
+func (srv *Server) askEntry(ctx context.Context, mem reducer.Member) requester.Entry {
+	if mem.Incarnation == srv.self() {
+		return srv.describe()
+	}
+	ctx, stop := context.WithTimeout(ctx, selfTimeout)
+	defer stop()
+	ent, err := messenger.Call[string, requester.Entry](ctx, srv.mes, mem.RPCAddress, "Self", srv.self())
+	if err != nil || ent.Incarnation != mem.Incarnation {
+		return requester.Entry{Name: mem.Name, Incarnation: mem.Incarnation, Zone: mem.Zone, Address: mem.Address, Draining: mem.Draining}
+	}
+	return ent
+}
+
+func (srv *Server) groupStatus(vie *reducer.View) []requester.Group {
+	out := []requester.Group{}
+	for name, grp := range vie.Groups {
+		sta, told := srv.kee.Standing(vie, name)
+		if !told {
+			sta.Stage, sta.Reason = watcher.StageLoading, "its home has not told of it yet"
+		}
+		home, _ := vie.HomeOf(name)
+		out = append(out, requester.Group{
+			Name:    name,
+			Model:   grp.Model,
+			Version: grp.Version,
+			Fence:   grp.Fence,
+			Domain:  grp.Domain,
+			Zone:    grp.Zone,
+			VMs:     grp.VMs,
+			Home:    home.Name,
+			Stage:   string(sta.Stage),
+			Reason:  sta.Reason,
+			Warm:    sta.Warm,
+			Running: sta.Running,
+			Limit:   sta.Limit,
+		})
+	}
+	slices.SortFunc(out, func(one, two requester.Group) int { return cmp.Compare(one.Name, two.Name) })
+	return out
+}
+
+func (srv *Server) modelStatus(vie *reducer.View) []requester.Model {
+	reasons := srv.reasons()
+	stranded := placer.Stranded(vie)
+	out := []requester.Model{}
+	for name, mod := range vie.Catalog.Inventory.Models {
+		out = append(out, requester.Model{
+			Name:     name,
+			Wanted:   mod.Replicas,
+			Serving:  len(srv.groupsOf(vie, name)),
+			Stranded: stranded,
+			Reason:   reasons[name],
+		})
+	}
+	slices.SortFunc(out, func(one, two requester.Model) int { return cmp.Compare(one.Name, two.Name) })
+	return out
+}
+
+func voidStatus(vie *reducer.View) []requester.Void {
+	out := []requester.Void{}
+	for _, voi := range vie.Voids {
+		out = append(out, requester.Void{
+			Offset: voi.Offset,
+			ID:     voi.ID,
+			Kind:   string(voi.Kind),
+			Writer: voi.Writer,
+			Reason: string(voi.Reason),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/server/tell.go
@@ -0,0 +1,144 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/lovagelever/lovagelever/planner"
+	"github.com/lovagelever/lovagelever/quarantiner"
+	"github.com/lovagelever/lovagelever/reducer"
+)
+
+const (
+	tellEvery      = 250 * time.Millisecond
+	subjectEntry   = "entry"
+	subjectCrash   = "crash/"
+	subjectControl = "control"
+)
+
+// entryFact is what an entry says of itself.
+type entryFact struct {
+	Prefix   string `json:"prefix"`
+	Draining bool   `json:"draining"`
+	Fresh    bool   `json:"fresh"`
+}
+
+// tellLoop states the facts of this entry and takes in those of others.
+func (srv *Server) tellLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		srv.tellEntry()
+		srv.tellControl()
+		srv.shareCrashes()
+		srv.readStore(ctx)
+		select {
+		case <-ctx.Done():
+		case <-srv.clk.After(tellEvery):
+		}
+	}
+}
+
+func (srv *Server) tellEntry() {
+	srv.setFact(subjectEntry, entryFact{
+		Prefix:   srv.cla.Load().Prefix(),
+		Draining: srv.draining.Load(),
+		Fresh:    srv.standing().Fresh,
+	})
+}
+
+func (srv *Server) tellControl() {
+	for _, mem := range srv.view().Control {
+		if mem.Incarnation == srv.self() {
+			srv.setFact(subjectControl, srv.ste.Reasons())
+			return
+		}
+	}
+}
+
+func (srv *Server) shareCrashes() {
+	told := map[string]bool{}
+	for _, got := range srv.gos.All(subjectCrash) {
+		var fac quarantiner.Fact
+		if got.Origin != srv.self() && json.Unmarshal(got.Body, &fac) == nil {
+			told[got.Subject] = true
+			srv.qua.Merge(fac)
+		}
+	}
+	for _, fac := range srv.qua.Facts() {
+		if sub := crashSubject(fac); !told[sub] {
+			srv.setFact(sub, fac)
+		}
+	}
+}
+
+func crashSubject(fac quarantiner.Fact) string {
+	kind := "/crashed/"
+	if fac.Cleared {
+		kind = "/cleared/"
+	}
+	return subjectCrash + fac.Fingerprint + kind + fac.CrashID
+}
+
+func (srv *Server) setFact(subject string, val any) {
+	data, err := json.Marshal(val)
+	if err != nil {
+		srv.log.WithError(err).Error("fact not encoded")
+		return
+	}
+	srv.gos.Set(subject, data)
+}
+
+// entries tells what the entries say of themselves.
+type entries struct {
+	srv *Server
+}
+
+// Prefix is the key prefix that an entry issues now.
+func (ent entries) Prefix(inc string) (string, bool) {
+	if inc == ent.srv.self() {
+		return ent.srv.cla.Load().Prefix(), true
+	}
+	fac, told := ent.fact(inc)
+	return fac.Prefix, told && fac.Prefix != ""
+}
+
+// Usable reports whether an entry says that it takes new work and was heard lately.
+func (ent entries) Usable(mem reducer.Member) bool {
+	if mem.Incarnation == ent.srv.self() {
+		return !ent.srv.draining.Load() && ent.srv.standing().Fresh
+	}
+	fac, told := ent.fact(mem.Incarnation)
+	return told && !fac.Draining && fac.Fresh && ent.srv.heardLately(mem)
+}
+
+func (ent entries) fact(inc string) (entryFact, bool) {
+	body, told := ent.srv.gos.Get(subjectEntry, inc)
+	var fac entryFact
+	if !told || json.Unmarshal(body, &fac) != nil {
+		return entryFact{}, false
+	}
+	return fac, true
+}
+
+// reasons gathers why work waits, from the controllers of all regions.
+func (srv *Server) reasons() map[string]string {
+	out := map[string]string{}
+	for _, mem := range srv.view().Control {
+		body, told := srv.gos.Get(subjectControl, mem.Incarnation)
+		var part map[string]string
+		if !told || json.Unmarshal(body, &part) != nil {
+			continue
+		}
+		for what, why := range part {
+			out[what] = why
+		}
+	}
+	return out
+}
+
+func (srv *Server) store() planner.Store {
+	if sto := srv.weights.Load(); sto != nil {
+		return *sto
+	}
+	return planner.Store{}
+}
