Print an empty setting as an empty text

Cause: the effective settings printed the empty list of peers as null, which the reader refuses. Seen: configurer's test 'reads what it prints' failed, now passes.

--- a/configurer/print.go
+++ b/configurer/print.go
@@ -13,6 +13,9 @@
 	for _, opt := range options() {
 		key := &yaml.Node{Kind: yaml.ScalarNode, Value: opt.name}
 		val := &yaml.Node{Kind: yaml.ScalarNode, Value: opt.field.get(set), LineComment: opt.doc}
+		if val.Value == "" {
+			val.Style = yaml.DoubleQuotedStyle
+		}
 		root.Content = append(root.Content, key, val)
 	}
 	return errors.Annotate(yaml.NewEncoder(out).Encode(&root), "configurer: print settings")
