Expect the new default of the stop timeout

Cause: commander's print-settings test held the old default of 30s, under which a planned stop could cut a request of 60s. The check is as strict, on the new value.

--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -72,7 +72,7 @@
 	{name: "check", args: []string{"check", "RULES"}, out: ": valid"},
 	{name: "check of an invalid file", args: []string{"check", "BAD"}, code: commander.ExitInvalidFile},
 	{name: "check of no file", args: []string{"check", "/nowhere.yaml"}, code: commander.ExitFailure},
-	{name: "print-settings", args: []string{"entry", "--settings", "SETTINGS", "--print-settings"}, out: "stop_timeout: 30s"},
+	{name: "print-settings", args: []string{"entry", "--settings", "SETTINGS", "--print-settings"}, out: "stop_timeout: 1m30s"},
 	{name: "entry without settings", args: []string{"entry"}, code: commander.ExitUsage},
 	{name: "entry with invalid settings", args: []string{"entry", "--settings", "RULES"}, code: commander.ExitInvalidFile},
 	{name: "entry that fails", args: []string{"entry", "--settings", "SETTINGS"}, code: commander.ExitFailure},
