--- a/commander/check.go
+++ b/commander/check.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"fmt"
+	"strings"
 
-	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/lovagelever/lovagelever/cataloger"
 	"github.com/lovagelever/lovagelever/checker"
 )
 
@@ -15,9 +15,10 @@
 		Name:         "check",
 		Usage:        "check publication files without sending them",
 		ArgsUsage:    "FILE...",
-		Description:  "Files that are given together are judged together: give the inventory beside the rules to have names compared.\nEvery problem is printed with file, line and key.",
+		Description:  "Files that are given together are judged together: give the inventory beside the rules to have names compared.\nWith --entry they are judged on top of the catalog in force.\nEvery problem is printed with file, line and key.",
 		OnUsageError: asUsage,
-		Action: func(_ context.Context, cmd *cli.Command) error {
+		Flags:        []cli.Flag{entryFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
 			names := cmd.Args().Slice()
 			if len(names) == 0 {
 				return usagef("give at least one file")
@@ -26,15 +27,30 @@
 			if err != nil {
 				return err
 			}
-			if _, err := checker.Check(files, nil); err != nil {
+			current, err := catalogInForce(ctx, cmd)
+			if err != nil {
 				return err
 			}
-			for _, name := range names {
-				if _, err := fmt.Fprintf(cmd.Root().Writer, "%s: valid\n", name); err != nil {
-					return errors.Annotate(err, "commander: print")
-				}
+			if _, err := checker.Check(files, current); err != nil {
+				return err
 			}
-			return nil
+			return printf(cmd, "valid: %s\n", strings.Join(names, ", "))
 		},
 	}
 }
+
+// catalogInForce returns the catalog in force at the entries on the command line, or nil where none is given.
+func catalogInForce(ctx context.Context, cmd *cli.Command) (*cataloger.Catalog, error) {
+	if !cmd.IsSet("entry") {
+		return nil, nil
+	}
+	req, err := entries(cmd)
+	if err != nil {
+		return nil, err
+	}
+	rev, err := req.Catalog(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &rev.Catalog, nil
+}
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -23,6 +23,7 @@
 	settings = "name: e\navailability_zone: z\nregion: r\naddress: 127.0.0.1:1\nrpc_address: 127.0.0.1:2\n" +
 		"log_address: 127.0.0.1:3\nvm_list_address: 127.0.0.1:4\nweight_store_address: 127.0.0.1:5\n"
 	rules    = "rules: {workspaces: {}}\n"
+	stranger = "rules: {workspaces: {w: {weight: 1}}}\n"
 	badRules = "rules: {workspaces: {w: {weight: -1}}}\n"
 )
 
@@ -69,7 +70,10 @@
 	{name: "status without an entry", args: []string{"status"}, code: commander.ExitUsage},
 	{name: "an entry by host name", args: []string{"status", "--entry", "host:80"}, code: commander.ExitUsage},
 	{name: "check without a file", args: []string{"check"}, code: commander.ExitUsage},
-	{name: "check", args: []string{"check", "RULES"}, out: ": valid"},
+	{name: "check", args: []string{"check", "RULES"}, out: "valid: "},
+	{name: "check against what is in force", args: []string{"check", "--entry", "LIVE", "STRANGER"}, code: commander.ExitInvalidFile},
+	{name: "check as far as a file alone can be judged", args: []string{"check", "STRANGER"}, out: "valid: "},
+	{name: "check against no entry", args: []string{"check", "--entry", "DEAD", "RULES"}, code: commander.ExitFailure},
 	{name: "check of an invalid file", args: []string{"check", "BAD"}, code: commander.ExitInvalidFile},
 	{name: "check of no file", args: []string{"check", "/nowhere.yaml"}, code: commander.ExitFailure},
 	{name: "print-settings", args: []string{"entry", "--settings", "SETTINGS", "--print-settings"}, out: "stop_timeout: 30s"},
@@ -119,7 +123,7 @@
 			defer srv.Close()
 			words := map[string]string{
 				"LIVE": srv.Listener.Addr().String(), "DEAD": deadAddress(),
-				"RULES": write("rules.yaml", rules), "BAD": write("bad.yaml", badRules), "SETTINGS": write("settings.yaml", settings),
+				"RULES": write("rules.yaml", rules), "STRANGER": write("stranger.yaml", stranger), "BAD": write("bad.yaml", badRules), "SETTINGS": write("settings.yaml", settings),
 			}
 			args := []string{"lovagelever"}
 			for _, arg := range cas.args {
--- a/commander/exit.go
+++ b/commander/exit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
@@ -32,10 +33,19 @@
 	if err == nil {
 		return ExitOK
 	}
-	_, _ = fmt.Fprintf(root.ErrWriter, "lovagelever: %v\n", err)
+	printError(root.ErrWriter, err)
 	return ExitCode(err)
 }
 
+// printError writes problems of files as they are, so that their lines begin with the file.
+func printError(out io.Writer, err error) {
+	if prs, typed := errors.AsType[pinpointer.Problems](err); typed {
+		_, _ = fmt.Fprintln(out, prs)
+		return
+	}
+	_, _ = fmt.Fprintf(out, "lovagelever: %v\n", err)
+}
+
 // ExitCode returns the exit code of an error of the command line.
 func ExitCode(err error) int {
 	switch {
--- a/main.go
+++ b/main.go
@@ -15,6 +15,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
 	code := commander.Main(ctx, os.Args, commander.RunFunc(runEntry))
 	stop()
 	os.Exit(code)
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -22,6 +22,9 @@
 		echo "$deployment is up already; stop it with scripts/down.sh $deployment" >&2
 		exit 1
 	fi
+done
+
+for deployment in alokrekha rail; do
 	DEPLOYMENT=$deployment
 	source scripts/common.sh
 	scripts/up.sh "$DEPLOYMENT" || fail "it did not start"
