--- a/main.go
+++ b/main.go
@@ -13,6 +13,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
 	code := commander.Main(ctx, os.Args, commander.RunFunc(server.Run))
 	stop()
 	os.Exit(code)
