Test the stand-ins and share how their VMs run

Cause: the stand-ins had faults without tests or a page, and the engines and services each had their own copy of listeners, control address and faults. Ruled out: tests with real time; all waits run on a fake clock, and the only timeouts are the bounds of Eventually, a minute each. A resumed request now pays prefill for the tokens that it has already. Before: 0 tests.

--- /dev/null
+++ b/disturber/disturber_test.go
@@ -0,0 +1,118 @@
+package disturber
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Disturber", func() {
+	var (
+		clk  *clockwork.FakeClock
+		dis  *Disturber
+		srv  *httptest.Server
+		runs chan struct{}
+	)
+
+	BeforeEach(func() {
+		clk = clockwork.NewFakeClock()
+		dis = New(clk)
+		runs = make(chan struct{}, 10)
+		mux := http.NewServeMux()
+		mux.HandleFunc("POST /v1/faults", Endpoint(dis.Faults, dis.Set))
+		mux.Handle("/", dis.Wrap(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs <- struct{}{} })))
+		srv = httptest.NewServer(mux)
+		DeferCleanup(srv.Close)
+	})
+
+	post := func(body string) int {
+		rsp, err := http.Post(srv.URL+"/v1/faults", "application/json", strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		defer rsp.Body.Close()
+		return rsp.StatusCode
+	}
+
+	cases := []struct {
+		name   string
+		bodies []string
+		status int
+		cut    bool
+		left   Faults
+	}{
+		{"no faults", []string{`{}`}, 200, false, Faults{}},
+		{"down", []string{`{"down":true}`}, 200, true, Faults{Down: true}},
+		{"own source cut", []string{`{"cut_sources":["127.0.0.1"]}`}, 200, true, Faults{CutSources: []string{"127.0.0.1"}}},
+		{"other source cut", []string{`{"cut_sources":["127.0.0.9"]}`}, 200, false, Faults{CutSources: []string{"127.0.0.9"}}},
+		{"fields laid over each other", []string{`{"down":true}`, `{"slow_ms":0}`}, 200, true, Faults{Down: true}},
+		{"cleared", []string{`{"down":true}`, `{}`}, 200, false, Faults{}},
+		{"unknown field", []string{`{"dwon":true}`}, 400, false, Faults{}},
+		{"no JSON", []string{`down`}, 400, false, Faults{}},
+	}
+	for _, cas := range cases {
+		It("handles "+cas.name, func() {
+			status := 0
+			for _, body := range cas.bodies {
+				status = post(body)
+			}
+			Expect(status).To(Equal(cas.status))
+			Expect(dis.Faults()).To(Equal(cas.left))
+			rsp, err := http.Get(srv.URL)
+			if cas.cut {
+				Expect(err).To(HaveOccurred())
+				Expect(runs).To(BeEmpty())
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rsp.Body.Close()).To(Succeed())
+			Expect(runs).To(HaveLen(1))
+		})
+	}
+
+	flying := func() int {
+		dis.mut.Lock()
+		defer dis.mut.Unlock()
+		return len(dis.flights)
+	}
+
+	It("answers late while slow", func() {
+		Expect(post(`{"slow_ms":1000}`)).To(Equal(200))
+		done := make(chan error, 1)
+		go func() {
+			rsp, err := http.Get(srv.URL)
+			if err == nil {
+				err = rsp.Body.Close()
+			}
+			done <- err
+		}()
+		Expect(clk.BlockUntilContext(context.Background(), 1)).To(Succeed())
+		Expect(runs).To(BeEmpty())
+		clk.Advance(time.Second)
+		Expect(<-done).To(Succeed())
+	})
+
+	It("runs nothing while paused", func() {
+		Expect(post(`{"pause":true}`)).To(Equal(200))
+		ctx, cancel := context.WithCancel(context.Background())
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, srv.URL, nil)
+		Expect(err).NotTo(HaveOccurred())
+		done := make(chan error, 1)
+		go func() {
+			_, err := http.DefaultClient.Do(req)
+			done <- err
+		}()
+		Eventually(flying).Should(Equal(1))
+		Expect(runs).To(BeEmpty())
+		cancel()
+		Expect(<-done).To(HaveOccurred())
+		Expect(post(`{}`)).To(Equal(200))
+		rsp, err := http.Get(srv.URL)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rsp.Body.Close()).To(Succeed())
+	})
+})
--- /dev/null
+++ b/disturber/suite_test.go
@@ -0,0 +1,15 @@
+package disturber
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestDisturber(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "disturber")
+}
--- a/enginefaker/batch.go
+++ b/enginefaker/batch.go
@@ -52,7 +52,7 @@
 func (eng *engine) admit(jb *job) {
 	cached, evs := eng.cache.use(jb.key, jb.prompt)
 	eng.publish(evs)
-	jb.prefill = jb.prompt - cached
+	jb.prefill = jb.prompt - cached + jb.next
 	eng.running = append(eng.running, jb)
 }
 
@@ -80,9 +80,8 @@
 
 func (eng *engine) waitMates(ord order) {
 	for _, mate := range eng.mates(ord) {
-		mate.dis.Wait(context.Background())
+		mate.machine.Wait(context.Background())
 	}
-	eng.fkr.dis.Wait(context.Background())
 }
 
 // finish ends the step and reports whether a request crashed the group.
--- a/enginefaker/counts.go
+++ b/enginefaker/counts.go
@@ -24,7 +24,7 @@
 	AcceptedAtMS            int64          `json:"accepted_at_ms"`
 }
 
-func (fkr *Faker) counts() counts {
+func (fkr *Faker) counts() any {
 	fkr.mut.Lock()
 	defer fkr.mut.Unlock()
 	cnt := counts{VMs: map[string]vmCounts{}}
--- a/enginefaker/engine.go
+++ b/enginefaker/engine.go
@@ -8,8 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/lovagelever/lovagelever/cataloger"
-	"github.com/lovagelever/lovagelever/disturber"
-	"github.com/lovagelever/lovagelever/hoster"
+	"github.com/lovagelever/lovagelever/vmrunner"
 )
 
 // States of an engine.
@@ -26,15 +25,13 @@
 
 // engine is the model engine of one VM; the mutex of its Faker guards the fields after client.
 type engine struct {
-	fkr    *Faker
-	name   string
-	checks bool
-	dis    *disturber.Disturber
-	host   *hoster.Host
-	client *http.Client
+	fkr     *Faker
+	name    string
+	checks  bool
+	machine *vmrunner.Machine
+	client  *http.Client
 
 	flt     VMFaults
-	dead    bool
 	started string
 	// generation counts the changes of the order.
 	generation int64
@@ -62,7 +59,7 @@
 
 func newEngine(fkr *Faker, name string, vm cataloger.VM) *engine {
 	eng := &engine{
-		fkr: fkr, name: name, checks: vm.ChecksFence, dis: disturber.New(fkr.opt.Clock),
+		fkr: fkr, name: name, checks: vm.ChecksFence,
 		client: newClient(vm.Address), cnt: vmCounts{Refused: map[string]int{}},
 	}
 	mux := http.NewServeMux()
@@ -72,7 +69,7 @@
 	mux.HandleFunc("DELETE /v1/requests/{id}", eng.serveCancel)
 	mux.HandleFunc("GET /v1/events", eng.serveEvents)
 	mux.HandleFunc("POST /v1/member", eng.serveMember)
-	eng.host = hoster.New(vm.Address, fkr.dis.Wrap(eng.dis.Wrap(mux)))
+	eng.machine = fkr.Add(name, vm.Address, eng, mux)
 	eng.restart("started")
 	return eng
 }
@@ -108,27 +105,25 @@
 	return eng.busy >= eng.fkr.opt.WarmAfter
 }
 
-func (eng *engine) setFaults(flt VMFaults) error {
+// Faults returns the faults of the VM.
+func (eng *engine) Faults() VMFaults {
+	eng.fkr.mut.Lock()
+	defer eng.fkr.mut.Unlock()
+	return eng.flt
+}
+
+// SetFaults replaces the faults of the VM.
+func (eng *engine) SetFaults(flt VMFaults, revive bool) error {
+	flt.Revive = flt.Revive || revive
 	eng.fkr.mut.Lock()
-	kill := flt.Kill && !eng.dead && !flt.Revive
-	revive := flt.Revive && eng.dead
-	if kill || revive {
-		eng.dead = kill
-		eng.restart("started")
-	}
 	if flt.TurnCold {
 		eng.busy = 0
 		eng.note()
 	}
-	flt.Kill, flt.Revive, flt.TurnCold = eng.dead, false, false
+	if eng.machine.Turn(&flt.Life) {
+		eng.restart("started")
+	}
 	eng.flt = flt
 	eng.fkr.mut.Unlock()
-	_ = eng.dis.Set(flt.Faults)
-	if kill {
-		eng.host.Close()
-	}
-	if revive {
-		return eng.host.Start()
-	}
-	return nil
+	return eng.machine.Apply(flt.Life)
 }
--- a/enginefaker/member.go
+++ b/enginefaker/member.go
@@ -1,9 +1,7 @@
 package enginefaker
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -57,7 +55,7 @@
 }
 
 func (eng *engine) readyIn(ord order) bool {
-	return !eng.dead && eng.state == stateReady && eng.ord.Group == ord.Group && eng.ord.Fence == ord.Fence
+	return !eng.machine.Dead() && eng.state == stateReady && eng.ord.Group == ord.Group && eng.ord.Fence == ord.Fence
 }
 
 func (eng *engine) crash() {
@@ -110,7 +108,8 @@
 	cal.Group, cal.Fence = ord.Group, ord.Fence
 	slow := 1.0
 	for _, mem := range eng.remotes(ord) {
-		ans, err := eng.callMember(mem, cal)
+		ans, err := jsoncoder.Call[memberCall, memberAnswer](
+			context.Background(), eng.client, http.MethodPost, "http://"+mem.Address+"/v1/member", cal)
 		if err != nil {
 			return slow, err
 		}
@@ -118,25 +117,3 @@
 	}
 	return slow, nil
 }
-
-func (eng *engine) callMember(mem member, cal memberCall) (memberAnswer, error) {
-	var ans memberAnswer
-	body, err := json.Marshal(cal)
-	if err != nil {
-		return ans, errors.Annotate(err, "enginefaker: encode member call")
-	}
-	url := "http://" + mem.Address + "/v1/member"
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return ans, errors.Annotate(err, "enginefaker: call member")
-	}
-	rsp, err := eng.client.Do(req)
-	if err != nil {
-		return ans, errors.Annotate(err, "enginefaker: call member")
-	}
-	defer func() { _ = rsp.Body.Close() }()
-	if rsp.StatusCode != http.StatusOK {
-		return ans, errors.NotYetAvailablef("enginefaker: member %q", mem.VM)
-	}
-	return ans, errors.Annotate(json.NewDecoder(rsp.Body).Decode(&ans), "enginefaker: call member")
-}
--- a/enginefaker/options.go
+++ b/enginefaker/options.go
@@ -6,7 +6,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/lovagelever/lovagelever/cataloger"
-	"github.com/lovagelever/lovagelever/disturber"
+	"github.com/lovagelever/lovagelever/vmrunner"
 )
 
 const (
@@ -45,23 +45,14 @@
 
 // VMFaults are the faults of one VM.
 type VMFaults struct {
-	disturber.Faults
-	Kill         bool    `json:"kill,omitempty"`
-	Revive       bool    `json:"revive,omitempty"`
+	vmrunner.Life
 	SlowFactor   float64 `json:"slow_factor,omitempty"`
-	TurnCold     bool    `json:"turn_cold,omitempty"`
 	LateAnswerMS int64   `json:"late_answer_ms,omitempty"`
 	CrossAnswers bool    `json:"cross_answers,omitempty"`
 	Truncate     bool    `json:"truncate,omitempty"`
 	RepeatChunk  bool    `json:"repeat_chunk,omitempty"`
 }
 
-// Faults are the faults of the whole process and of single VMs.
-type Faults struct {
-	disturber.Faults
-	VMs map[string]VMFaults `json:"vms,omitempty"`
-}
-
 func (opt Options) complete() Options {
 	if opt.Clock == nil {
 		opt.Clock = clockwork.NewRealClock()
--- a/enginefaker/stream.go
+++ b/enginefaker/stream.go
@@ -140,8 +140,7 @@
 }
 
 func (str streamer) write(data []byte) {
-	str.eng.dis.Wait(str.ctx)
-	str.eng.fkr.dis.Wait(str.ctx)
+	str.eng.machine.Wait(str.ctx)
 	_, _ = str.wtr.Write([]byte("data: " + string(data) + "\n\n"))
 	_ = http.NewResponseController(str.wtr).Flush()
 }
--- /dev/null
+++ b/enginefaker/suite_test.go
@@ -0,0 +1,15 @@
+package enginefaker
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestEngineFaker(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "enginefaker")
+}
--- a/enginefaker/weights.go
+++ b/enginefaker/weights.go
@@ -1,14 +1,12 @@
 package enginefaker
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
 
-	"github.com/juju/errors"
+	"github.com/lovagelever/lovagelever/jsoncoder"
 )
 
 const (
@@ -52,7 +50,7 @@
 			return
 		}
 	}
-	eng.dis.Wait(context.Background())
+	eng.machine.Wait(context.Background())
 	eng.fkr.mut.Lock()
 	defer eng.fkr.mut.Unlock()
 	if !current() {
@@ -83,35 +81,15 @@
 	if eng.fkr.opt.WeightStore == "" {
 		return 0, nil
 	}
-	var lod storeLoad
-	if err := eng.callStore(http.MethodGet, nil, &lod); err != nil {
+	ctx, url := context.Background(), "http://"+eng.fkr.opt.WeightStore+"/v1/leases"
+	lod, err := jsoncoder.Call[empty, storeLoad](ctx, eng.client, http.MethodGet, url, empty{})
+	if err != nil {
 		return 0, err
 	}
-	body, err := json.Marshal(lease{VM: eng.name, Gigabytes: gigabytes})
+	lea, err := jsoncoder.Call[lease, leased](ctx, eng.client, http.MethodPost, url, lease{VM: eng.name, Gigabytes: gigabytes})
 	if err != nil {
-		return 0, errors.Annotate(err, "enginefaker: encode lease")
-	}
-	var lea leased
-	if err := eng.callStore(http.MethodPost, body, &lea); err != nil {
 		return 0, err
 	}
 	wait := time.Duration(lea.WaitMS) * time.Millisecond
 	return wait + time.Duration(gigabytes/lod.GigabytesPerSecond*float64(time.Second)), nil
 }
-
-func (eng *engine) callStore(method string, body []byte, out any) error {
-	url := "http://" + eng.fkr.opt.WeightStore + "/v1/leases"
-	req, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewReader(body))
-	if err != nil {
-		return errors.Annotate(err, "enginefaker: weight store")
-	}
-	rsp, err := eng.client.Do(req)
-	if err != nil {
-		return errors.Annotate(err, "enginefaker: weight store")
-	}
-	defer func() { _ = rsp.Body.Close() }()
-	if rsp.StatusCode != http.StatusOK {
-		return errors.NotYetAvailablef("enginefaker: weight store with status %d", rsp.StatusCode)
-	}
-	return errors.Annotate(json.NewDecoder(rsp.Body).Decode(out), "enginefaker: weight store")
-}
--- a/jsoncoder/jsoncoder.go
+++ b/jsoncoder/jsoncoder.go
@@ -1,6 +1,8 @@
 package jsoncoder
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -40,3 +42,25 @@
 func Fail(wtr http.ResponseWriter, status int, err error) {
 	Write(wtr, status, Failure{Error: err.Error()})
 }
+
+// Call sends a value as JSON and decodes the answer as an A; it fails with errors.NotYetAvailable on a status other than 200.
+func Call[V, A any](ctx context.Context, cli *http.Client, method, url string, val V) (A, error) {
+	var ans A
+	body, err := json.Marshal(val)
+	if err != nil {
+		return ans, errors.Annotate(err, "jsoncoder: encode body")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return ans, errors.Annotate(err, "jsoncoder: call")
+	}
+	rsp, err := cli.Do(req)
+	if err != nil {
+		return ans, errors.Annotate(err, "jsoncoder: call")
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	if rsp.StatusCode != http.StatusOK {
+		return ans, errors.NotYetAvailablef("jsoncoder: %s with status %d", url, rsp.StatusCode)
+	}
+	return ans, errors.Annotate(json.NewDecoder(rsp.Body).Decode(&ans), "jsoncoder: decode answer")
+}
--- /dev/null
+++ b/logkeeper/suite_test.go
@@ -0,0 +1,15 @@
+package logkeeper
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLogKeeper(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "logkeeper")
+}
--- a/servicefaker/call.go
+++ b/servicefaker/call.go
@@ -84,8 +84,7 @@
 	case <-srv.fkr.opt.Clock.After(srv.fkr.opt.Work):
 	case <-ctx.Done():
 	}
-	srv.dis.Wait(ctx)
-	srv.fkr.dis.Wait(ctx)
+	srv.machine.Wait(ctx)
 }
 
 // end reports whether the call gets no answer.
--- a/servicefaker/options.go
+++ b/servicefaker/options.go
@@ -6,7 +6,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/lovagelever/lovagelever/cataloger"
-	"github.com/lovagelever/lovagelever/disturber"
+	"github.com/lovagelever/lovagelever/vmrunner"
 )
 
 const (
@@ -30,17 +30,8 @@
 
 // VMFaults are the faults of one VM; LoseAnswers counts the next calls that run and get no answer.
 type VMFaults struct {
-	disturber.Faults
-	Kill        bool `json:"kill,omitempty"`
-	Revive      bool `json:"revive,omitempty"`
-	TurnCold    bool `json:"turn_cold,omitempty"`
-	LoseAnswers int  `json:"lose_answers,omitempty"`
-}
-
-// Faults are the faults of the whole process and of single VMs.
-type Faults struct {
-	disturber.Faults
-	VMs map[string]VMFaults `json:"vms,omitempty"`
+	vmrunner.Life
+	LoseAnswers int `json:"lose_answers,omitempty"`
 }
 
 func (opt Options) complete() Options {
--- a/servicefaker/server.go
+++ b/servicefaker/server.go
@@ -8,20 +8,17 @@
 	"github.com/google/uuid"
 
 	"github.com/lovagelever/lovagelever/cataloger"
-	"github.com/lovagelever/lovagelever/disturber"
-	"github.com/lovagelever/lovagelever/hoster"
 	"github.com/lovagelever/lovagelever/jsoncoder"
+	"github.com/lovagelever/lovagelever/vmrunner"
 )
 
-// server is one VM of the service; the mutex of its Faker guards the fields after host.
+// server is one VM of the service; the mutex of its Faker guards the fields after machine.
 type server struct {
-	fkr  *Faker
-	name string
-	dis  *disturber.Disturber
-	host *hoster.Host
+	fkr     *Faker
+	name    string
+	machine *vmrunner.Machine
 
 	flt     VMFaults
-	dead    bool
 	started string
 	calls   map[*call]struct{}
 	busy    time.Duration
@@ -44,11 +41,11 @@
 }
 
 func newServer(fkr *Faker, name string, vm cataloger.VM) *server {
-	srv := &server{fkr: fkr, name: name, dis: disturber.New(fkr.opt.Clock)}
+	srv := &server{fkr: fkr, name: name}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/status", srv.serveStatus)
 	mux.HandleFunc("/", srv.serveCall)
-	srv.host = hoster.New(vm.Address, fkr.dis.Wrap(srv.dis.Wrap(mux)))
+	srv.machine = fkr.Add(name, vm.Address, srv, mux)
 	srv.restart()
 	return srv
 }
@@ -82,26 +79,24 @@
 	return busy >= srv.fkr.opt.WarmAfter
 }
 
-func (srv *server) setFaults(flt VMFaults) error {
+// Faults returns the faults of the VM.
+func (srv *server) Faults() VMFaults {
+	srv.fkr.mut.Lock()
+	defer srv.fkr.mut.Unlock()
+	return srv.flt
+}
+
+// SetFaults replaces the faults of the VM.
+func (srv *server) SetFaults(flt VMFaults, revive bool) error {
+	flt.Revive = flt.Revive || revive
 	srv.fkr.mut.Lock()
-	kill := flt.Kill && !srv.dead && !flt.Revive
-	revive := flt.Revive && srv.dead
-	if kill || revive {
-		srv.restart()
-		srv.dead = kill
-	}
 	if flt.TurnCold {
 		srv.busy, srv.since = 0, srv.fkr.opt.Clock.Now()
 	}
-	flt.Kill, flt.Revive, flt.TurnCold = srv.dead, false, false
+	if srv.machine.Turn(&flt.Life) {
+		srv.restart()
+	}
 	srv.flt = flt
 	srv.fkr.mut.Unlock()
-	_ = srv.dis.Set(flt.Faults)
-	if kill {
-		srv.host.Close()
-	}
-	if revive {
-		return srv.host.Start()
-	}
-	return nil
+	return srv.machine.Apply(flt.Life)
 }
--- /dev/null
+++ b/servicefaker/suite_test.go
@@ -0,0 +1,15 @@
+package servicefaker
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestServiceFaker(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "servicefaker")
+}
--- /dev/null
+++ b/standcommander/suite_test.go
@@ -0,0 +1,15 @@
+package standcommander
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestStandCommander(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "standcommander")
+}
--- /dev/null
+++ b/vmlister/suite_test.go
@@ -0,0 +1,15 @@
+package vmlister
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestVMLister(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "vmlister")
+}
--- /dev/null
+++ b/vmlister/vmlister_test.go
@@ -0,0 +1,51 @@
+package vmlister
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Lister", func() {
+	live := VM{Name: "a", Address: "127.0.0.1:1", State: StateLive}
+	leaving := VM{Name: "a", Address: "127.0.0.1:1", State: StateLeaving, LeavesInMS: 5000}
+	cases := []struct {
+		name   string
+		method string
+		path   string
+		body   string
+		status int
+		before []VM
+		after  []VM
+	}{
+		{"a VM that leaves", "POST", "/v1/vms", `{"name":"a","address":"127.0.0.1:1","state":"leaving","leaves_in_ms":7000}`, 200, []VM{live}, []VM{leaving}},
+		{"a VM that is gone", "DELETE", "/v1/vms/a", "", 200, []VM{live}, []VM{}},
+		{"an unknown state", "POST", "/v1/vms", `{"name":"a","state":"odd"}`, 400, []VM{live}, []VM{live}},
+		{"a VM without name", "POST", "/v1/vms", `{"state":"live"}`, 400, []VM{live}, []VM{live}},
+	}
+	for _, cas := range cases {
+		It("lags behind "+cas.name, func() {
+			clk := clockwork.NewFakeClock()
+			lst := New(Options{Clock: clk, Lag: 2 * time.Second, VMs: []VM{live}})
+			rec := httptest.NewRecorder()
+			lst.Handler().ServeHTTP(rec, httptest.NewRequest(cas.method, cas.path, strings.NewReader(cas.body)))
+			Expect(rec.Code).To(Equal(cas.status))
+			clk.Advance(2*time.Second - time.Nanosecond)
+			Expect(lst.visible()).To(Equal(cas.before))
+			clk.Advance(time.Nanosecond)
+			Expect(lst.visible()).To(Equal(cas.after))
+		})
+	}
+
+	It("answers the list", func() {
+		lst := New(Options{Clock: clockwork.NewFakeClock(), VMs: []VM{live}})
+		rec := httptest.NewRecorder()
+		lst.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/v1/vms", nil))
+		Expect(rec.Body.String()).To(MatchJSON(`{"vms":[{"name":"a","address":"127.0.0.1:1","state":"live"}]}`))
+	})
+})
--- /dev/null
+++ b/weightkeeper/suite_test.go
@@ -0,0 +1,15 @@
+package weightkeeper
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestWeightKeeper(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "weightkeeper")
+}
