--- a/planner/unit.go
+++ b/planner/unit.go
@@ -96,7 +96,7 @@
 
 func (rnd *round) quiescing(model string) bool {
 	for _, uni := range rnd.byModel[model] {
-		if uni.Quiesced && !uni.gone && !uni.dark {
+		if (uni.Quiesced || uni.gone) && !uni.dark {
 			return true
 		}
 	}
