--- /dev/null
+++ b/counter/doc.go
@@ -0,0 +1,2 @@
+// Package counter counts the bytes that pass through connections.
+package counter
--- a/evictor/evictor.go
+++ b/evictor/evictor.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -104,7 +106,8 @@
 
 func (evi *Evictor) witnessed(ctx context.Context, vie *reducer.View, target reducer.Member) bool {
 	asked := 0
-	for inc, mem := range vie.Members {
+	for _, inc := range slices.Sorted(maps.Keys(vie.Members)) {
+		mem := vie.Members[inc]
 		if inc == target.Incarnation || inc == evi.opt.Peers.Self() || asked == witnesses {
 			continue
 		}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -195,6 +195,9 @@
 		fol.opt.Logger.WithError(err).Error("snapshot not usable")
 		return
 	}
+	if sta.Offset < fol.state.Offset {
+		return
+	}
 	fol.state = sta
 	fol.found(BootSnapshot)
 }
@@ -229,7 +232,7 @@
 	}
 	fol.mtx.Lock()
 	defer fol.mtx.Unlock()
-	if fol.founded && sta.Offset <= fol.state.Offset {
+	if sta.Offset < fol.state.Offset || fol.founded && sta.Offset == fol.state.Offset {
 		return nil
 	}
 	fol.state = sta
--- a/gossiper/contact.go
+++ b/gossiper/contact.go
@@ -16,6 +16,26 @@
 	return heard, peers
 }
 
+// Confirmed reports whether this entry and its peers that are known to have folded an offset are most of them all.
+func (gos *Gossiper) Confirmed(offset int64) bool {
+	peers := gos.neighbours()
+	gos.mtx.Lock()
+	defer gos.mtx.Unlock()
+	folded := 1
+	for _, inc := range peers {
+		if gos.offsets[inc] >= offset {
+			folded++
+		}
+	}
+	return 2*folded > len(peers)+1
+}
+
+func (gos *Gossiper) noteOffset(inc string, offset int64) {
+	gos.mtx.Lock()
+	defer gos.mtx.Unlock()
+	gos.offsets[inc] = max(gos.offsets[inc], offset)
+}
+
 // Heard is the last time at which a peer was known to run.
 func (gos *Gossiper) Heard(inc string) time.Time {
 	gos.mtx.Lock()
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/recorder"
 )
 
@@ -20,12 +22,15 @@
 )
 
 // Request asks a peer for what is new; Cursor counts in the peer's own numbers.
+// The peer's own facts are told, and those of the origins in Unseen, which the asker does not reach; with Relay those of all.
 type Request struct {
 	From   string
 	Callee string
 	Cursor uint64
 	Offset int64
 	Behind bool
+	Relay  bool
+	Unseen []string
 	Wait   time.Duration
 }
 
@@ -46,6 +51,7 @@
 func (gos *Gossiper) Exchange(req Request) Answer {
 	begun := gos.opt.Clock.Now()
 	gos.heard(req.From, begun)
+	gos.noteOffset(req.From, req.Offset)
 	cursor := req.Cursor
 	if req.Callee != gos.Self() {
 		cursor = 0
@@ -55,6 +61,9 @@
 }
 
 func (gos *Gossiper) await(cursor uint64, req Request) {
+	if req.Wait <= 0 {
+		return
+	}
 	limit := gos.opt.Clock.After(min(req.Wait, maxWait))
 	for !gos.newer(cursor, req) {
 		folded := gos.opt.State.Changed()
@@ -82,12 +91,25 @@
 	}
 	gos.mtx.Lock()
 	defer gos.mtx.Unlock()
-	return gos.version > cursor
+	for _, fac := range gos.facts {
+		if fac.version > cursor && gos.wanted(fac, req) {
+			return true
+		}
+	}
+	return false
+}
+
+// wanted reports whether a fact is to be told to the asker; what came from it is not told back.
+func (gos *Gossiper) wanted(fac heldFact, req Request) bool {
+	if fac.Origin == req.From || fac.from == req.From {
+		return false
+	}
+	return req.Relay || fac.Origin == gos.self || slices.Contains(req.Unseen, fac.Origin)
 }
 
 func (gos *Gossiper) answer(cursor uint64, req Request, begun time.Time) Answer {
 	ans := Answer{From: gos.Self()}
-	ans.Facts, ans.Cursor = gos.since(cursor)
+	ans.Facts, ans.Cursor = gos.since(cursor, req)
 	now := gos.opt.Clock.Now()
 	contact := gos.opt.State.Contact()
 	vie := gos.opt.State.View()
@@ -106,24 +128,26 @@
 }
 
 // pull asks one peer once and takes in its answer.
-func (gos *Gossiper) pull(ctx context.Context, pee peer) error {
+func (gos *Gossiper) pull(ctx context.Context, pee peer, wait time.Duration) error {
 	asked := gos.opt.Clock.Now()
 	vie := gos.opt.State.View()
-	req := Request{From: gos.Self(), Callee: pee.incarnation, Cursor: gos.cursorOf(pee.incarnation), Offset: vie.Offset, Wait: gos.opt.Interval}
+	req := Request{From: gos.Self(), Callee: pee.incarnation, Offset: vie.Offset, Wait: wait}
+	req.Relay, req.Unseen = gos.unseen(asked)
 	req.Behind = asked.Sub(gos.opt.State.Contact()) > gos.opt.Interval
+	req.Cursor = gos.cursorOf(pee.incarnation, strings.Join(req.Unseen, ","))
 	ctx, stop := context.WithTimeout(ctx, gos.opt.Interval+callSlack)
 	defer stop()
-	ans, err := messenger.Call[Request, Answer](ctx, gos.opt.Messenger, pee.address, "Exchange", req)
+	ans, err := gos.opt.Peers.Exchange(ctx, pee.address, req)
 	if err != nil {
-		gos.opt.Messenger.Forget(pee.address)
-		return err
+		return errors.Annotate(err, "gossiper: pull")
 	}
 	if ans.From != pee.incarnation {
 		return nil
 	}
 	gos.heard(pee.incarnation, asked.Add(ans.Waited))
-	gos.setCursor(pee.incarnation, ans.Cursor)
-	gos.merge(ans.Facts)
+	gos.noteOffset(pee.incarnation, ans.Offset)
+	gos.setCursor(pee.incarnation, cursor{at: ans.Cursor, unseen: strings.Join(req.Unseen, ",")})
+	gos.merge(ans.Facts, pee.incarnation)
 	gos.takeRecords(ctx, pee, ans, asked)
 	return nil
 }
@@ -141,7 +165,7 @@
 }
 
 func (gos *Gossiper) adopt(ctx context.Context, address string) {
-	sna, err := messenger.Call[string, recorder.Snapshot](ctx, gos.opt.Messenger, address, "Snapshot", gos.Self())
+	sna, err := gos.opt.Peers.Snapshot(ctx, address)
 	if err != nil {
 		return
 	}
--- a/gossiper/fact.go
+++ b/gossiper/fact.go
@@ -22,6 +22,7 @@
 type heldFact struct {
 	Fact
 	version uint64
+	from    string
 }
 
 // Set states a fact of this entry; it is passed on only when the body differs from the last.
@@ -33,7 +34,7 @@
 	if known && bytes.Equal(old.Body, body) {
 		return
 	}
-	gos.hold(Fact{Subject: subject, Origin: gos.self, Seq: old.Seq + 1, Body: body})
+	gos.hold(Fact{Subject: subject, Origin: gos.self, Seq: old.Seq + 1, Body: body}, gos.self)
 	gos.wake()
 }
 
@@ -58,9 +59,9 @@
 	return out
 }
 
-func (gos *Gossiper) hold(fac Fact) {
+func (gos *Gossiper) hold(fac Fact, from string) {
 	gos.version++
-	gos.facts[factKey{subject: fac.Subject, origin: fac.Origin}] = heldFact{Fact: fac, version: gos.version}
+	gos.facts[factKey{subject: fac.Subject, origin: fac.Origin}] = heldFact{Fact: fac, version: gos.version, from: from}
 }
 
 func (gos *Gossiper) wake() {
@@ -69,7 +70,7 @@
 }
 
 // merge takes in newer facts of live members.
-func (gos *Gossiper) merge(facts []Fact) {
+func (gos *Gossiper) merge(facts []Fact, from string) {
 	members := gos.opt.State.View().Members
 	gos.mtx.Lock()
 	defer gos.mtx.Unlock()
@@ -82,7 +83,7 @@
 		if known && old.Seq >= fac.Seq {
 			continue
 		}
-		gos.hold(fac)
+		gos.hold(fac, from)
 		merged = true
 	}
 	if merged {
@@ -90,25 +91,26 @@
 	}
 }
 
-func (gos *Gossiper) since(version uint64) ([]Fact, uint64) {
+func (gos *Gossiper) since(version uint64, req Request) ([]Fact, uint64) {
 	gos.mtx.Lock()
 	defer gos.mtx.Unlock()
 	var held []heldFact
+	newest := gos.version
 	for _, fac := range gos.facts {
-		if fac.version > version {
+		if fac.version > version && gos.wanted(fac, req) {
 			held = append(held, fac)
 		}
 	}
 	slices.SortFunc(held, func(one, two heldFact) int { return int(one.version) - int(two.version) })
 	if len(held) > maxFacts {
 		held = held[:maxFacts]
+		newest = held[maxFacts-1].version
 	}
 	var out []Fact
 	for _, fac := range held {
 		out = append(out, fac.Fact)
-		version = fac.version
 	}
-	return out, version
+	return out, newest
 }
 
 // sweep drops the facts whose origin is no longer a member.
@@ -124,6 +126,7 @@
 	for inc := range gos.hear {
 		if _, live := members[inc]; !live {
 			delete(gos.hear, inc)
+			delete(gos.offsets, inc)
 			delete(gos.cursors, inc)
 		}
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -11,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lovagelever/lovagelever/assigner"
-	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/recorder"
 	"github.com/lovagelever/lovagelever/reducer"
 )
@@ -20,6 +20,8 @@
 	maxWait      = 5 * time.Second
 	meshUpTo     = 16
 	fingersCheck = 500 * time.Millisecond
+	// unseenAfter is how many intervals of silence make a member unseen.
+	unseenAfter = 2
 )
 
 // State is the folded state that entries keep each other up to date with.
@@ -32,10 +34,16 @@
 	Adopt(sna recorder.Snapshot) error
 }
 
+// Peers calls other entries by their addresses.
+type Peers interface {
+	Exchange(ctx context.Context, address string, req Request) (Answer, error)
+	Snapshot(ctx context.Context, address string) (recorder.Snapshot, error)
+}
+
 // Options are what a gossiper needs; Interval is how long a peer may hold a pull.
 type Options struct {
 	State        State
-	Messenger    *messenger.Messenger
+	Peers        Peers
 	Clock        clockwork.Clock
 	Logger       logrus.FieldLogger
 	Interval     time.Duration
@@ -52,11 +60,18 @@
 	facts   map[factKey]heldFact
 	version uint64
 	changed chan struct{}
-	cursors map[string]uint64
+	cursors map[string]cursor
 	hear    map[string]time.Time
+	offsets map[string]int64
 	pulls   map[string]context.CancelFunc
 }
 
+// cursor is how far the facts of a peer are known while certain origins were asked for.
+type cursor struct {
+	at     uint64
+	unseen string
+}
+
 type peer struct {
 	name        string
 	incarnation string
@@ -71,8 +86,9 @@
 		self:    self,
 		facts:   map[factKey]heldFact{},
 		changed: make(chan struct{}),
-		cursors: map[string]uint64{},
+		cursors: map[string]cursor{},
 		hear:    map[string]time.Time{},
+		offsets: map[string]int64{},
 		pulls:   map[string]context.CancelFunc{},
 	}
 }
@@ -92,7 +108,7 @@
 		if key.origin == gos.self {
 			delete(gos.facts, key)
 			fac.Origin = self
-			gos.hold(fac.Fact)
+			gos.hold(fac.Fact, self)
 		}
 	}
 	gos.self = self
@@ -135,10 +151,20 @@
 	}
 }
 
+// Round pulls from every finger once, one after the other, without waiting for news.
+func (gos *Gossiper) Round(ctx context.Context) {
+	gos.sweep()
+	for _, pee := range gos.fingers() {
+		if err := gos.pull(ctx, pee, 0); err != nil {
+			gos.opt.Logger.WithError(err).WithField("peer", pee.name).Debug("peer not pulled")
+		}
+	}
+}
+
 func (gos *Gossiper) keepPulling(ctx context.Context, pee peer) {
 	for ctx.Err() == nil {
 		pause := minInterval
-		if err := gos.pull(ctx, pee); err != nil {
+		if err := gos.pull(ctx, pee, gos.opt.Interval); err != nil {
 			gos.opt.Logger.WithError(err).WithField("peer", pee.name).Debug("peer not pulled")
 			pause = gos.opt.Interval / 2
 		}
@@ -208,14 +234,33 @@
 	}
 }
 
-func (gos *Gossiper) cursorOf(inc string) uint64 {
+// cursorOf is how far the facts of a peer are known, or 0 when other origins are asked for than last time.
+func (gos *Gossiper) cursorOf(inc, unseen string) uint64 {
 	gos.mtx.Lock()
 	defer gos.mtx.Unlock()
-	return gos.cursors[inc]
+	if cur := gos.cursors[inc]; cur.unseen == unseen {
+		return cur.at
+	}
+	return 0
 }
 
-func (gos *Gossiper) setCursor(inc string, cursor uint64) {
+func (gos *Gossiper) setCursor(inc string, cur cursor) {
 	gos.mtx.Lock()
 	defer gos.mtx.Unlock()
-	gos.cursors[inc] = cursor
+	gos.cursors[inc] = cur
+}
+
+// unseen says whether facts must be relayed for all, or else which members this entry has not heard lately.
+func (gos *Gossiper) unseen(now time.Time) (bool, []string) {
+	members := gos.opt.State.View().Members
+	if len(members) > meshUpTo {
+		return true, nil
+	}
+	var out []string
+	for _, inc := range slices.Sorted(maps.Keys(members)) {
+		if inc != gos.Self() && now.Sub(gos.Heard(inc)) > unseenAfter*gos.opt.Interval {
+			out = append(out, inc)
+		}
+	}
+	return false, out
 }
--- a/joiner/joiner.go
+++ b/joiner/joiner.go
@@ -75,9 +75,7 @@
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		changed := joi.opt.State.Changed()
-		if joi.wants() {
-			joi.renew()
-			joi.join(ctx)
+		if joi.Step(ctx) {
 			joi.sleep(ctx, backoff)
 			backoff = min(2*backoff, lastBackoff)
 			continue
@@ -93,6 +91,16 @@
 	}
 }
 
+// Step joins when this entry should be a member and is none, and reports whether it tried.
+func (joi *Joiner) Step(ctx context.Context) bool {
+	if !joi.wants() {
+		return false
+	}
+	joi.renew()
+	joi.join(ctx)
+	return true
+}
+
 func (joi *Joiner) wants() bool {
 	joi.mtx.Lock()
 	leaving := joi.leaving
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,7 +34,7 @@
 	Prober() *prober.Prober
 }
 
-// Options are what a keeper needs; TakeoverAfter is how long a former home that does not answer keeps this one from its half of the limit.
+// Options are what a keeper needs; TakeoverAfter is how long a former home that does not answer keeps this one from its half of the limit, and Spawn starts a call in the background.
 type Options struct {
 	View          func() *reducer.View
 	Changed       func() <-chan struct{}
@@ -46,6 +48,7 @@
 	Logger        logrus.FieldLogger
 	Interval      time.Duration
 	TakeoverAfter time.Duration
+	Spawn         func(call func())
 }
 
 // Keeper keeps the units of one entry.
@@ -98,7 +101,8 @@
 	vie := kee.opt.View()
 	sta := kee.opt.Standing()
 	homed := map[string]bool{}
-	for unit, hom := range vie.Homes {
+	for _, unit := range slices.Sorted(maps.Keys(vie.Homes)) {
+		hom := vie.Homes[unit]
 		if hom.Incarnation == kee.opt.Self() && kee.exists(vie, unit) {
 			homed[unit] = true
 			kee.keep(ctx, vie, sta, unit, hom)
--- a/keeper/takeover.go
+++ b/keeper/takeover.go
@@ -28,6 +28,7 @@
 	began     time.Time
 	confirmed map[string]bool
 	asking    bool
+	askAt     time.Time
 }
 
 // claim tells how sure this home of a unit is that no other entry admits to it.
@@ -51,9 +52,9 @@
 	if tak.complete(hom) {
 		return claimSole
 	}
-	if !tak.asking {
+	if !tak.asking && !kee.opt.Clock.Now().Before(tak.askAt) {
 		tak.asking = true
-		go kee.askFormer(ctx, unit, hom, tak)
+		kee.opt.Spawn(func() { kee.askFormer(ctx, unit, hom, tak) })
 	}
 	if kee.opt.Clock.Since(tak.began) > kee.opt.TakeoverAfter {
 		return claimHalf
@@ -75,7 +76,6 @@
 	for _, inc := range hom.Former {
 		ans, err := kee.askOne(ctx, vie, YieldRequest{Incarnation: inc, Unit: unit, Offset: hom.Since})
 		if err != nil || !ans.Yielded && !ans.Gone {
-			kee.opt.Clock.Sleep(kee.opt.Interval / 2)
 			continue
 		}
 		kee.mtx.Lock()
@@ -84,6 +84,7 @@
 	}
 	kee.mtx.Lock()
 	tak.asking = false
+	tak.askAt = kee.opt.Clock.Now().Add(kee.opt.Interval / 2)
 	kee.mtx.Unlock()
 	kee.nudge()
 }
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -19,7 +20,8 @@
 )
 
 const (
-	readEvery   = 2 * time.Second
+	slot        = 2 * time.Second
+	checkEvery  = 250 * time.Millisecond
 	readTimeout = 2 * time.Second
 )
 
@@ -34,44 +36,63 @@
 	LeavesInMS int64  `json:"leaves_in_ms"`
 }
 
-// Lister holds the newest list that it could read.
+// Options are what a lister needs; Turn gives the rank of this entry among those that take turns, and their number.
+type Options struct {
+	Address string
+	Client  *http.Client
+	Turn    func() (rank, size int)
+	Clock   clockwork.Clock
+	Logger  logrus.FieldLogger
+}
+
+// Lister holds what the newest list that it could read says of leaving VMs.
 type Lister struct {
-	url string
-	cli *http.Client
-	clk clockwork.Clock
-	log logrus.FieldLogger
-	mtx sync.Mutex
-	vms map[string]VM
-	at  time.Time
+	opt     Options
+	mtx     sync.Mutex
+	leaving map[string]time.Time
+	slot    int64
 }
 
-// New returns a lister of the list service at the address IP:PORT.
-func New(address string, cli *http.Client, clk clockwork.Clock, log logrus.FieldLogger) *Lister {
-	return &Lister{url: "http://" + address + "/v1/vms", cli: cli, clk: clk, log: log}
+// New returns a lister of the list service at an address IP:PORT.
+func New(opt Options) *Lister {
+	return &Lister{opt: opt}
 }
 
-// Run reads the list until the context ends.
+// Run reads the list whenever it is this entry's turn, until the context ends.
 func (lis *Lister) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := lis.Read(ctx); err != nil {
-			lis.log.WithError(err).Debug("VM list not read")
+		if lis.due() {
+			if err := lis.Read(ctx); err != nil {
+				lis.opt.Logger.WithError(err).Debug("VM list not read")
+			}
 		}
 		select {
 		case <-ctx.Done():
-		case <-lis.clk.After(readEvery):
+		case <-lis.opt.Clock.After(checkEvery):
 		}
 	}
 }
 
+// due reports once in each of this entry's time slots that it is its turn.
+func (lis *Lister) due() bool {
+	now := lis.opt.Clock.Now().UnixNano() / int64(slot)
+	rank, size := lis.opt.Turn()
+	if size == 0 || now == lis.slot || now%int64(size) != int64(rank) {
+		return false
+	}
+	lis.slot = now
+	return true
+}
+
 // Read reads the list once.
 func (lis *Lister) Read(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, readTimeout)
 	defer stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, lis.url, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+lis.opt.Address+"/v1/vms", http.NoBody)
 	if err != nil {
 		return errors.Annotate(err, "lister: make request")
 	}
-	res, err := lis.cli.Do(req)
+	res, err := lis.opt.Client.Do(req)
 	if err != nil {
 		return errors.Annotate(err, "lister: call")
 	}
@@ -90,22 +111,21 @@
 }
 
 func (lis *Lister) hold(list []VM) {
-	vms := make(map[string]VM, len(list))
+	now := lis.opt.Clock.Now()
+	leaving := map[string]time.Time{}
 	for _, vm := range list {
-		vms[vm.Name] = vm
+		if vm.State == Leaving {
+			leaving[vm.Name] = now.Add(time.Duration(vm.LeavesInMS) * time.Millisecond).Truncate(time.Second)
+		}
 	}
 	lis.mtx.Lock()
 	defer lis.mtx.Unlock()
-	lis.vms, lis.at = vms, lis.clk.Now()
+	lis.leaving = leaving
 }
 
-// Leaving returns how long a VM has until it leaves; it reports false for one that is not leaving.
-func (lis *Lister) Leaving(name string) (time.Duration, bool) {
+// Leaving returns the VMs that leave, and when.
+func (lis *Lister) Leaving() map[string]time.Time {
 	lis.mtx.Lock()
 	defer lis.mtx.Unlock()
-	vm, listed := lis.vms[name]
-	if !listed || vm.State != Leaving {
-		return 0, false
-	}
-	return time.Duration(vm.LeavesInMS)*time.Millisecond - lis.clk.Since(lis.at), true
+	return maps.Clone(lis.leaving)
 }
--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -7,18 +7,21 @@
 	"sync"
 
 	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/counter"
 )
 
 // Listener serves the methods of one entry to the others.
 type Listener struct {
 	lis net.Listener
 	srv *rpc.Server
+	cou *counter.Counter
 	mtx sync.Mutex
 	con map[net.Conn]bool
 }
 
-// Listen serves the exported methods of the receiver at the address IP:PORT.
-func Listen(address string, receiver any) (*Listener, error) {
+// Listen serves the exported methods of the receiver at the address IP:PORT and counts the bytes.
+func Listen(address string, receiver any, cou *counter.Counter) (*Listener, error) {
 	srv := rpc.NewServer()
 	if err := srv.RegisterName("Entry", receiver); err != nil {
 		return nil, errors.Annotate(err, "messenger: register")
@@ -27,7 +30,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "messenger: listen")
 	}
-	out := &Listener{lis: lis, srv: srv, con: map[net.Conn]bool{}}
+	out := &Listener{lis: lis, srv: srv, cou: cou, con: map[net.Conn]bool{}}
 	go out.accept()
 	return out, nil
 }
@@ -53,6 +56,7 @@
 		if err != nil {
 			return
 		}
+		con = lis.cou.Wrap(con)
 		lis.mtx.Lock()
 		lis.con[con] = true
 		lis.mtx.Unlock()
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/counter"
 )
 
 const dialTimeout = time.Second
@@ -20,15 +22,15 @@
 
 // Messenger keeps one connection to each entry that it calls.
 type Messenger struct {
-	dia net.Dialer
+	dia func(ctx context.Context, network, address string) (net.Conn, error)
 	mtx sync.Mutex
 	cli map[string]*rpc.Client
 }
 
-// New returns a messenger that dials from the given IP address.
-func New(source net.IP) *Messenger {
+// New returns a messenger that dials from the given IP address and counts its bytes.
+func New(source net.IP, cou *counter.Counter) *Messenger {
 	return &Messenger{
-		dia: net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: source}},
+		dia: cou.Dial(&net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: source}}),
 		cli: map[string]*rpc.Client{},
 	}
 }
@@ -67,7 +69,7 @@
 	if known {
 		return cli, nil
 	}
-	con, err := mes.dia.DialContext(ctx, "tcp", address)
+	con, err := mes.dia(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Annotate(err, "messenger: dial")
 	}
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -326,7 +326,7 @@
 			for num := 1; num <= vms; num++ {
 				name := fmt.Sprintf("z%d-d%d-v%02d", zon, dom, num)
 				cat.Inventory.VMs[name] = cataloger.VM{
-					Zone: zone, Domain: fmt.Sprintf("z%d-d%d", zon, dom), Address: name,
+					Zone: zone, Domain: fmt.Sprintf("z%d-d%d", zon, dom), Address: fmt.Sprintf("10.%d.%d.%d:9000", zon, dom, num),
 					Worker: cataloger.WorkerEngine, Accelerators: 8, ChecksFence: num%2 == 0,
 				}
 			}
@@ -336,5 +336,5 @@
 }
 
 func model(replicas, vms int, gigabytes float64) cataloger.Model {
-	return cataloger.Model{Version: "1", Replicas: replicas, VMsPerReplica: vms, AcceleratorsEach: 8, WeightsGigabytes: gigabytes}
+	return cataloger.Model{Version: "1", Replicas: replicas, VMsPerReplica: vms, AcceleratorsEach: 8, WeightsGigabytes: gigabytes, ColdLimit: 2, WarmLimit: 16}
 }
--- a/reducer/apply.go
+++ b/reducer/apply.go
@@ -10,7 +10,7 @@
 	"github.com/lovagelever/lovagelever/recorder"
 )
 
-var rehoming = map[recorder.Kind]bool{
+var reassigning = map[recorder.Kind]bool{
 	recorder.KindPublication: true,
 	recorder.KindJoin:        true,
 	recorder.KindDrain:       true,
@@ -34,14 +34,24 @@
 	}
 	sta.forget()
 	rea := sta.judge(ent)
-	if rea == Accepted && rehoming[ent.Record.Kind] {
-		sta.rehome()
+	if rea == Accepted {
+		sta.follow(ent.Record.Kind)
 	}
 	sta.remember(ent, rea)
 	sta.assertWhole()
 	return rea
 }
 
+// follow brings what is derived up to date after an accepted record; claims and snapshots change nothing that a view shows but its offset.
+func (sta *State) follow(kind recorder.Kind) {
+	if reassigning[kind] {
+		sta.assign()
+	}
+	if kind != recorder.KindClaims && kind != recorder.KindSnapshot {
+		sta.last = nil
+	}
+}
+
 func (sta *State) judge(ent recorder.Entry) Reason {
 	rec := ent.Record
 	if rec.Version > recorder.Version {
--- a/reducer/duty.go
+++ b/reducer/duty.go
@@ -4,21 +4,22 @@
 	"slices"
 
 	"github.com/lovagelever/lovagelever/assigner"
+	"github.com/lovagelever/lovagelever/cataloger"
 )
 
-// Controller returns the member that decides on the groups of a region.
-func (sta *State) Controller(region string) (Member, bool) {
-	return sta.pick("controller/"+region, "", region)
-}
-
-// Watcher returns the member that probes the VMs of a fabric domain which are in no group.
-func (sta *State) Watcher(domain, zone string) (Member, bool) {
-	return sta.pick("watcher/"+domain, zone, sta.Catalog.Inventory.Zones[zone].Region)
+// duties are the assignments that follow from members, catalog and groups.
+type duties struct {
+	pool     *assigner.Pool
+	byName   map[string]Member
+	watchers map[string]Member
+	control  map[string]Member
+	snapshot Member
 }
 
-// Snapshotter returns the member that appends snapshots.
-func (sta *State) Snapshotter() (Member, bool) {
-	return sta.pick("snapshotter", "", "")
+// Controller returns the member that decides on the groups of a region.
+func (sta *State) Controller(region string) (Member, bool) {
+	mem, found := sta.duties.control[region]
+	return mem, found
 }
 
 func (sta *State) controls(writer, region string) bool {
@@ -26,12 +27,43 @@
 	return found && mem.Incarnation == writer
 }
 
-func (sta *State) pick(subject, zone, region string) (Member, bool) {
-	can, found := assigner.PickNear(subject, zone, region, sta.candidates())
-	if !found {
-		return Member{}, false
+// assign works out all duties anew, the homes of units among them.
+func (sta *State) assign() {
+	sta.derive()
+	sta.rehome()
+}
+
+// derive works out the duties that the state does not keep.
+func (sta *State) derive() {
+	dut := duties{
+		pool:     assigner.NewPool(sta.candidates()),
+		byName:   make(map[string]Member, len(sta.Members)),
+		watchers: map[string]Member{},
+		control:  map[string]Member{},
+	}
+	for _, mem := range sta.Members {
+		dut.byName[mem.Name] = mem
+	}
+	dut.snapshot, _ = dut.pick("snapshotter", "", "")
+	for _, vm := range sta.Catalog.Inventory.VMs {
+		if _, known := dut.watchers[vm.Domain]; known || vm.Worker != cataloger.WorkerEngine {
+			continue
+		}
+		if mem, found := dut.pick("watcher/"+vm.Domain, vm.Zone, sta.Catalog.Inventory.Zones[vm.Zone].Region); found {
+			dut.watchers[vm.Domain] = mem
+		}
+	}
+	for _, zone := range sta.Catalog.Inventory.Zones {
+		if mem, found := dut.pick("controller/"+zone.Region, "", zone.Region); found {
+			dut.control[zone.Region] = mem
+		}
 	}
-	return sta.memberNamed(can.Name), true
+	sta.duties = dut
+}
+
+func (dut *duties) pick(subject, zone, region string) (Member, bool) {
+	can, found := dut.pool.Pick(subject, zone, region)
+	return dut.byName[can.Name], found
 }
 
 // candidates are the members that neither drain nor stand in a zone taken out, or all when none is left.
@@ -49,12 +81,3 @@
 	}
 	return fit
 }
-
-func (sta *State) memberNamed(name string) Member {
-	for _, mem := range sta.Members {
-		if mem.Name == name {
-			return mem
-		}
-	}
-	return Member{}
-}
--- a/reducer/expiry.go
+++ b/reducer/expiry.go
@@ -67,4 +67,5 @@
 		sta.claimOrder.push(cla.At, key)
 	}
 	sta.claimOrder.sort()
+	sta.derive()
 }
--- a/reducer/home.go
+++ b/reducer/home.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"github.com/lovagelever/lovagelever/assigner"
 	"github.com/lovagelever/lovagelever/cataloger"
 )
 
@@ -17,18 +16,16 @@
 
 // rehome assigns every unit anew after a change of members, groups or catalog.
 func (sta *State) rehome() {
-	cands := sta.candidates()
-	byName := sta.membersByName()
 	homes := make(map[string]Home, len(sta.Homes))
 	for unit, zone := range sta.units() {
 		region := sta.Catalog.Inventory.Zones[zone].Region
-		can, found := assigner.PickNear("home/"+unit, zone, region, cands)
+		mem, found := sta.duties.pick("home/"+unit, zone, region)
 		old := sta.Homes[unit]
 		if !found {
 			homes[unit] = old
 			continue
 		}
-		homes[unit] = sta.moveHome(old, byName[can.Name].Incarnation)
+		homes[unit] = sta.moveHome(old, mem.Incarnation)
 	}
 	sta.Homes = homes
 }
@@ -54,12 +51,8 @@
 	if !known || !dep.Evicted {
 		return true
 	}
-	for _, mem := range sta.Members {
-		if mem.Name == dep.Name {
-			return true
-		}
-	}
-	return false
+	_, taken := sta.duties.byName[dep.Name]
+	return taken
 }
 
 func (sta *State) units() map[string]string {
@@ -74,11 +67,3 @@
 	}
 	return units
 }
-
-func (sta *State) membersByName() map[string]Member {
-	out := make(map[string]Member, len(sta.Members))
-	for _, mem := range sta.Members {
-		out[mem.Name] = mem
-	}
-	return out
-}
--- /dev/null
+++ b/reducer/reducer_test.go
@@ -0,0 +1,175 @@
+package reducer_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/recorder"
+	"github.com/lovagelever/lovagelever/reducer"
+)
+
+func controller(fee *feed) string {
+	mem, found := fee.sta.Controller("here")
+	Expect(found).To(BeTrue())
+	return mem.Incarnation
+}
+
+func form(group string, vms ...string) recorder.Form {
+	return recorder.Form{Group: group, Model: "scene", Version: "1", VMs: vms}
+}
+
+var _ = Describe("the fold", func() {
+	var fee *feed
+	var other string
+
+	BeforeEach(func() {
+		fee = newFeed()
+		one, two := fee.join("e1", "zone-0"), fee.join("e2", "zone-1")
+		Expect(fee.publish(plant(2, 2, 4, 2))).To(Equal(reducer.Accepted))
+		other = one
+		if controller(fee) == one {
+			other = two
+		}
+	})
+
+	voids := []struct {
+		name string
+		form recorder.Form
+		rea  reducer.Reason
+	}{
+		{"a VM that is in a live group", form("b", "z0-d0-v1", "z0-d0-v2"), reducer.ReasonVMTaken},
+		{"VMs of two fabric domains", form("b", "z0-d0-v2", "z0-d1-v0"), reducer.ReasonDomains},
+		{"a VM twice", form("b", "z0-d0-v2", "z0-d0-v2"), reducer.ReasonUnknownVM},
+		{"a VM that is not in the inventory", form("b", "z0-d0-v2", "gone"), reducer.ReasonUnknownVM},
+		{"too few VMs", form("b", "z0-d0-v2"), reducer.ReasonWrongSize},
+		{"a name in use", form("a", "z0-d0-v2", "z0-d0-v3"), reducer.ReasonGroupExists},
+		{"an old version of the model", recorder.Form{Group: "b", Model: "scene", Version: "0", VMs: []string{"z0-d0-v2", "z0-d0-v3"}}, reducer.ReasonOldVersion},
+		{"a model that is not in the inventory", recorder.Form{Group: "b", Model: "gone"}, reducer.ReasonUnknownModel},
+	}
+	for _, row := range voids {
+		It("voids a group with "+row.name, func() {
+			Expect(fee.do(recorder.KindForm, controller(fee), form("a", "z0-d0-v0", "z0-d0-v1"))).To(Equal(reducer.Accepted))
+			Expect(fee.do(recorder.KindForm, controller(fee), row.form)).To(Equal(row.rea))
+			Expect(fee.sta.Groups).To(HaveLen(1))
+		})
+	}
+
+	It("voids the records of an entry that is not the controller", func() {
+		Expect(fee.do(recorder.KindForm, other, form("a", "z0-d0-v0", "z0-d0-v1"))).To(Equal(reducer.ReasonNotController))
+	})
+
+	It("voids the records of a controller that was evicted", func() {
+		old := controller(fee)
+		late := fee.record(recorder.KindForm, old, form("a", "z0-d0-v0", "z0-d0-v1"))
+		Expect(fee.do(recorder.KindEvict, other, recorder.Departure{Incarnation: old})).To(Equal(reducer.Accepted))
+		Expect(fee.apply(late)).To(Equal(reducer.ReasonNotController))
+	})
+
+	It("voids a group in a zone that is out", func() {
+		next := fee.sta.Catalog
+		next.Rules.ZonesOut = []string{"zone-0"}
+		Expect(fee.publish(next)).To(Equal(reducer.Accepted))
+		Expect(fee.do(recorder.KindForm, controller(fee), form("a", "z0-d0-v0", "z0-d0-v1"))).To(Equal(reducer.ReasonZoneOut))
+	})
+
+	It("takes one of two racing publications", func() {
+		first := plant(2, 2, 4, 2)
+		first.Rules.ZonesOut = []string{"zone-0"}
+		second := plant(2, 2, 4, 2)
+		second.Rules.ZonesOut = []string{"zone-1"}
+		base := fee.sta.Catalog
+		winner := fee.record(recorder.KindPublication, "", recorder.Publication{BasedOn: 1, Change: cataloger.Diff(base, first)})
+		loser := fee.record(recorder.KindPublication, "", recorder.Publication{BasedOn: 1, Change: cataloger.Diff(base, second)})
+		Expect(fee.apply(winner)).To(Equal(reducer.Accepted))
+		Expect(fee.apply(loser)).To(Equal(reducer.ReasonConflict))
+		Expect(fee.apply(winner)).To(Equal(reducer.ReasonDuplicate))
+		Expect(fee.sta.Catalog.Rules.ZonesOut).To(Equal([]string{"zone-0"}))
+	})
+
+	It("voids a copy that comes after its ID was forgotten", func() {
+		rec := fee.record(recorder.KindJoin, "late", recorder.Member{Name: "late", Incarnation: "late"})
+		Expect(fee.apply(rec)).To(Equal(reducer.Accepted))
+		fee.now = fee.now.Add(3 * reducer.IDWindow)
+		fee.do(recorder.KindLeave, "late", recorder.Departure{Incarnation: "late"})
+		Expect(fee.apply(rec)).To(Equal(reducer.ReasonOutsideWindow))
+	})
+
+	It("gives a key to its first claim, and to none once it is old", func() {
+		issued := fee.now
+		claims := func(writer string) {
+			rec := fee.record(recorder.KindClaims, writer, recorder.Claims{Claims: []recorder.Claim{{Key: "k", IssuedMS: issued.UnixMilli()}}})
+			Expect(fee.apply(rec)).To(Equal(reducer.Accepted))
+		}
+		claims(other)
+		claims(controller(fee))
+		Expect(fee.sta.Claims["k"].Owner).To(Equal(other))
+		fee.now = fee.now.Add(2 * reducer.ClaimWindow)
+		claims(controller(fee))
+		Expect(fee.sta.Claims).NotTo(HaveKey("k"))
+	})
+
+	It("skips and counts what it does not know", func() {
+		Expect(fee.do("later", "", nil)).To(Equal(reducer.ReasonUnknownKind))
+		rec := fee.record(recorder.KindJoin, "", recorder.Member{})
+		rec.Version = recorder.Version + 1
+		Expect(fee.apply(rec)).To(Equal(reducer.ReasonNewerVersion))
+		Expect(fee.sta.Counts).To(HaveKeyWithValue("void/unknown_kind", int64(1)))
+	})
+
+	It("retires the groups that the inventory no longer bears out", func() {
+		Expect(fee.do(recorder.KindForm, controller(fee), form("a", "z0-d0-v0", "z0-d0-v1"))).To(Equal(reducer.Accepted))
+		next := plant(2, 2, 4, 2)
+		delete(next.Inventory.VMs, "z0-d0-v1")
+		Expect(fee.publish(next)).To(Equal(reducer.Accepted))
+		Expect(fee.sta.Groups).To(BeEmpty())
+		Expect(fee.sta.Owners).To(BeEmpty())
+	})
+
+	It("names the former home of a unit that moved until it is surely gone", func() {
+		Expect(fee.do(recorder.KindForm, controller(fee), form("a", "z0-d0-v0", "z0-d0-v1"))).To(Equal(reducer.Accepted))
+		old := fee.sta.Homes["a"].Incarnation
+		writer := other
+		if writer == old {
+			writer = controller(fee)
+		}
+		Expect(fee.do(recorder.KindEvict, writer, recorder.Departure{Incarnation: old})).To(Equal(reducer.Accepted))
+		Expect(fee.sta.Homes["a"].Former).To(Equal([]string{old}))
+		fee.join(fee.sta.Departed[old].Name, "zone-1")
+		Expect(fee.sta.Homes["a"].Former).NotTo(ContainElement(old))
+	})
+
+	It("goes on from a snapshot as from the records", func() {
+		Expect(fee.do(recorder.KindForm, controller(fee), form("a", "z0-d0-v0", "z0-d0-v1"))).To(Equal(reducer.Accepted))
+		sna, err := fee.sta.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		copied, err := reducer.DecodeState(sna)
+		Expect(err).NotTo(HaveOccurred())
+		for range 50 {
+			fee.now = fee.now.Add(time.Minute)
+			rec := fee.record(recorder.KindJoin, "", recorder.Member{Name: "n", Incarnation: fee.id(fee.now)})
+			ent := recorder.Entry{Offset: fee.sta.Offset + 1, At: fee.now, Record: rec}
+			Expect(copied.Apply(ent)).To(Equal(fee.sta.Apply(ent)))
+		}
+		Expect(copied.Chain).To(Equal(fee.sta.Chain))
+		one, err := fee.sta.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		two, err := copied.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(two.Checksum).To(Equal(one.Checksum))
+	})
+
+	It("refuses a damaged snapshot", func() {
+		sna, err := fee.sta.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		sna.Checksum++
+		_, err = reducer.DecodeState(sna)
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("panics rather than folding over a gap", func() {
+		Expect(func() { fee.sta.Apply(recorder.Entry{Offset: fee.sta.Offset + 2}) }).To(Panic())
+	})
+})
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -38,6 +38,8 @@
 	Voids      []Void               `json:"voids"`
 	Counts     map[string]int64     `json:"counts"`
 
+	duties     duties
+	last       *View
 	order      datedQueue
 	claimOrder datedQueue
 }
--- a/reducer/view.go
+++ b/reducer/view.go
@@ -34,11 +34,22 @@
 	Counts    map[string]int64
 }
 
-// View copies what readers need and works out who has which duty; Homes is by unit, Watchers by fabric domain, Control by region, and Covered is the offset of the newest snapshot.
+// View copies what readers need; Homes is by unit, Watchers by fabric domain, Control by region, and Covered is the offset of the newest snapshot.
 func (sta *State) View() *View {
-	vie := &View{
-		Offset:    sta.Offset,
-		Chain:     sta.Chain,
+	if sta.last == nil {
+		sta.last = sta.picture()
+	}
+	vie := *sta.last
+	vie.Offset = sta.Offset
+	vie.Chain = sta.Chain
+	vie.Covered = sta.SnapshotAt
+	vie.Voids = append([]Void{}, sta.Voids...)
+	vie.Counts = maps.Clone(sta.Counts)
+	return &vie
+}
+
+func (sta *State) picture() *View {
+	return &View{
 		Revision:  sta.Revision,
 		Catalog:   sta.Catalog,
 		Members:   maps.Clone(sta.Members),
@@ -47,27 +58,9 @@
 		Owners:    maps.Clone(sta.Owners),
 		Condemned: maps.Clone(sta.Condemned),
 		Homes:     sta.Homes,
-		Covered:   sta.SnapshotAt,
-		Watchers:  map[string]Member{},
-		Control:   map[string]Member{},
-		Voids:     append([]Void{}, sta.Voids...),
-		Counts:    maps.Clone(sta.Counts),
-	}
-	vie.Snapshots, _ = sta.Snapshotter()
-	sta.viewVMs(vie)
-	return vie
-}
-
-func (sta *State) viewVMs(vie *View) {
-	for _, vm := range sta.Catalog.Inventory.VMs {
-		if _, known := vie.Watchers[vm.Domain]; !known && vm.Domain != "" {
-			vie.Watchers[vm.Domain], _ = sta.Watcher(vm.Domain, vm.Zone)
-		}
-	}
-	for _, zone := range sta.Catalog.Inventory.Zones {
-		if _, known := vie.Control[zone.Region]; !known {
-			vie.Control[zone.Region], _ = sta.Controller(zone.Region)
-		}
+		Watchers:  sta.duties.watchers,
+		Control:   sta.duties.control,
+		Snapshots: sta.duties.snapshot,
 	}
 }
 
--- a/server/build.go
+++ b/server/build.go
@@ -37,10 +37,10 @@
 
 func (srv *Server) buildControl() {
 	srv.mtr = newMeter()
-	srv.lcl = logcaller.New(srv.set.LogAddress, srv.cli)
+	srv.lcl = logcaller.New(srv.set.LogAddress, srv.ctl)
 	srv.fol = follower.New(follower.Options{
 		Log:    srv.lcl,
-		Peers:  peers{srv: srv},
+		Peers:  anyPeer{peers{srv: srv}},
 		Clock:  srv.clk,
 		Logger: srv.log,
 		OnFold: srv.onFold,
@@ -56,7 +56,7 @@
 	})
 	srv.gos = gossiper.New(gossiper.Options{
 		State:        srv.fol,
-		Messenger:    srv.mes,
+		Peers:        peers{srv: srv},
 		Clock:        srv.clk,
 		Logger:       srv.log,
 		Interval:     srv.set.ProbeInterval,
@@ -80,7 +80,7 @@
 		Standing: srv.standing,
 		Observe:  srv.observe,
 		Appender: srv.app,
-		Orders:   orderer.New(srv.cli),
+		Orders:   orderer.New(srv.ctl),
 		Clock:    srv.clk,
 		Logger:   srv.log,
 	})
@@ -95,14 +95,20 @@
 }
 
 func (srv *Server) buildWatch() {
-	srv.lis = lister.New(srv.set.VMListAddress, srv.cli, srv.clk, srv.log)
+	srv.lis = lister.New(lister.Options{
+		Address: srv.set.VMListAddress,
+		Client:  srv.ctl,
+		Turn:    srv.turn,
+		Clock:   srv.clk,
+		Logger:  srv.log,
+	})
 	srv.wat = watcher.New(watcher.Options{
 		View:     srv.view,
 		Self:     srv.self,
 		Facts:    srv.gos,
 		Clock:    srv.clk,
 		Interval: srv.set.ProbeInterval,
-		Client:   prober.Options{Client: srv.cli},
+		Client:   prober.Options{Client: srv.ctl},
 		OnReport: func(unit string, pro prober.Probe) { srv.kee.OnReport(unit, pro) },
 		OnProbe:  func(string) {},
 	})
@@ -124,6 +130,7 @@
 		Logger:        srv.log,
 		Interval:      srv.set.ProbeInterval,
 		TakeoverAfter: 2 * srv.set.FreshFor,
+		Spawn:         func(call func()) { go call() },
 	})
 }
 
--- a/server/folded.go
+++ b/server/folded.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/lovagelever/lovagelever/balancer"
+	"github.com/lovagelever/lovagelever/gossiper"
 	"github.com/lovagelever/lovagelever/keeper"
 	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/planner"
@@ -62,18 +63,32 @@
 	}()
 }
 
-// peers gets the state of another entry.
+// peers calls other entries.
 type peers struct {
 	srv *Server
 }
 
-// Snapshot asks the members that are known, one after the other; it fails with errors.NotFound.
-func (pee peers) Snapshot(ctx context.Context) (recorder.Snapshot, error) {
+// Exchange pulls what is new at an entry; the next call after a failure dials anew.
+func (pee peers) Exchange(ctx context.Context, address string, req gossiper.Request) (gossiper.Answer, error) {
+	ans, err := messenger.Call[gossiper.Request, gossiper.Answer](ctx, pee.srv.mes, address, "Exchange", req)
+	if err != nil {
+		pee.srv.mes.Forget(address)
+	}
+	return ans, err
+}
+
+// anyPeer gets the folded state from whichever entry answers.
+type anyPeer struct {
+	peers
+}
+
+// Snapshot asks the members that are known, then the peers of the settings; it fails with errors.NotFound.
+func (pee anyPeer) Snapshot(ctx context.Context) (recorder.Snapshot, error) {
 	for _, mem := range pee.srv.view().Members {
 		if mem.Incarnation == pee.srv.self() {
 			continue
 		}
-		if sna, err := pee.ask(ctx, mem.RPCAddress); err == nil {
+		if sna, err := pee.peers.Snapshot(ctx, mem.RPCAddress); err == nil {
 			return sna, nil
 		}
 	}
@@ -81,14 +96,15 @@
 		if address == pee.srv.set.AdvertiseRPCAddress {
 			continue
 		}
-		if sna, err := pee.ask(ctx, address); err == nil {
+		if sna, err := pee.peers.Snapshot(ctx, address); err == nil {
 			return sna, nil
 		}
 	}
 	return recorder.Snapshot{}, errors.NotFoundf("state of a peer")
 }
 
-func (pee peers) ask(ctx context.Context, address string) (recorder.Snapshot, error) {
+// Snapshot asks one entry for its folded state.
+func (pee peers) Snapshot(ctx context.Context, address string) (recorder.Snapshot, error) {
 	ctx, stop := context.WithTimeout(ctx, peerTimeout)
 	defer stop()
 	return messenger.Call[string, recorder.Snapshot](ctx, pee.srv.mes, address, "Snapshot", pee.srv.self())
@@ -171,13 +187,11 @@
 
 func (srv *Server) observe(vie *reducer.View) planner.Observations {
 	obs := planner.Observations{VMs: srv.wat.Observe(vie)}
-	now := srv.clk.Now()
-	for vm, one := range obs.VMs {
-		if left, leaving := srv.lis.Leaving(vm); leaving {
-			one.Leaving = true
-			one.LeavesAt = now.Add(left)
-			obs.VMs[vm] = one
-		}
+	for vm, leavesAt := range srv.leaving() {
+		one := obs.VMs[vm]
+		one.Leaving = true
+		one.LeavesAt = leavesAt
+		obs.VMs[vm] = one
 	}
 	obs.Store = srv.store()
 	return obs
--- a/server/meter.go
+++ b/server/meter.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/lovagelever/lovagelever/counter"
 	"github.com/lovagelever/lovagelever/recorder"
 	"github.com/lovagelever/lovagelever/reducer"
 	"github.com/lovagelever/lovagelever/refuser"
@@ -56,6 +57,15 @@
 	mtr.scope.Tagged(map[string]string{"kind": string(kind), "verdict": verdict}).Counter("records_folded").Inc(1)
 }
 
+// control states the bytes of control since the start: between entries, and with the platform and backend servers.
+func (mtr *meter) control(rpc, ctl *counter.Counter) {
+	for peer, cou := range map[string]*counter.Counter{"entries": rpc, "others": ctl} {
+		scope := mtr.scope.Tagged(map[string]string{"peer": peer})
+		scope.Gauge("control_bytes_in").Update(float64(cou.In()))
+		scope.Gauge("control_bytes_out").Update(float64(cou.Out()))
+	}
+}
+
 func (mtr *meter) diverged() {
 	mtr.scope.Counter("fold_diverged").Inc(1)
 }
--- a/server/publish.go
+++ b/server/publish.go
@@ -21,6 +21,8 @@
 const (
 	publishTimeout  = 10 * time.Second
 	catchUpTimeout  = 3 * time.Second
+	confirmTimeout  = 5 * time.Second
+	confirmEvery    = 50 * time.Millisecond
 	maxPublishBytes = 4 << 20
 )
 
@@ -97,9 +99,28 @@
 	}
 }
 
+// confirm waits until most entries have folded an offset, so that word of it cannot be lost with this entry.
+func (srv *Server) confirm(ctx context.Context, offset int64) error {
+	ctx, stop := context.WithTimeout(ctx, confirmTimeout)
+	defer stop()
+	for !srv.gos.Confirmed(offset) {
+		select {
+		case <-ctx.Done():
+			ref := refuser.OutcomeUnknown("the publication stands in the log, but most entries have not confirmed it: send it again with the same id")
+			ref.RetryAfter = closedRetry
+			return ref
+		case <-srv.clk.After(confirmEvery):
+		}
+	}
+	return nil
+}
+
 func (srv *Server) answerPublication(ctx echo.Context, jud follower.Judged) error {
 	switch jud.Reason {
 	case reducer.Accepted:
+		if err := srv.confirm(ctx.Request().Context(), jud.Offset); err != nil {
+			return err
+		}
 		return ctx.JSON(http.StatusOK, requester.Accepted{Revision: jud.Revision, Offset: jud.Offset})
 	case reducer.ReasonConflict:
 		return refuser.Conflict("the publication was made from an old revision: fetch /v1/catalog and try again")
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,7 @@
 	"github.com/lovagelever/lovagelever/claimer"
 	"github.com/lovagelever/lovagelever/completer"
 	"github.com/lovagelever/lovagelever/configurer"
+	"github.com/lovagelever/lovagelever/counter"
 	"github.com/lovagelever/lovagelever/evictor"
 	"github.com/lovagelever/lovagelever/follower"
 	"github.com/lovagelever/lovagelever/forwarder"
@@ -48,6 +49,7 @@
 	log *logrus.Entry
 	dia *net.Dialer
 	cli *http.Client
+	ctl *http.Client
 
 	mes *messenger.Messenger
 	lcl *logcaller.Caller
@@ -71,6 +73,8 @@
 	mtr *meter
 
 	cla      atomic.Pointer[claimer.Claimer]
+	rpcBytes counter.Counter
+	ctlBytes counter.Counter
 	draining atomic.Bool
 	running  sync.WaitGroup
 	diverged atomic.Int64
@@ -93,19 +97,24 @@
 		clk: clockwork.NewRealClock(),
 		log: newLogger(set),
 		dia: &net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: source}},
-		mes: messenger.New(source),
 	}
-	srv.cli = &http.Client{Transport: &http.Transport{
-		DialContext:         srv.dia.DialContext,
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     time.Minute,
-	}}
+	srv.mes = messenger.New(source, &srv.rpcBytes)
+	srv.cli = newClient(srv.dia.DialContext)
+	srv.ctl = newClient(srv.ctlBytes.Dial(srv.dia))
 	srv.buildControl()
 	srv.buildRequests()
 	srv.ech = srv.routes()
 	return srv, nil
 }
 
+func newClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
 // Run serves until the context ends, and then stops without cutting a request.
 func Run(ctx context.Context, set configurer.Settings) error {
 	srv, err := New(set)
@@ -117,7 +126,7 @@
 
 // Run serves until the context ends, and then stops without cutting a request.
 func (srv *Server) Run(ctx context.Context) error {
-	rpc, err := messenger.Listen(srv.set.RPCAddress, &receiver{srv: srv})
+	rpc, err := messenger.Listen(srv.set.RPCAddress, &receiver{srv: srv}, &srv.rpcBytes)
 	if err != nil {
 		return errors.Annotate(err, "server: listen to entries")
 	}
--- a/server/stop.go
+++ b/server/stop.go
@@ -1,8 +1,10 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -71,25 +73,14 @@
 
 // heirs are the other entries that stay, in a fixed order.
 func (srv *Server) heirs() []reducer.Member {
-	var cands []assigner.Candidate
-	byName := map[string]reducer.Member{}
+	var out []reducer.Member
 	for inc, mem := range srv.view().Members {
 		if inc != srv.self() && !mem.Draining {
-			cands = append(cands, assigner.Candidate{Name: mem.Name, Zone: mem.Zone, Region: mem.Region})
-			byName[mem.Name] = mem
-		}
-	}
-	var out []reducer.Member
-	for len(cands) > 0 {
-		can, _ := assigner.PickNear("heir/"+srv.set.Name, srv.set.Zone, srv.set.Region, cands)
-		out = append(out, byName[can.Name])
-		var left []assigner.Candidate
-		for _, oth := range cands {
-			if oth.Name != can.Name {
-				left = append(left, oth)
-			}
+			out = append(out, mem)
 		}
-		cands = left
 	}
+	slices.SortFunc(out, func(one, two reducer.Member) int {
+		return cmp.Compare(assigner.Score(srv.set.Name, two.Name), assigner.Score(srv.set.Name, one.Name))
+	})
 	return out
 }
--- a/server/tell.go
+++ b/server/tell.go
@@ -15,6 +15,7 @@
 	subjectEntry   = "entry"
 	subjectCrash   = "crash/"
 	subjectControl = "control"
+	subjectLeaving = "leaving"
 )
 
 // entryFact is what an entry says of itself.
@@ -29,8 +30,10 @@
 	for ctx.Err() == nil {
 		srv.tellEntry()
 		srv.tellControl()
+		srv.setFact(subjectLeaving, srv.lis.Leaving())
 		srv.shareCrashes()
 		srv.readStore(ctx)
+		srv.mtr.control(&srv.rpcBytes, &srv.ctlBytes)
 		select {
 		case <-ctx.Done():
 		case <-srv.clk.After(tellEvery):
@@ -136,6 +139,35 @@
 	return out
 }
 
+// leaving gathers the VMs that any entry has read to be leaving.
+func (srv *Server) leaving() map[string]time.Time {
+	out := map[string]time.Time{}
+	for _, fac := range srv.gos.All(subjectLeaving) {
+		var part map[string]time.Time
+		if json.Unmarshal(fac.Body, &part) != nil {
+			continue
+		}
+		for vm, leavesAt := range part {
+			out[vm] = leavesAt
+		}
+	}
+	return out
+}
+
+// turn is the rank of this entry among the members of its region.
+func (srv *Server) turn() (rank, size int) {
+	for _, mem := range srv.view().Members {
+		if mem.Region != srv.set.Region {
+			continue
+		}
+		size++
+		if mem.Name < srv.set.Name {
+			rank++
+		}
+	}
+	return rank, size
+}
+
 func (srv *Server) store() planner.Store {
 	if sto := srv.weights.Load(); sto != nil {
 		return *sto
--- a/server/weights.go
+++ b/server/weights.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return
 	}
-	res, err := srv.cli.Do(req)
+	res, err := srv.ctl.Do(req)
 	if err != nil {
 		srv.log.WithError(err).Debug("weight store not read")
 		return
--- a/watcher/observe.go
+++ b/watcher/observe.go
@@ -15,12 +15,13 @@
 	defer wat.mtx.Unlock()
 	out := make(map[string]planner.Observation, len(vie.Catalog.Inventory.VMs))
 	for vm := range vie.Catalog.Inventory.VMs {
-		body, told := wat.opt.Facts.Get(subjectVM+vm, Responsible(vie, vm))
+		inc := Responsible(vie, vm)
+		body, told := wat.opt.Facts.Get(subjectVM+vm, inc)
 		var sig Sight
 		if !told || json.Unmarshal(body, &sig) != nil {
 			continue
 		}
-		out[vm] = observation(wat.receive(vm, sig, now))
+		out[vm] = observation(wat.receive(vm, sig, now, wat.stands(inc, now)))
 	}
 	for vm := range wat.got {
 		if _, known := vie.Catalog.Inventory.VMs[vm]; !known {
@@ -30,7 +31,15 @@
 	return out
 }
 
-func (wat *Watcher) receive(vm string, sig Sight, now time.Time) received {
+// stands is since when the facts of an entry that still runs count as reported anew.
+func (wat *Watcher) stands(inc string, now time.Time) time.Time {
+	if heard := wat.opt.Facts.Heard(inc); inc != wat.opt.Self() && now.Sub(heard) > standsFor {
+		return time.Time{}
+	}
+	return now.Truncate(standsFor)
+}
+
+func (wat *Watcher) receive(vm string, sig Sight, now, stands time.Time) received {
 	old, known := wat.got[vm]
 	rec := received{sight: sig, since: old.since, at: old.at}
 	if !known || old.sight.Alive != sig.Alive {
@@ -39,6 +48,9 @@
 	if !known || old.sight != sig {
 		rec.at = now
 	}
+	if stands.After(rec.at) {
+		rec.at = stands
+	}
 	wat.got[vm] = rec
 	return rec
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -9,14 +9,14 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/lovagelever/lovagelever/cataloger"
-	"github.com/lovagelever/lovagelever/gossiper"
 	"github.com/lovagelever/lovagelever/prober"
 	"github.com/lovagelever/lovagelever/reducer"
 )
 
 const (
 	subjectVM = "vm/"
-	beatEvery = 15 * time.Second
+	// standsFor is how long a sight that has not changed counts as one report.
+	standsFor = 5 * time.Second
 	// missedProbes is how many intervals an answer counts as recent.
 	missedProbes = 3
 )
@@ -25,7 +25,7 @@
 type Facts interface {
 	Set(subject string, body []byte)
 	Get(subject, origin string) ([]byte, bool)
-	All(prefix string) []gossiper.Fact
+	Heard(inc string) time.Time
 }
 
 // Options are what a watcher needs.
@@ -53,7 +53,6 @@
 	Running int     `json:"running,omitempty"`
 	StepMS  float64 `json:"step_ms,omitempty"`
 	Started string  `json:"started,omitempty"`
-	Beat    int64   `json:"beat"`
 }
 
 // Watcher watches the VMs of one entry.
@@ -142,7 +141,6 @@
 		Running: coarse(sta.Running + sta.Queued),
 		StepMS:  coarseMS(sta.StepMS),
 		Started: sta.Started,
-		Beat:    wat.opt.Clock.Now().UnixNano() / int64(beatEvery),
 	}
 	data, err := json.Marshal(sig)
 	if err != nil {
