--- /dev/null
+++ b/prover/caller_test.go
@@ -0,0 +1,420 @@
+//go:build soak
+
+package prover
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+
+	"github.com/lovagelever/lovagelever/enginefaker"
+	"github.com/lovagelever/lovagelever/requester"
+)
+
+const (
+	locateTimeout  = time.Second
+	attemptTimeout = 30 * time.Second
+	requestLimit   = 60 * time.Second
+	retryPause     = 150 * time.Millisecond
+	thinkTime      = 20 * time.Millisecond
+)
+
+// tally counts what callers saw and keeps what must not happen.
+type tally struct {
+	mtx        sync.Mutex
+	counts     map[string]int
+	violations []string
+	worst      time.Duration
+}
+
+func newTally() *tally { return &tally{counts: map[string]int{}} }
+
+func (tly *tally) add(what string) {
+	tly.mtx.Lock()
+	defer tly.mtx.Unlock()
+	tly.counts[what]++
+}
+
+func (tly *tally) violate(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	report("VIOLATION %s", text)
+	tly.mtx.Lock()
+	defer tly.mtx.Unlock()
+	tly.violations = append(tly.violations, text)
+}
+
+func (tly *tally) took(dur time.Duration) {
+	tly.mtx.Lock()
+	defer tly.mtx.Unlock()
+	tly.worst = max(tly.worst, dur)
+}
+
+func (tly *tally) count(what string) int {
+	tly.mtx.Lock()
+	defer tly.mtx.Unlock()
+	return tly.counts[what]
+}
+
+func (tly *tally) print(name string) {
+	tly.mtx.Lock()
+	defer tly.mtx.Unlock()
+	report("%s: %v, slowest request %s, violations %d", name, tly.counts, tly.worst.Round(time.Millisecond), len(tly.violations))
+}
+
+// caller acts as one caller: it asks where to go, keeps the answer for its validity, and connects there.
+type caller struct {
+	dep       *deployment
+	rng       *rand.Rand
+	tly       *tally
+	cli       *http.Client
+	workspace string
+	loc       requester.Location
+	until     time.Time
+}
+
+func (dep *deployment) newCaller(seed uint64, tly *tally) *caller {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	return &caller{
+		dep: dep, rng: rng, tly: tly, workspace: workspaces[rng.IntN(len(workspaces))],
+		cli: &http.Client{Timeout: attemptTimeout, Transport: &http.Transport{}},
+	}
+}
+
+// locate returns the entry to use now.
+func (cal *caller) locate(model string) (requester.Location, error) {
+	if time.Now().Before(cal.until) {
+		return cal.loc, nil
+	}
+	var last error
+	for _, idx := range cal.rng.Perm(entryCount) {
+		ctx, stop := context.WithTimeout(context.Background(), locateTimeout)
+		req, err := requester.New([]string{entryAddress(idx + 1)})
+		if err == nil {
+			cal.loc, err = req.Locate(ctx, cal.workspace, model)
+		}
+		stop()
+		if err == nil && cal.loc.Entry != "" {
+			cal.until = time.Now().Add(time.Duration(cal.loc.ValidMS) * time.Millisecond)
+			return cal.loc, nil
+		}
+		last = err
+	}
+	return requester.Location{}, errors.Join(errors.New("no entry answers locate"), last)
+}
+
+// elsewhere forgets the answer of locate and prefers its second entry for one try.
+func (cal *caller) elsewhere() {
+	if cal.loc.Second != "" && cal.loc.Second != cal.loc.Entry {
+		cal.loc.Entry, cal.loc.Second = cal.loc.Second, ""
+		return
+	}
+	cal.until = time.Time{}
+}
+
+// attempt is how one try of a request ended.
+type attempt struct {
+	entry  string
+	state  string
+	detail string
+	begun  time.Time
+	ended  time.Time
+	status int
+	header http.Header
+	body   []byte
+}
+
+// The states of an attempt; a broken one ended without an answer of its own.
+const (
+	stateDone    = "done"
+	stateNotRun  = "not_run"
+	stateUnknown = "outcome_unknown"
+	stateRefused = "refused"
+	stateBroken  = "broken"
+	stateUnsent  = "unsent"
+)
+
+func numberOf(address string) int {
+	var num int
+	_, _ = fmt.Sscanf(address, "127.30.0.%d:8000", &num)
+	return num
+}
+
+func (att attempt) refuse(body []byte) attempt {
+	var ans struct {
+		Error requester.Refusal `json:"error"`
+	}
+	_ = json.Unmarshal(body, &ans)
+	att.detail = ans.Error.Type + ": " + ans.Error.Message
+	switch ans.Error.Type {
+	case stateNotRun, stateUnknown:
+		att.state = ans.Error.Type
+	default:
+		att.state = stateRefused
+	}
+	return att
+}
+
+// send makes one HTTP request; the answer's body is left to be read.
+func (cal *caller) send(entry, method, path string, header http.Header, body []byte) (*http.Response, attempt) {
+	att := attempt{entry: entry, begun: time.Now()}
+	req, err := http.NewRequest(method, "http://"+entry+path, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.GetBody = nil
+	req.Header = header.Clone()
+	req.Header.Set("X-Workspace", cal.workspace)
+	req.Header.Set("Content-Type", "application/json")
+	res, err := cal.cli.Do(req)
+	if err != nil {
+		att.state, att.detail, att.ended = stateBroken, err.Error(), time.Now()
+		if strings.Contains(err.Error(), "connection refused") {
+			att.state = stateUnsent
+		}
+		return nil, att
+	}
+	att.status, att.header = res.StatusCode, res.Header
+	return res, att
+}
+
+// call sends one call of the plain service.
+func (cal *caller) call(entry, method, path, key string, body []byte) attempt {
+	header := http.Header{}
+	if key != "" {
+		header.Set("Idempotency-Key", key)
+	}
+	res, att := cal.send(entry, method, "/v1/services/"+service+path, header, body)
+	if res == nil {
+		return att
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	att.ended, att.body = time.Now(), data
+	if err != nil {
+		att.state, att.detail = stateBroken, err.Error()
+		return att
+	}
+	if res.StatusCode == http.StatusOK {
+		att.state = stateDone
+		return att
+	}
+	return att.refuse(data)
+}
+
+// question is a chat completion whose right answer is known.
+type question struct {
+	model string
+	msgs  []enginefaker.Message
+	most  int
+}
+
+func (cal *caller) newQuestion() question {
+	models := []string{bigModel, smallModel}
+	text := fmt.Sprintf("Compose number %d for %s.", cal.rng.Int64(), cal.workspace)
+	return question{
+		model: models[cal.rng.IntN(len(models))],
+		msgs:  []enginefaker.Message{{Role: "system", Content: "Be brief."}, {Role: "user", Content: text}},
+		most:  16 + cal.rng.IntN(160),
+	}
+}
+
+// ask streams one completion and checks every chunk against the right answer.
+func (cal *caller) ask(entry string, que question, stream bool) attempt {
+	body, err := json.Marshal(map[string]any{"model": que.model, "messages": que.msgs, "max_tokens": que.most, "stream": stream})
+	if err != nil {
+		panic(err)
+	}
+	res, att := cal.send(entry, http.MethodPost, "/v1/chat/completions", http.Header{}, body)
+	if res == nil {
+		return att
+	}
+	defer res.Body.Close()
+	want := enginefaker.Answer(que.msgs, que.most)
+	if res.StatusCode != http.StatusOK {
+		data, _ := io.ReadAll(res.Body)
+		att.ended = time.Now()
+		return att.refuse(data)
+	}
+	if stream {
+		att = cal.readStream(att, res, want)
+	} else {
+		att = cal.readWhole(att, res, want)
+	}
+	att.ended = time.Now()
+	return att
+}
+
+type chunk struct {
+	ID      string          `json:"id"`
+	Index   int             `json:"index"`
+	Error   json.RawMessage `json:"error"`
+	Usage   *usage          `json:"usage"`
+	Choices []struct {
+		Delta        content `json:"delta"`
+		Message      content `json:"message"`
+		FinishReason string  `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+type usage struct {
+	Tokens int `json:"completion_tokens"`
+}
+
+type content struct {
+	Content string `json:"content"`
+}
+
+func (cal *caller) readWhole(att attempt, res *http.Response, want []string) attempt {
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		att.state, att.detail = stateBroken, err.Error()
+		return att
+	}
+	var chk chunk
+	if json.Unmarshal(data, &chk) != nil || len(chk.Choices) != 1 || chk.Usage == nil {
+		cal.tly.violate("answer of %s cannot be read: %.200s", att.entry, data)
+		return att
+	}
+	if chk.Choices[0].Message.Content != strings.Join(want, "") || chk.Usage.Tokens != len(want) || chk.ID != res.Header.Get("X-Request-Id") {
+		cal.tly.violate("whole answer of %s is not the request's own: %.200s", att.entry, data)
+	}
+	att.state = stateDone
+	return att
+}
+
+func (cal *caller) readStream(att attempt, res *http.Response, want []string) attempt {
+	got, finished := 0, false
+	sca := bufio.NewScanner(res.Body)
+	for sca.Scan() {
+		data, found := strings.CutPrefix(sca.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			if got != len(want) || !finished {
+				cal.tly.violate("stream of %s ends whole with %d of %d tokens", att.entry, got, len(want))
+			}
+			att.state = stateDone
+			return att
+		}
+		var chk chunk
+		if err := json.Unmarshal([]byte(data), &chk); err != nil {
+			cal.tly.violate("chunk of %s cannot be read: %.200s", att.entry, data)
+			continue
+		}
+		if chk.Error != nil {
+			return att.refuse([]byte(data))
+		}
+		if chk.ID != res.Header.Get("X-Request-Id") || chk.Index != got || len(chk.Choices) != 1 {
+			cal.tly.violate("chunk of %s belongs elsewhere (want index %d): %.200s", att.entry, got, data)
+			continue
+		}
+		if chk.Choices[0].FinishReason == "stop" {
+			finished = chk.Usage != nil && chk.Usage.Tokens == len(want)
+			continue
+		}
+		if got >= len(want) || chk.Choices[0].Delta.Content != want[got] {
+			cal.tly.violate("token %d of %s is another answer's: %.200s", got, att.entry, data)
+		}
+		got++
+	}
+	att.state, att.detail = stateBroken, "stream ended after "+strconv.Itoa(got)+" tokens"
+	if err := sca.Err(); err != nil {
+		att.detail += ": " + err.Error()
+	}
+	return att
+}
+
+// complete asks until an answer is whole, and reports a break that no fault of the test explains.
+func (cal *caller) complete() {
+	que := cal.newQuestion()
+	begun := time.Now()
+	for tries := 1; time.Since(begun) < requestLimit; tries++ {
+		loc, err := cal.locate(que.model)
+		if err != nil {
+			cal.tly.add("no locate")
+			time.Sleep(retryPause)
+			continue
+		}
+		att := cal.ask(loc.Entry, que, cal.rng.IntN(4) > 0)
+		cal.judge(att, "completion")
+		if att.state == stateDone {
+			cal.tly.took(time.Since(begun))
+			cal.tly.add("completion whole")
+			if tries == 1 {
+				cal.tly.add("completion whole at once")
+			}
+			return
+		}
+		cal.elsewhere()
+		time.Sleep(retryPause)
+	}
+	cal.tly.violate("completion %v not whole within %s", que, requestLimit)
+}
+
+func (cal *caller) judge(att attempt, what string) {
+	cal.tly.add(what + " attempt " + att.state)
+	if att.state == stateRefused {
+		cal.tly.violate("%s of %s refused: %s", what, att.entry, att.detail)
+	}
+	broken := att.state == stateBroken || att.state == stateUnsent
+	if broken && !cal.dep.wasUpset(numberOf(att.entry), att.begun, att.ended) {
+		cal.tly.violate("%s of %s cut: %s", what, att.entry, att.detail)
+	}
+}
+
+// fetch makes one idempotent call until it is answered.
+func (cal *caller) fetch() {
+	begun := time.Now()
+	for time.Since(begun) < requestLimit {
+		loc, err := cal.locate("")
+		if err != nil {
+			time.Sleep(retryPause)
+			continue
+		}
+		att := cal.call(loc.Entry, http.MethodGet, "/items/7", "", nil)
+		cal.judge(att, "fetch")
+		if att.state == stateDone {
+			return
+		}
+		cal.elsewhere()
+		time.Sleep(retryPause)
+	}
+	cal.tly.violate("fetch not answered within %s", requestLimit)
+}
+
+// load runs so many callers until the returned function stops them; each runs the work again and again.
+func (dep *deployment) load(rng *rand.Rand, tly *tally, callers int, work func(cal *caller)) (stop func()) {
+	done := make(chan struct{})
+	var grp sync.WaitGroup
+	for range callers {
+		cal := dep.newCaller(rng.Uint64(), tly)
+		grp.Go(func() {
+			defer GinkgoRecover()
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(thinkTime):
+					work(cal)
+				}
+			}
+		})
+	}
+	return sync.OnceFunc(func() {
+		close(done)
+		grp.Wait()
+	})
+}
--- /dev/null
+++ b/prover/fault_test.go
@@ -0,0 +1,249 @@
+//go:build soak
+
+package prover
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+)
+
+// fault is something that breaks, and how it is mended; target says what it breaks.
+type fault struct {
+	name   string
+	target string
+	begin  func()
+	end    func()
+}
+
+// maker draws a fault.
+type maker func(dep *deployment, rng *rand.Rand) fault
+
+type fields map[string]any
+
+// disturb breaks one or two things at once, again and again, and mends all at the end.
+func (dep *deployment) disturb(rng *rand.Rand, limit time.Duration, makers ...maker) {
+	defer GinkgoRecover()
+	until := time.Now().Add(limit)
+	for time.Now().Before(until) {
+		flts := dep.draw(rng, 1+rng.IntN(2), makers)
+		for _, flt := range flts {
+			report("begin %s", flt.name)
+			flt.begin()
+			time.Sleep(between(rng, 0, 700*time.Millisecond))
+		}
+		time.Sleep(between(rng, time.Second, 6*time.Second))
+		for _, flt := range flts {
+			report("end   %s", flt.name)
+			flt.end()
+		}
+		time.Sleep(between(rng, 0, 3*time.Second))
+	}
+}
+
+func (dep *deployment) draw(rng *rand.Rand, count int, makers []maker) []fault {
+	var out []fault
+	for range count {
+		flt := makers[rng.IntN(len(makers))](dep, rng)
+		taken := slices.ContainsFunc(out, func(oth fault) bool { return oth.target == flt.target })
+		if !taken {
+			out = append(out, flt)
+		}
+	}
+	return out
+}
+
+func between(rng *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rng.Int64N(int64(most-least)))
+}
+
+func (dep *deployment) upsetEntry(num int) {
+	dep.mtx.Lock()
+	defer dep.mtx.Unlock()
+	dep.upset[num] = append(dep.upset[num], span{begun: time.Now()})
+}
+
+func (dep *deployment) settleEntry(num int) {
+	dep.mtx.Lock()
+	defer dep.mtx.Unlock()
+	dep.upset[num][len(dep.upset[num])-1].ended = time.Now()
+}
+
+// wasUpset reports whether an entry was broken on purpose at some time between two times.
+func (dep *deployment) wasUpset(num int, begun, ended time.Time) bool {
+	dep.mtx.Lock()
+	defer dep.mtx.Unlock()
+	return slices.ContainsFunc(dep.upset[num], func(spa span) bool {
+		return spa.begun.Before(ended) && (spa.ended.IsZero() || spa.ended.After(begun))
+	})
+}
+
+func killEntry(dep *deployment, rng *rand.Rand) fault {
+	num := 1 + rng.IntN(entryCount)
+	return fault{
+		name: "kill " + entryName(num), target: entryName(num),
+		begin: func() {
+			dep.upsetEntry(num)
+			dep.entry(num).kill()
+		},
+		end: func() {
+			dep.startEntry(num)
+			dep.awaitAnswer(entryAddress(num), "/v1/self")
+			dep.settleEntry(num)
+		},
+	}
+}
+
+func pauseEntry(dep *deployment, rng *rand.Rand) fault {
+	num := 1 + rng.IntN(entryCount)
+	return fault{
+		name: "pause " + entryName(num), target: entryName(num),
+		begin: func() {
+			dep.upsetEntry(num)
+			dep.entry(num).signal(syscall.SIGSTOP)
+		},
+		end: func() {
+			dep.entry(num).signal(syscall.SIGCONT)
+			dep.settleEntry(num)
+		},
+	}
+}
+
+// cutEntry cuts an entry from all others, in one or both directions.
+func cutEntry(dep *deployment, rng *rand.Rand) fault {
+	num := 1 + rng.IntN(entryCount)
+	out, in := true, true
+	switch rng.IntN(3) {
+	case 0:
+		out = false
+	case 1:
+		in = false
+	}
+	turn := func(by int) {
+		for oth := 1; oth <= entryCount; oth++ {
+			if out && oth != num {
+				dep.ntw.cut(entryIP(num), entryIP(oth), by)
+			}
+			if in && oth != num {
+				dep.ntw.cut(entryIP(oth), entryIP(num), by)
+			}
+		}
+	}
+	return fault{
+		name: fmt.Sprintf("cut %s from entries (out %t, in %t)", entryName(num), out, in), target: "links of " + entryName(num),
+		begin: func() { turn(1) }, end: func() { turn(-1) },
+	}
+}
+
+// cutPair cuts one direction between two entries.
+func cutPair(dep *deployment, rng *rand.Rand) fault {
+	one := 1 + rng.IntN(entryCount)
+	two := 1 + (one+rng.IntN(entryCount-1))%entryCount
+	return fault{
+		name: "cut " + entryName(one) + " to " + entryName(two), target: fmt.Sprint(one, "-", two),
+		begin: func() { dep.ntw.cut(entryIP(one), entryIP(two), 1) },
+		end:   func() { dep.ntw.cut(entryIP(one), entryIP(two), -1) },
+	}
+}
+
+func (dep *deployment) cutSource(address, source string, cut bool) {
+	dep.mtx.Lock()
+	if dep.sources[address] == nil {
+		dep.sources[address] = map[string]bool{}
+	}
+	if cut {
+		dep.sources[address][source] = true
+	} else {
+		delete(dep.sources[address], source)
+	}
+	list := slices.Collect(maps.Keys(dep.sources[address]))
+	dep.mtx.Unlock()
+	if list == nil {
+		list = []string{}
+	}
+	dep.setFaults(address, fields{"cut_sources": list})
+}
+
+func cutFromLog(dep *deployment, rng *rand.Rand) fault {
+	num := 1 + rng.IntN(entryCount)
+	return fault{
+		name: "cut " + entryName(num) + " from log", target: "log of " + entryName(num),
+		begin: func() { dep.cutSource(logAddress, entryIP(num), true) },
+		end:   func() { dep.cutSource(logAddress, entryIP(num), false) },
+	}
+}
+
+func cutFromDomain(dep *deployment, rng *rand.Rand) fault {
+	num, dom := 1+rng.IntN(entryCount), rng.IntN(domainCount)
+	return fault{
+		name: "cut " + entryName(num) + " from " + domainOf(dom), target: fmt.Sprint(num, " ", dom),
+		begin: func() { dep.cutSource(domainControl(dom), entryIP(num), true) },
+		end:   func() { dep.cutSource(domainControl(dom), entryIP(num), false) },
+	}
+}
+
+func logFault(name string, on, off fields) maker {
+	return func(dep *deployment, _ *rand.Rand) fault {
+		return fault{
+			name: "log " + name, target: "log",
+			begin: func() { dep.setFaults(logAddress, on) },
+			end:   func() { dep.setFaults(logAddress, off) },
+		}
+	}
+}
+
+var (
+	logDown        = logFault("down", fields{"down": true}, fields{"down": false})
+	logPaused      = logFault("paused", fields{"pause": true}, fields{"pause": false})
+	logSlow        = logFault("slow", fields{"slow_ms": 400}, fields{"slow_ms": 0})
+	logLosing      = logFault("loses answers", fields{"lose_answers": 8}, fields{"lose_answers": 0})
+	logRefusing    = logFault("refuses appends", fields{"refuse_appends": true}, fields{"refuse_appends": false})
+	killEngine     = engineFault("kill", fields{"kill": true}, fields{"revive": true})
+	pauseEngine    = engineFault("pause", fields{"pause": true}, fields{})
+	slowEngine     = engineFault("slow", fields{"slow_factor": 5}, fields{})
+	coldEngine     = engineFault("turn cold", fields{"turn_cold": true}, fields{})
+	lateEngine     = engineFault("late answers of", fields{"late_answer_ms": 1500}, fields{})
+	crossEngine    = engineFault("cross answers of", fields{"cross_answers": true}, fields{})
+	truncateEngine = engineFault("truncate", fields{"truncate": true}, fields{})
+	repeatEngine   = engineFault("repeat chunk of", fields{"repeat_chunk": true}, fields{})
+	killService    = serviceFault("kill", fields{"kill": true}, fields{"revive": true})
+	pauseService   = serviceFault("pause", fields{"pause": true}, fields{})
+	coldService    = serviceFault("turn cold", fields{"turn_cold": true}, fields{})
+	losingService  = serviceFault("lose answers of", fields{"lose_answers": 5}, fields{})
+)
+
+func engineFault(name string, on, off fields) maker {
+	return func(dep *deployment, rng *rand.Rand) fault {
+		num := rng.IntN(domainCount * vmsPerDomain)
+		vm := fmt.Sprintf("engine-%02d", num)
+		return dep.vmFault(domainControl(num/vmsPerDomain), name, vm, on, off)
+	}
+}
+
+func serviceFault(name string, on, off fields) maker {
+	return func(dep *deployment, rng *rand.Rand) fault {
+		return dep.vmFault(serviceControl, name, serviceVM(rng.IntN(serviceVMs)), on, off)
+	}
+}
+
+func (dep *deployment) vmFault(control, name, vm string, on, off fields) fault {
+	return fault{
+		name: name + " " + vm, target: vm,
+		begin: func() { dep.setFaults(control, fields{"vms": fields{vm: on}}) },
+		end:   func() { dep.setFaults(control, fields{"vms": fields{vm: off}}) },
+	}
+}
+
+func darkDomain(dep *deployment, rng *rand.Rand) fault {
+	dom := rng.IntN(domainCount)
+	return fault{
+		name: "dark " + domainOf(dom), target: domainOf(dom),
+		begin: func() { dep.setFaults(domainControl(dom), fields{"down": true}) },
+		end:   func() { dep.setFaults(domainControl(dom), fields{"down": false}) },
+	}
+}
