--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,9 @@
 test:
 	go test -race -count=1 ./...
 
+soak: build
+	go test -tags soak -count=1 -timeout 60m -v ./prover
+
 run:
 	scripts/run.sh
 
--- a/prover/break_test.go
+++ b/prover/break_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -30,7 +29,7 @@
 	stopCompletions := dep.load(rng, tly, completers, (*caller).complete)
 	stopCalls := dep.load(rng, tly, reservers, func(cal *caller) { cal.reserve(led) })
 	stopFetches := dep.load(rng, tly, fetchers, (*caller).fetch)
-	dep.disturb(rng, soakFor(), slices.Concat(makers...)...)
+	dep.disturb(rng, soakFor(), makers...)
 	time.Sleep(settleAfter)
 	stopCompletions()
 	stopCalls()
--- a/prover/fault_test.go
+++ b/prover/fault_test.go
@@ -27,7 +27,8 @@
 type fields map[string]any
 
 // disturb breaks one or two things at once, again and again, and mends all at the end.
-func (dep *deployment) disturb(rng *rand.Rand, limit time.Duration, makers ...maker) {
+func (dep *deployment) disturb(rng *rand.Rand, limit time.Duration, lists ...[]maker) {
+	makers := slices.Concat(lists...)
 	defer GinkgoRecover()
 	until := time.Now().Add(limit)
 	for time.Now().Before(until) {
--- /dev/null
+++ b/prover/member_test.go
@@ -0,0 +1,18 @@
+//go:build soak
+
+package prover
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A replica group", func() {
+	It("never serves with a member missing", func() {
+		rng, tly, led := newRandom(), newTally(), newLedger()
+		dep := newDeployment(options{})
+		soak(dep, rng, tly, led, entryFaults, engineFaults, engineFaults, logFaults)
+		dep.expectComplete()
+		Expect(tly.violations).To(BeEmpty())
+	})
+})
