Count only peers pulled from as contact

Ruled out: the contact with the log, whose age counts from the ask; pulls of its own, whose time is that of the ask plus the peer's wait. Change: a peer counts by an answer that this entry asked for, and only when the entry is level with that peer; else as old as the contact with the log. The eviction of silent entries still counts requests. Conclusion: freshness no longer rests on messages of unknown age.

--- a/gossiper/contact.go
+++ b/gossiper/contact.go
@@ -1,19 +1,20 @@
 package gossiper
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
-// Contact counts the peers that this entry exchanges with, and those heard since a time.
+// Contact counts the peers that this entry pulls from, and those with whose state it was level after the time.
+//
+// A peer's request does not count: it may have waited here while this entry was paused.
 func (gos *Gossiper) Contact(since time.Time) (heard, peers int) {
-	for _, inc := range gos.neighbours() {
-		peers++
-		if gos.Heard(inc).After(since) {
+	fingers := gos.Fingers()
+	gos.mtx.Lock()
+	defer gos.mtx.Unlock()
+	for _, inc := range fingers {
+		if gos.current[inc].After(since) {
 			heard++
 		}
 	}
-	return heard, peers
+	return heard, len(fingers)
 }
 
 // Heard is the last time at which a peer was known to run.
@@ -31,26 +32,3 @@
 	}
 	return out
 }
-
-// neighbours are the peers at finger distance in both directions.
-func (gos *Gossiper) neighbours() []string {
-	ring := ringOf(gos.opt.State.View().Members)
-	self := gos.Self()
-	at := slices.IndexFunc(ring, func(pee peer) bool { return pee.incarnation == self })
-	var out []string
-	for num, pee := range ring {
-		if at < 0 || near(num, at, len(ring)) {
-			out = append(out, pee.incarnation)
-		}
-	}
-	return out
-}
-
-func near(num, at, size int) bool {
-	for _, dist := range distances(size) {
-		if (at+dist)%size == num || (num+dist)%size == at {
-			return true
-		}
-	}
-	return false
-}
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -125,9 +125,22 @@
 	gos.setCursor(pee.incarnation, ans.Cursor)
 	gos.merge(ans.Facts)
 	gos.takeRecords(ctx, pee, ans, asked)
+	at := asked.Add(ans.Waited)
+	if gos.opt.State.View().Offset < ans.Offset {
+		at = gos.opt.State.Contact()
+	}
+	gos.caughtUp(pee.incarnation, at)
 	return nil
 }
 
+func (gos *Gossiper) caughtUp(inc string, at time.Time) {
+	gos.mtx.Lock()
+	defer gos.mtx.Unlock()
+	if at.After(gos.current[inc]) {
+		gos.current[inc] = at
+	}
+}
+
 func (gos *Gossiper) takeRecords(ctx context.Context, pee peer, ans Answer, asked time.Time) {
 	vie := gos.opt.State.View()
 	if ans.Offset == vie.Offset && ans.Chain != vie.Chain {
--- a/gossiper/fact.go
+++ b/gossiper/fact.go
@@ -124,6 +124,7 @@
 	for inc := range gos.hear {
 		if _, live := members[inc]; !live {
 			delete(gos.hear, inc)
+			delete(gos.current, inc)
 			delete(gos.cursors, inc)
 		}
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -54,6 +54,7 @@
 	changed chan struct{}
 	cursors map[string]uint64
 	hear    map[string]time.Time
+	current map[string]time.Time
 	pulls   map[string]context.CancelFunc
 }
 
@@ -73,6 +74,7 @@
 		changed: make(chan struct{}),
 		cursors: map[string]uint64{},
 		hear:    map[string]time.Time{},
+		current: map[string]time.Time{},
 		pulls:   map[string]context.CancelFunc{},
 	}
 }
