Give a leaving VM of a plain service no new work

Cause: only the planner reads the list of leaving VMs, and it decides on groups; no part kept calls from a leaving VM of a plain service. Change: the home of such a VM judges it as quiesced while the list names it as leaving. Before: the new test of Stage gives "broken" for a leaving VM that was not probed, so its stage did not depend on the list; after: "quiesced".

--- a/server/build.go
+++ b/server/build.go
@@ -98,6 +98,7 @@
 	srv.lis = lister.New(srv.set.VMListAddress, srv.cli, srv.clk, srv.log)
 	srv.wat = watcher.New(watcher.Options{
 		View:     srv.view,
+		Leaving:  srv.lis.Leaving,
 		Self:     srv.self,
 		Facts:    srv.gos,
 		Clock:    srv.clk,
--- a/watcher/stage.go
+++ b/watcher/stage.go
@@ -69,6 +69,9 @@
 	if vie.Catalog.Rules.ZoneOut(vm.Zone) {
 		return StageZoneOut, "availability zone " + vm.Zone + " is out"
 	}
+	if _, leaving := wat.opt.Leaving(unit); leaving {
+		return StageQuiesced, "VM " + unit + " is leaving"
+	}
 	pro, probed := wat.pro.Get(unit)
 	if !probed || !pro.FailingSince.IsZero() || !wat.Recent(pro, wat.opt.Clock.Now()) {
 		return StageBroken, "VM " + unit + " does not answer"
--- /dev/null
+++ b/watcher/stage_test.go
@@ -0,0 +1,37 @@
+package watcher_test
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/reducer"
+	"github.com/lovagelever/lovagelever/watcher"
+)
+
+var stages = []struct {
+	name    string
+	leaving bool
+	stage   watcher.Stage
+}{
+	{"is leaving", true, watcher.StageQuiesced},
+	{"was not probed yet", false, watcher.StageBroken},
+}
+
+var _ = Describe("Stage", func() {
+	for _, cas := range stages {
+		It("of a service VM that "+cas.name+" is "+string(cas.stage), func() {
+			wat := watcher.New(watcher.Options{
+				Leaving: func(string) (time.Duration, bool) { return time.Minute, cas.leaving },
+				Clock:   clockwork.NewFakeClock(),
+			})
+			vie := reducer.NewState().View()
+			vie.Catalog.Inventory.VMs = map[string]cataloger.VM{"desk-0": {Worker: cataloger.WorkerService, Service: "desk"}}
+			stage, _ := wat.Stage(vie, "desk-0")
+			Expect(stage).To(Equal(cas.stage))
+		})
+	}
+})
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -28,9 +28,10 @@
 	All(prefix string) []gossiper.Fact
 }
 
-// Options are what a watcher needs.
+// Options are what a watcher needs; Leaving tells in what time a VM leaves, if it is leaving.
 type Options struct {
 	View     func() *reducer.View
+	Leaving  func(vm string) (time.Duration, bool)
 	Self     func() string
 	Facts    Facts
 	Clock    clockwork.Clock
