--- a/prover/deployment_test.go
+++ b/prover/deployment_test.go
@@ -72,14 +72,6 @@
 
 func domainControl(num int) string { return fmt.Sprintf("127.30.8.%d:7000", num+1) }
 
-func entryAddresses() []string {
-	var out []string
-	for num := range entryCount {
-		out = append(out, entryAddress(num+1))
-	}
-	return out
-}
-
 // newDeployment starts everything, publishes the catalog and waits until all groups serve; the test's end stops it.
 func newDeployment(opt options) *deployment {
 	dir, err := filepath.Abs(filepath.Join("..", "run", "prover", strings.ReplaceAll(CurrentSpecReport().LeafNodeText, " ", "_")))
@@ -130,12 +122,11 @@
 	}
 }
 
-func (dep *deployment) start(name, program string, args ...string) *process {
+func (dep *deployment) start(name, program string, args ...string) {
 	pro := startProcess(dep.dir, name, program, args...)
 	dep.mtx.Lock()
 	dep.procs[name] = pro
 	dep.mtx.Unlock()
-	return pro
 }
 
 func (dep *deployment) entry(num int) *process {
--- a/prover/zone_test.go
+++ b/prover/zone_test.go
@@ -226,13 +226,16 @@
 // busy names an engine VM and a service VM that have worked.
 func (dep *deployment) busy(rng *rand.Rand) []string {
 	var engines []string
-	for vm, cnt := range dep.engines() {
-		if cnt.AcceptedAtMS > 0 {
-			engines = append(engines, vm)
+	Eventually(func() []string {
+		engines = nil
+		for vm, cnt := range dep.engines() {
+			if cnt.AcceptedAtMS > 0 {
+				engines = append(engines, vm)
+			}
 		}
-	}
+		return engines
+	}, startTimeout, watchEvery).ShouldNot(BeEmpty())
 	slices.Sort(engines)
-	Expect(engines).NotTo(BeEmpty())
 	return []string{engines[rng.IntN(len(engines))], serviceVM(rng.IntN(serviceVMs))}
 }
 
