--- a/prover/fault_test.go
+++ b/prover/fault_test.go
@@ -207,7 +207,6 @@
 	killEngine     = engineFault("kill", fields{"kill": true}, fields{"revive": true})
 	pauseEngine    = engineFault("pause", fields{"pause": true}, fields{})
 	slowEngine     = engineFault("slow", fields{"slow_factor": 5}, fields{})
-	coldEngine     = engineFault("turn cold", fields{"turn_cold": true}, fields{})
 	lateEngine     = engineFault("late answers of", fields{"late_answer_ms": 1500}, fields{})
 	crossEngine    = engineFault("cross answers of", fields{"cross_answers": true}, fields{})
 	truncateEngine = engineFault("truncate", fields{"truncate": true}, fields{})
@@ -226,6 +225,22 @@
 	}
 }
 
+// coldEngine turns an engine cold that runs the requests of its group.
+func coldEngine(dep *deployment, rng *rand.Rand) fault {
+	var busy []string
+	for vm, cnt := range dep.engines() {
+		if cnt.Started > 0 {
+			busy = append(busy, vm)
+		}
+	}
+	if len(busy) == 0 {
+		return coldService(dep, rng)
+	}
+	slices.Sort(busy)
+	vm := busy[rng.IntN(len(busy))]
+	return dep.vmFault(domainControl(domainNumber(dep.cat.Inventory.VMs[vm].Domain)), "turn cold", vm, fields{"turn_cold": true}, fields{})
+}
+
 func serviceFault(name string, on, off fields) maker {
 	return func(dep *deployment, rng *rand.Rand) fault {
 		return dep.vmFault(serviceControl, name, serviceVM(rng.IntN(serviceVMs)), on, off)
--- a/prover/inventory_test.go
+++ b/prover/inventory_test.go
@@ -28,6 +28,12 @@
 
 func domainOf(num int) string { return fmt.Sprintf("fabric-%d", num) }
 
+func domainNumber(name string) int {
+	var num int
+	_, _ = fmt.Sscanf(name, "fabric-%d", &num)
+	return num
+}
+
 func serviceVM(num int) string { return fmt.Sprintf("desk-%d", num) }
 
 // newCatalog describes 6 fabric domains of 4 VMs and 3 VMs of a plain service; every third engine ignores fences.
