--- a/gossiper/contact.go
+++ b/gossiper/contact.go
@@ -1,24 +1,25 @@
 package gossiper
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
-// Contact counts the peers that this entry exchanges with, and those heard since a time.
+// Contact counts the peers that this entry pulls from, and those with whose state it was level after the time.
+//
+// A peer's request does not count: it may have waited here while this entry was paused.
 func (gos *Gossiper) Contact(since time.Time) (heard, peers int) {
-	for _, inc := range gos.neighbours() {
-		peers++
-		if gos.Heard(inc).After(since) {
+	fingers := gos.Fingers()
+	gos.mtx.Lock()
+	defer gos.mtx.Unlock()
+	for _, inc := range fingers {
+		if gos.current[inc].After(since) {
 			heard++
 		}
 	}
-	return heard, peers
+	return heard, len(fingers)
 }
 
 // Confirmed reports whether this entry and its peers that are known to have folded an offset are most of them all.
 func (gos *Gossiper) Confirmed(offset int64) bool {
-	peers := gos.neighbours()
+	peers := gos.Fingers()
 	gos.mtx.Lock()
 	defer gos.mtx.Unlock()
 	folded := 1
@@ -51,26 +52,3 @@
 	}
 	return out
 }
-
-// neighbours are the peers at finger distance in both directions.
-func (gos *Gossiper) neighbours() []string {
-	ring := ringOf(gos.opt.State.View().Members)
-	self := gos.Self()
-	at := slices.IndexFunc(ring, func(pee peer) bool { return pee.incarnation == self })
-	var out []string
-	for num, pee := range ring {
-		if at < 0 || near(num, at, len(ring)) {
-			out = append(out, pee.incarnation)
-		}
-	}
-	return out
-}
-
-func near(num, at, size int) bool {
-	for _, dist := range distances(size) {
-		if (at+dist)%size == num || (num+dist)%size == at {
-			return true
-		}
-	}
-	return false
-}
--- a/gossiper/fact.go
+++ b/gossiper/fact.go
@@ -127,6 +127,7 @@
 		if _, live := members[inc]; !live {
 			delete(gos.hear, inc)
 			delete(gos.offsets, inc)
+			delete(gos.current, inc)
 			delete(gos.cursors, inc)
 		}
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -63,6 +63,7 @@
 	cursors map[string]cursor
 	hear    map[string]time.Time
 	offsets map[string]int64
+	current map[string]time.Time
 	pulls   map[string]context.CancelFunc
 }
 
@@ -89,6 +90,7 @@
 		cursors: map[string]cursor{},
 		hear:    map[string]time.Time{},
 		offsets: map[string]int64{},
+		current: map[string]time.Time{},
 		pulls:   map[string]context.CancelFunc{},
 	}
 }
--- a/server/build.go
+++ b/server/build.go
@@ -102,8 +102,10 @@
 		Clock:   srv.clk,
 		Logger:  srv.log,
 	})
+	srv.leave.Store(&map[string]time.Time{})
 	srv.wat = watcher.New(watcher.Options{
 		View:     srv.view,
+		Leaving:  srv.leavesIn,
 		Self:     srv.self,
 		Facts:    srv.gos,
 		Clock:    srv.clk,
--- a/server/server.go
+++ b/server/server.go
@@ -80,6 +80,7 @@
 	diverged atomic.Int64
 	weights  atomic.Pointer[planner.Store]
 	zoneOut  atomic.Int64
+	leave    atomic.Pointer[map[string]time.Time]
 	ech      *echo.Echo
 
 	storeRead time.Time
--- a/server/tell.go
+++ b/server/tell.go
@@ -32,6 +32,7 @@
 		srv.tellControl()
 		srv.setFact(subjectLeaving, srv.lis.Leaving())
 		srv.shareCrashes()
+		srv.gatherLeaving()
 		srv.readStore(ctx)
 		srv.mtr.control(&srv.rpcBytes, &srv.ctlBytes)
 		select {
@@ -139,8 +140,8 @@
 	return out
 }
 
-// leaving gathers the VMs that any entry has read to be leaving.
-func (srv *Server) leaving() map[string]time.Time {
+// gatherLeaving holds the VMs that any entry has read to be leaving.
+func (srv *Server) gatherLeaving() {
 	out := map[string]time.Time{}
 	for _, fac := range srv.gos.All(subjectLeaving) {
 		var part map[string]time.Time
@@ -151,7 +152,13 @@
 			out[vm] = leavesAt
 		}
 	}
-	return out
+	srv.leave.Store(&out)
+}
+
+// leavesIn tells in what time a VM leaves, if it is leaving.
+func (srv *Server) leavesIn(vm string) (time.Duration, bool) {
+	leavesAt, leaving := (*srv.leave.Load())[vm]
+	return leavesAt.Sub(srv.clk.Now()), leaving
 }
 
 // turn is the rank of this entry among the members of its region.
