--- a/gossiper/contact_test.go
+++ b/gossiper/contact_test.go
@@ -1,7 +1,6 @@
 package gossiper_test
 
 import (
-	"net"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -10,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lovagelever/lovagelever/gossiper"
-	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/recorder"
 	"github.com/lovagelever/lovagelever/reducer"
 )
@@ -32,11 +30,10 @@
 		vie := reducer.NewState().View()
 		vie.Members = map[string]reducer.Member{"one": {Member: recorder.Member{Name: "entry-1", Incarnation: "one"}}, "two": {Member: recorder.Member{Name: "entry-2", Incarnation: "two"}}}
 		gos := gossiper.New(gossiper.Options{
-			State:     fixedState{vie: vie},
-			Messenger: messenger.New(net.IPv4(127, 0, 0, 1)),
-			Clock:     clk,
-			Logger:    logrus.New(),
-			Interval:  time.Second,
+			State:    fixedState{vie: vie},
+			Clock:    clk,
+			Logger:   logrus.New(),
+			Interval: time.Second,
 		}, "one")
 		before := clk.Now()
 		gos.Exchange(gossiper.Request{From: "two", Callee: "one"})
--- a/server/build.go
+++ b/server/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lovagelever/lovagelever/admitter"
 	"github.com/lovagelever/lovagelever/appender"
