--- a/follower/follower.go
+++ b/follower/follower.go
@@ -199,6 +199,7 @@
 		return
 	}
 	fol.state = sta
+	fol.tail = nil
 	fol.found(BootSnapshot)
 }
 
