--- /dev/null
+++ b/placer/bench_test.go
@@ -0,0 +1,204 @@
+package placer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/placer"
+	"github.com/lovagelever/lovagelever/reducer"
+)
+
+const (
+	workers      = 1200
+	accelerators = 5000
+)
+
+// inventory spreads the workers and accelerators over 3 zones in domains of random sizes.
+func inventory(rng *rand.Rand) map[string]cataloger.VM {
+	vms := map[string]cataloger.VM{}
+	large := (accelerators - 4*workers) / 4
+	for dom := 0; len(vms) < workers; dom++ {
+		zone := fmt.Sprintf("z%d", dom%3)
+		size := min(10+rng.IntN(40), workers-len(vms))
+		for range size {
+			acc := 4
+			if rng.IntN(workers-len(vms)) < large {
+				acc = 8
+				large--
+			}
+			name := fmt.Sprintf("v%04d", len(vms))
+			vms[name] = cataloger.VM{Zone: zone, Domain: fmt.Sprintf("d%02d", dom), Worker: cataloger.WorkerEngine, Accelerators: acc}
+		}
+	}
+	return vms
+}
+
+var mixes = []struct {
+	name   string
+	models map[string]cataloger.Model
+}{
+	{"32", map[string]cataloger.Model{"a": shape(8, 4)}},
+	{"8-32", map[string]cataloger.Model{"a": shape(8, 4), "b": shape(2, 4)}},
+	{"4-8-32", map[string]cataloger.Model{"a": shape(8, 4), "b": shape(2, 4), "c": shape(1, 4)}},
+	{"12-32", map[string]cataloger.Model{"a": shape(8, 4), "b": shape(3, 4)}},
+}
+
+var policies = []struct {
+	name string
+	pol  placer.Policy
+}{
+	{"best_fit", placer.BestFit{}},
+	{"first_fit", placer.FirstFit{}},
+	{"spread_only", placer.SpreadOnly{}},
+}
+
+// fleet is an inventory with the groups that a policy has placed.
+type fleet struct {
+	vie    *reducer.View
+	groups map[string]placer.Placement
+	model  map[string]string
+	last   int
+}
+
+func newFleet(vms map[string]cataloger.VM, models map[string]cataloger.Model) *fleet {
+	return &fleet{
+		vie: &reducer.View{
+			Owners:  map[string]string{},
+			Catalog: cataloger.Catalog{Inventory: cataloger.Inventory{VMs: vms, Models: models}},
+		},
+		groups: map[string]placer.Placement{}, model: map[string]string{},
+	}
+}
+
+func (fle *fleet) request(model string) placer.Request {
+	inv := fle.vie.Catalog.Inventory
+	mod := inv.Models[model]
+	req := placer.Request{
+		Model: model, Need: placer.Need{VMs: mod.VMsPerReplica, AcceleratorsEach: mod.AcceleratorsEach},
+		ZoneGroups: map[string]int{}, Needs: placer.Needs(inv.Models),
+	}
+	for name, vm := range inv.VMs {
+		if fle.vie.Owners[name] == "" {
+			req.Candidates = append(req.Candidates, placer.Candidate{Name: name, Zone: vm.Zone, Domain: vm.Domain, Accelerators: vm.Accelerators})
+		}
+	}
+	for name, plc := range fle.groups {
+		if fle.model[name] == model {
+			req.ZoneGroups[plc.Zone]++
+		}
+	}
+	return req
+}
+
+func (fle *fleet) add(pol placer.Policy, model string) bool {
+	plc, err := pol.Place(fle.request(model))
+	if err != nil {
+		return false
+	}
+	fle.last++
+	name := fmt.Sprint(fle.last)
+	fle.groups[name], fle.model[name] = plc, model
+	for _, vm := range plc.VMs {
+		fle.vie.Owners[vm] = name
+	}
+	return true
+}
+
+func (fle *fleet) remove(name string) {
+	for _, vm := range fle.groups[name].VMs {
+		delete(fle.vie.Owners, vm)
+	}
+	delete(fle.groups, name)
+	delete(fle.model, name)
+}
+
+// churn runs the same sequence of arrivals and departures for each policy near 97 hundredths of use and counts refused groups.
+func (fle *fleet) churn(pol placer.Policy, seed uint64) (refused, asked int) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	var models, live []string
+	for name := range fle.vie.Catalog.Inventory.Models {
+		models = append(models, name)
+	}
+	for range 800 {
+		if len(fle.vie.Owners)*100 > workers*97 && len(live) > 0 {
+			pos := rng.IntN(len(live))
+			fle.remove(live[pos])
+			live = append(live[:pos], live[pos+1:]...)
+			continue
+		}
+		asked++
+		if fle.add(pol, pickModel(rng, models)) {
+			live = append(live, fmt.Sprint(fle.last))
+		} else {
+			refused++
+		}
+	}
+	return refused, asked
+}
+
+// pickModel asks for about the same number of accelerators of each shape.
+func pickModel(rng *rand.Rand, models []string) string {
+	if len(models) == 1 || rng.IntN(4) == 0 {
+		return "a"
+	}
+	return []string{"b", "c"}[rng.IntN(len(models)-1)]
+}
+
+// loss returns the largest share of a model's groups that one zone holds, on average over the models.
+func (fle *fleet) loss() float64 {
+	sum, num := 0.0, 0
+	for model := range fle.vie.Catalog.Inventory.Models {
+		most, all := 0, 0
+		for _, count := range fle.request(model).ZoneGroups {
+			most, all = max(most, count), all+count
+		}
+		if all > 0 {
+			sum, num = sum+float64(most)/float64(all), num+1
+		}
+	}
+	return sum / float64(max(num, 1))
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, mix := range mixes {
+		for _, pol := range policies {
+			b.Run(mix.name+"/"+pol.name, func(b *testing.B) {
+				req := newFleet(inventory(rand.New(rand.NewPCG(1, 1))), mix.models).request("a")
+				for b.Loop() {
+					if _, err := pol.pol.Place(req); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkStrandedShare(b *testing.B) {
+	const seeds = 10
+	for _, mix := range mixes {
+		for _, pol := range policies {
+			b.Run(mix.name+"/"+pol.name, func(b *testing.B) {
+				b.Logf("seeds 1 to %d", seeds)
+				stranded, loss := 0.0, 0.0
+				refused, asked := 0, 0
+				for b.Loop() {
+					stranded, loss, refused, asked = 0, 0, 0, 0
+					for seed := uint64(1); seed <= seeds; seed++ {
+						fle := newFleet(inventory(rand.New(rand.NewPCG(seed, 1))), mix.models)
+						not, all := fle.churn(pol.pol, seed)
+						refused, asked = refused+not, asked+all
+						stranded += float64(placer.Stranded(fle.vie)) / accelerators / seeds
+						loss += fle.loss() / seeds
+					}
+				}
+				b.ReportMetric(100*stranded, "stranded_%")
+				b.ReportMetric(100*float64(refused)/float64(asked), "refused_%")
+				b.ReportMetric(100*loss, "zone_loss_%")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
--- a/placer/domain.go
+++ b/placer/domain.go
@@ -63,6 +63,15 @@
 	return cmp.Compare(one.Name, two.Name)
 }
 
+// excess counts the accelerators of the chosen VMs that the model does not need.
+func (dom *domain) excess(nee Need) int {
+	sum := 0
+	for _, can := range dom.chose {
+		sum += can.Accelerators - nee.AcceleratorsEach
+	}
+	return sum
+}
+
 func (dom *domain) placement() Placement {
 	plc := Placement{Zone: dom.zone, Domain: dom.name}
 	for _, can := range dom.chose {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -16,7 +16,7 @@
 	return BestFit{}.Place(req)
 }
 
-// BestFit keeps the largest number of groups in one availability zone low, then strands the fewest accelerators, then spreads, then takes the tightest domain.
+// BestFit keeps the largest number of groups in one availability zone low, then strands the fewest accelerators, then leaves most room for whole groups, then spreads, then takes the tightest domain.
 type BestFit struct{}
 
 // Place chooses the VMs of a group.
@@ -24,7 +24,7 @@
 	return pick(req, func(dom *domain) []int {
 		most, inZone := spread(req, dom.zone)
 		added := unplaceable(dom.left(), req.Needs) - unplaceable(dom.free, req.Needs)
-		return []int{most, added, inZone, len(dom.free)}
+		return []int{most, added, dom.excess(req.Need), roomLost(dom, req.Needs), inZone, len(dom.free)}
 	})
 }
 
--- a/placer/stranded.go
+++ b/placer/stranded.go
@@ -73,3 +73,23 @@
 	}
 	return most
 }
+
+// roomLost counts, over all shapes, the VMs that whole groups of that shape alone could have used but for the choice.
+func roomLost(dom *domain, needs []Need) int {
+	left := dom.left()
+	sum := 0
+	for _, nee := range needs {
+		sum += roomFor(dom.free, nee) - roomFor(left, nee)
+	}
+	return sum
+}
+
+func roomFor(cans []Candidate, nee Need) int {
+	num := 0
+	for _, can := range cans {
+		if nee.fits(can) {
+			num++
+		}
+	}
+	return num - num%max(nee.VMs, 1)
+}
--- a/planner/memory.go
+++ b/planner/memory.go
@@ -93,6 +93,11 @@
 			delete(mem.orders, name)
 		}
 	}
+	for name := range mem.suspicions {
+		if _, known := rnd.inv.VMs[name]; !known {
+			delete(mem.suspicions, name)
+		}
+	}
 }
 
 func (pen pending) settled(rnd *round) bool {
--- a/planner/orderer.go
+++ b/planner/orderer.go
@@ -19,7 +19,7 @@
 func (rnd *round) orderUnit(uni *unit) {
 	for rank, name := range uni.VMs {
 		obs := rnd.obs.VMs[name]
-		if obs.Health == HealthDead {
+		if obs.Health == HealthDead || obs.Health == HealthUnknown {
 			delete(rnd.mem.orders, name)
 			continue
 		}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -33,9 +33,9 @@
 	return wor.vie.Groups[wor.serving("scene")[0]]
 }
 
-func leave(wor *world, within time.Duration) {
+func leave(wor *world) {
 	eng := wor.engines[firstGroup(wor).VMs[1]]
-	eng.leaving, eng.leavesAt = true, wor.clk.Now().Add(within)
+	eng.leaving, eng.leavesAt = true, wor.clk.Now().Add(90*time.Second)
 }
 
 var scenes = []scene{
@@ -95,20 +95,29 @@
 	{
 		what: "a leaving member is replaced by a staged spare", zones: 2, domains: 1, vms: 5,
 		models:  map[string]cataloger.Model{"scene": model(2, 4, 40)},
-		change:  func(wor *world) { leave(wor, 90*time.Second) },
+		change:  func(wor *world) { leave(wor) },
 		seconds: 120, forms: 1, serving: 2, always: 1, quiesced: true,
 	},
+	{
+		what: "a spare that is staged for a group goes to no other model", zones: 2, domains: 1, vms: 5,
+		models: map[string]cataloger.Model{"scene": model(2, 4, 40), "notes": model(0, 1, 10)},
+		change: func(wor *world) {
+			leave(wor)
+			wor.setModel("notes", func(mod *cataloger.Model) { mod.Replicas = 1 })
+		},
+		seconds: 120, forms: 2, serving: 2, always: 1, quiesced: true,
+	},
 	{
 		what: "a leaving member without a spare is replaced by a whole group first", zones: 3, domains: 1, vms: 4,
 		models:  map[string]cataloger.Model{"scene": model(2, 4, 40)},
-		change:  func(wor *world) { leave(wor, 90*time.Second) },
+		change:  func(wor *world) { leave(wor) },
 		seconds: 120, forms: 1, serving: 2, always: 2, quiesced: true,
 	},
 	{
 		what: "running requests end before a planned replacement", zones: 2, domains: 1, vms: 5,
 		models: map[string]cataloger.Model{"scene": model(2, 4, 40)},
 		change: func(wor *world) {
-			leave(wor, 90*time.Second)
+			leave(wor)
 			eng := wor.engines[firstGroup(wor).VMs[0]]
 			eng.running = 1
 			wor.later(40*time.Second, func() { Expect(firstQuiesced(wor)).To(BeTrue()); eng.running = 0 })
@@ -170,8 +179,13 @@
 	},
 	{
 		what: "fewer wanted replicas are retired after quiescing", zones: 3, domains: 1, vms: 4,
-		models:  map[string]cataloger.Model{"scene": model(3, 4, 40)},
-		change:  func(wor *world) { wor.setModel("scene", func(mod *cataloger.Model) { mod.Replicas = 1 }) },
+		models: map[string]cataloger.Model{"scene": model(3, 4, 40)},
+		change: func(wor *world) {
+			wor.setModel("scene", func(mod *cataloger.Model) { mod.Replicas = 1 })
+			wor.onAction = func(act planner.Action) {
+				Expect(act.Quiesce != nil && firstQuiesced(wor)).To(BeFalse(), "one group at a time")
+			}
+		},
 		seconds: 120, forms: 0, serving: 1, always: 1, quiesced: true,
 	},
 	{
@@ -218,6 +232,29 @@
 }
 
 var _ = Describe("Plan", func() {
+	It("proposes each group once while the log is slow", func() {
+		wor := newWorld(1, catalog(3, 1, 4, map[string]cataloger.Model{"scene": model(2, 4, 40)}))
+		proposed := 0
+		wor.slow = 6 * time.Second
+		wor.onAction = func(act planner.Action) {
+			if act.Form != nil {
+				proposed++
+			}
+		}
+		Expect(wor.until(60, func() bool { return len(wor.serving("scene")) == 2 })).To(BeTrue())
+		Expect(proposed).To(Equal(2))
+	})
+
+	It("does nothing without observations", func() {
+		wor := newWorld(1, catalog(3, 1, 5, map[string]cataloger.Model{"scene": model(2, 4, 40)}))
+		Expect(wor.until(60, func() bool { return len(wor.serving("scene")) == 2 })).To(BeTrue())
+		wor.setModel("scene", func(mod *cataloger.Model) { mod.Replicas = 3 })
+		for range 30 {
+			wor.clk.Advance(time.Second)
+			Expect(wor.pla.Plan(wor.clk.Now(), wor.vie, planner.Observations{}, wor.mem)).To(BeEmpty())
+		}
+	})
+
 	for _, sce := range scenes {
 		It(sce.what, func() {
 			wor := newWorld(1, catalog(sce.zones, sce.domains, sce.vms, sce.models))
--- a/planner/trimmer.go
+++ b/planner/trimmer.go
@@ -39,7 +39,7 @@
 	if rnd.firmGroups(model, uni) < rnd.quota(model) {
 		return nil
 	}
-	if !rnd.old(uni) && rnd.now.Sub(since) < rnd.opt.SurplusHold {
+	if uni.serving && !rnd.old(uni) && rnd.now.Sub(since) < rnd.opt.SurplusHold {
 		return nil
 	}
 	return uni
--- a/planner/unit.go
+++ b/planner/unit.go
@@ -58,7 +58,13 @@
 	if obs.Health == HealthDead {
 		return rnd.now.Sub(obs.Since) >= rnd.opt.Grace
 	}
-	return rnd.mem.avoided[vm].failed
+	return rnd.mem.avoided[vm].failed && !rnd.serves(vm)
+}
+
+// serves reports that a VM is ready in the group that the fold gives it.
+func (rnd *round) serves(vm string) bool {
+	obs := rnd.obs.VMs[vm]
+	return obs.State == StateReady && obs.shows(rnd.vie.Groups[rnd.vie.Owners[vm]])
 }
 
 // straying reports that a VM serves but should be replaced.
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -63,12 +63,15 @@
 	ids      uint64
 	entries  int
 	lates    []late
-	sent     []recorder.Record
+	folded   []recorder.Record
 	dropRate float64
+	slow     time.Duration
 	forms    int
 	voids    int
 	onRecord func(recorder.Record, reducer.Reason, *reducer.View)
 	onAction func(planner.Action)
+
+	onProposal func(recorder.Kind, reducer.Reason)
 }
 
 func newWorld(seed uint64, cat cataloger.Catalog) *world {
@@ -78,6 +81,8 @@
 		sta: reducer.NewState(), pla: planner.New(region), engines: map[string]*engine{},
 		onRecord: func(recorder.Record, reducer.Reason, *reducer.View) {},
 		onAction: func(planner.Action) {},
+
+		onProposal: func(recorder.Kind, reducer.Reason) {},
 	}
 	wor.storeAt = wor.clk.Now()
 	for _, name := range slices.Sorted(maps.Keys(cat.Inventory.VMs)) {
@@ -233,12 +238,16 @@
 
 func (wor *world) propose(kind recorder.Kind, body any) {
 	rec := wor.record(kind, wor.writer, body)
-	wor.sent = append(wor.sent, rec)
+	if wor.slow > 0 {
+		wor.later(wor.slow, func() { wor.apply(rec) })
+		return
+	}
 	if wor.rng.Float64() < wor.dropRate {
 		wor.later(time.Duration(1+wor.rng.IntN(40))*time.Second, func() { wor.apply(rec) })
 		return
 	}
-	wor.apply(rec)
+	wor.onProposal(kind, wor.apply(rec))
+	wor.folded = append(wor.folded, rec)
 }
 
 func (wor *world) deliver(run func()) {
