Send nothing more to a caller that was cut off

Cause: a cut or down fault ends a request's context, but the request left the batch only when a goroutine noticed; a fast batch could send the whole answer, end marker included, to a caller that was cut off. The test for a cut source failed now and then without the race detector. Ruled out: the client and the abort of the connection; the answer had been written before the abort. Change: a step drops the requests whose callers are gone before it hands out tokens, and a stream writes nothing after its context ended. New checks cover a step that ends after its order changed and a service VM that comes back cold. Conclusion: cut means cut from the moment that the fault is answered.

--- a/enginefaker/batch.go
+++ b/enginefaker/batch.go
@@ -98,6 +98,7 @@
 		eng.note()
 		return false
 	}
+	eng.drop((*job).gone)
 	if eng.anyMarked() {
 		for _, mate := range eng.mates(pln.ord) {
 			mate.crash()
--- a/enginefaker/chat.go
+++ b/enginefaker/chat.go
@@ -31,7 +31,7 @@
 		jsoncoder.Fail(wtr, http.StatusBadRequest, err)
 		return
 	}
-	jb := newJob(req.Header.Get("X-Request-Id"), int(headerNumber(req, "X-Priority")),
+	jb := newJob(req.Context(), req.Header.Get("X-Request-Id"), int(headerNumber(req, "X-Priority")),
 		int(headerNumber(req, "X-Resume-From")), body.Messages, body.MaxTokens, eng.fkr.opt.CrashMarker)
 	ver := eng.accept(jb, req.Header.Get("X-Group"), headerNumber(req, "X-Fence"))
 	switch ver.reason {
--- a/enginefaker/job.go
+++ b/enginefaker/job.go
@@ -2,12 +2,15 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"strings"
 )
 
 // job is one request on rank 0.
 type job struct {
+	// caller ends when the caller goes away.
+	caller   context.Context
 	id       string
 	priority int
 	marked   bool
@@ -22,16 +25,20 @@
 	out     chan int
 }
 
-func newJob(id string, priority, resume int, msgs []Message, maxTokens int, marker string) *job {
+func newJob(caller context.Context, id string, priority, resume int, msgs []Message, maxTokens int, marker string) *job {
 	prompt := Prompt(msgs)
 	toks := Answer(msgs, maxTokens)
 	next := min(max(resume, 0), len(toks))
 	return &job{
-		id: id, priority: priority, marked: strings.Contains(prompt, marker), key: prefixKey(prompt),
+		caller: caller, id: id, priority: priority, marked: strings.Contains(prompt, marker), key: prefixKey(prompt),
 		prompt: promptTokens(prompt), tokens: toks, next: next, out: make(chan int, len(toks)-next),
 	}
 }
 
+func (jb *job) gone() bool {
+	return jb.caller.Err() != nil
+}
+
 func (jb *job) done() bool {
 	return jb.next >= len(jb.tokens)
 }
@@ -77,6 +84,10 @@
 func (eng *engine) cancel(matches func(*job) bool) bool {
 	eng.fkr.mut.Lock()
 	defer eng.fkr.mut.Unlock()
+	return eng.drop(matches)
+}
+
+func (eng *engine) drop(matches func(*job) bool) bool {
 	known := false
 	for _, jb := range eng.jobs() {
 		if matches(jb) {
--- a/enginefaker/parts_test.go
+++ b/enginefaker/parts_test.go
@@ -64,6 +64,15 @@
 		})
 	}
 
+	It("keeps requests when a step of an earlier order ends", func() {
+		eng := newBench(Options{}).engine("a1")
+		eng.running = []*job{{}}
+		old := stepPlan{generation: eng.generation - 1, ord: order{Group: "old", Members: []member{{VM: "a2"}}}}
+		Expect(eng.finish(old, 1, nil)).To(BeFalse())
+		Expect(eng.running).To(HaveLen(1))
+		eng.running = nil
+	})
+
 	It("takes a long prompt in several steps", func() {
 		eng := newBench(Options{}).engine("a1")
 		one, two := &job{prefill: 500}, &job{prefill: 100}
--- a/enginefaker/stream.go
+++ b/enginefaker/stream.go
@@ -141,6 +141,9 @@
 
 func (str streamer) write(data []byte) {
 	str.eng.machine.Wait(str.ctx)
+	if str.ctx.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = str.wtr.Write([]byte("data: " + string(data) + "\n\n"))
 	_ = http.NewResponseController(str.wtr).Flush()
 }
--- a/servicefaker/servicefaker_test.go
+++ b/servicefaker/servicefaker_test.go
@@ -111,6 +111,7 @@
 
 	It("comes back empty after a kill", func() {
 		before := fkr.servers["s1"].started
+		fkr.servers["s1"].busy = time.Minute
 		out := send("k")
 		working(1)
 		faults(`{"vms":{"s1":{"kill":true}}}`)
@@ -118,6 +119,7 @@
 		faults(`{"vms":{"s1":{"slow_ms":0}}}`)
 		Expect(<-send("k")).To(Equal(0))
 		faults(`{"vms":{"s1":{"revive":true}}}`)
+		Expect(fkr.servers["s1"].warm()).To(BeFalse())
 		out = send("k")
 		Eventually(func() int { return now().Runs["k"] }).Should(Equal(2))
 		working(2)
