Keep cold backend servers within their limit across handovers

Steady cancellations also pushed the settling time ahead for ever, so that foreign load never fell; each lost request now settles alone.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -69,6 +69,7 @@
 	asked     Mode
 	settleAt  time.Time
 	foreign   int
+	lost      []time.Time
 	known     bool
 	cold      bool
 	warmFrom  time.Time
@@ -121,11 +122,10 @@
 		return false
 	}
 	if out.MayRun {
-		lim.addForeign()
+		lim.lose()
 	}
 	if out.Refused || out.Broken {
 		lim.fallCold()
-		lim.warmFrom = lim.opt.Clock.Now().Add(lim.opt.ReportLag)
 		return true
 	}
 	if out.Whole() && !lim.cold {
@@ -139,7 +139,7 @@
 	if !lim.drop(per) {
 		return false
 	}
-	lim.addForeign()
+	lim.lose()
 	return true
 }
 
@@ -149,7 +149,7 @@
 		return 0
 	}
 	own := len(lim.permits)
-	return min(lim.Limit()-own-lim.foreign, lim.share()-own)
+	return min(lim.Limit()-own-lim.foreign, lim.share()-own-len(lim.lost))
 }
 
 // Limit returns how many requests of all homes the unit may run at once.
@@ -175,9 +175,10 @@
 	return !lim.cold
 }
 
-func (lim *Limiter) addForeign() {
+// lose counts a request as running although its permit is gone.
+func (lim *Limiter) lose() {
 	lim.foreign++
-	lim.settleAt = lim.settled()
+	lim.lost = append(lim.lost, lim.settled())
 }
 
 func (lim *Limiter) drop(per Permit) bool {
@@ -195,7 +196,7 @@
 	if lim.cold && own+lim.foreign > lim.opt.ColdLimit {
 		panic(fmt.Sprintf("limiter: %d own and %d foreign requests on a cold unit with limit %d", own, lim.foreign, lim.opt.ColdLimit))
 	}
-	if own > lim.share() {
-		panic(fmt.Sprintf("limiter: %d requests in mode %d with share %d", own, lim.mode, lim.share()))
+	if own+len(lim.lost) > lim.share() {
+		panic(fmt.Sprintf("limiter: %d own and %d lost requests in mode %d with share %d", own, len(lim.lost), lim.mode, lim.share()))
 	}
 }
--- a/limiter/report.go
+++ b/limiter/report.go
@@ -18,11 +18,11 @@
 func (lim *Limiter) learnTemperature(rep Report) {
 	restarted := lim.started != "" && rep.Started != lim.started
 	lim.started = rep.Started
-	if restarted || !rep.Warm {
+	if restarted || !rep.Warm && !lim.cold {
 		lim.fallCold()
 		return
 	}
-	if lim.cold && !rep.At.Before(lim.warmFrom) {
+	if rep.Warm && lim.cold && !rep.At.Before(lim.warmFrom) {
 		lim.cold = false
 		lim.resetLimit()
 	}
@@ -31,25 +31,33 @@
 // learnForeign bounds the running requests that have no permit from both sides: a permit that is older than lag and validity is running, a younger one may be.
 func (lim *Limiter) learnForeign(rep Report) {
 	total := rep.Running + rep.Queued
-	upper := max(0, total-lim.surelyRunning(rep.At))
+	seen := max(0, total-lim.surelyRunning(rep.At))
 	lower := max(0, total-lim.peak.max(len(lim.permits), lim.window(rep.At)))
+	upper := seen + lim.trimLost(rep.At, seen)
+	settled := !rep.At.Before(lim.settleAt)
 	switch {
-	case lower > lim.foreign:
+	case lower > lim.foreign || settled && lim.mode != Sole:
 		lim.foreign = upper
-	case rep.At.Before(lim.settleAt):
-		return
-	case lim.mode != Sole:
-		lim.foreign = upper
-	default:
+	case settled:
 		lim.foreign = min(lim.foreign, upper)
 	}
-	if rep.At.Before(lim.settleAt) {
+	if !settled {
 		return
 	}
 	lim.known = lim.wanted != Blind
 	lim.widen(total)
 }
 
+// trimLost forgets the lost requests that a report covers beyond those it saw, and returns how many it does not cover.
+func (lim *Limiter) trimLost(at time.Time, seen int) int {
+	covered := 0
+	for covered < len(lim.lost) && !at.Before(lim.lost[covered]) {
+		covered++
+	}
+	lim.lost = lim.lost[max(0, covered-seen):]
+	return len(lim.lost) - min(covered, seen)
+}
+
 func (lim *Limiter) surelyRunning(at time.Time) int {
 	before := at.Add(-lim.opt.ReportLag - lim.opt.Validity)
 	sum := 0
@@ -65,7 +73,9 @@
 	return at.Add(-lim.opt.ReportLag)
 }
 
+// fallCold makes the limit the cold limit at once, and until a report that was measured later says warm.
 func (lim *Limiter) fallCold() {
 	lim.cold = true
+	lim.warmFrom = lim.opt.Clock.Now().Add(lim.opt.ReportLag)
 	lim.first, lim.step = gauge{}, gauge{}
 }
