--- a/queuer/share.go
+++ b/queuer/share.go
@@ -2,33 +2,37 @@
 
 import "github.com/lovagelever/lovagelever/refuser"
 
-// victim is the last request of the workspace that is furthest over its share of a full queue.
+// victim is the last request of the workspace that is furthest over its share of a full queue, and further than the newcomer would be.
 func (que *Queue) victim(itm Item) (*entry, error) {
-	weights := que.weights(itm)
-	if que.excess(itm.Workspace, weights) >= 0 {
+	shares := que.shares(itm)
+	if float64(que.held[itm.Workspace]) >= shares[itm.Workspace] {
 		return nil, que.overShare(itm)
 	}
-	worst, most := "", 0.0
-	for wsp := range que.held {
-		exc := que.excess(wsp, weights)
-		if exc > most || exc == most && exc > 0 && wsp < worst {
-			worst, most = wsp, exc
+	worst, most := "", float64(que.held[itm.Workspace]+1)/shares[itm.Workspace]
+	for wsp, num := range que.held {
+		part := float64(num) / shares[wsp]
+		if part > most || part == most && worst != "" && wsp < worst {
+			worst, most = wsp, part
 		}
 	}
-	if worst == "" {
+	if worst == "" || most <= 1 {
 		return nil, refuser.NotRun("the queue is full", que.RetryAfter(itm))
 	}
 	return que.lastOf(worst), nil
 }
 
-// excess is how far a workspace is over its share, as a part of the share.
-func (que *Queue) excess(wsp string, weights map[string]int) float64 {
+// shares divides the capacity by weight among the workspaces that wait and the newcomer.
+func (que *Queue) shares(itm Item) map[string]float64 {
+	weights := que.weights(itm)
 	total := 0
 	for _, wei := range weights {
 		total += wei
 	}
-	share := float64(que.opt.Capacity) * float64(weights[wsp]) / float64(total)
-	return float64(que.held[wsp])/share - 1
+	out := make(map[string]float64, len(weights))
+	for wsp, wei := range weights {
+		out[wsp] = float64(que.opt.Capacity) * float64(wei) / float64(total)
+	}
+	return out
 }
 
 func (que *Queue) weights(itm Item) map[string]int {
