Report service-level burn

Cause: operators need to see which workspace uses up its objective, and how fast. Change: each entry counts requests that met their objective in buckets of 10 s for an hour and of a minute for 6 h; report burn sums all entries, names those that did not answer, and shows burn over 5 min/1 h and 30 min/6 h. A case computed by hand is a test. Ruled out: one window alone; a short one alarms at one failed request, a long one too late. An alarm needs both windows of a pair.

--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -15,10 +15,10 @@
 	RunSpecs(t, "assigner")
 }
 
-func candidates(count, zones int) []assigner.Candidate {
+func candidates(count int) []assigner.Candidate {
 	var out []assigner.Candidate
 	for num := range count {
-		zone := fmt.Sprintf("z%d", num%zones)
+		zone := fmt.Sprintf("z%d", num%3)
 		out = append(out, assigner.Candidate{Name: fmt.Sprintf("e%d", num), Zone: zone, Region: "r" + zone[1:2]})
 	}
 	return out
@@ -26,7 +26,7 @@
 
 // moves counts the subjects that change hands when one candidate goes.
 func moves(count, subjects int) int {
-	all := candidates(count, 3)
+	all := candidates(count)
 	before, after := assigner.NewPool(all), assigner.NewPool(all[1:])
 	moved := 0
 	for num := range subjects {
@@ -52,7 +52,7 @@
 	}
 	for _, row := range near {
 		It(row.name, func() {
-			can, found := assigner.NewPool(candidates(7, 3)).Pick("unit", row.zone, row.region)
+			can, found := assigner.NewPool(candidates(7)).Pick("unit", row.zone, row.region)
 			Expect(found).To(BeTrue())
 			Expect(row.want(can)).To(BeTrue())
 		})
@@ -64,7 +64,7 @@
 	})
 
 	It("does not depend on the order of the candidates", func() {
-		all := candidates(7, 3)
+		all := candidates(7)
 		turned := append(append([]assigner.Candidate{}, all[3:]...), all[:3]...)
 		for num := range 100 {
 			subject := fmt.Sprintf("unit-%d", num)
@@ -75,7 +75,7 @@
 	})
 
 	It("moves only the subjects of the candidate that goes", func() {
-		all := candidates(7, 3)
+		all := candidates(7)
 		before, after := assigner.NewPool(all), assigner.NewPool(all[1:])
 		for num := range 500 {
 			subject := fmt.Sprintf("unit-%d", num)
@@ -105,7 +105,7 @@
 func BenchmarkPick(b *testing.B) {
 	for _, count := range []int{7, 39, 390} {
 		b.Run(fmt.Sprintf("entries=%d", count), func(b *testing.B) {
-			poo := assigner.NewPool(candidates(count, 3))
+			poo := assigner.NewPool(candidates(count))
 			for b.Loop() {
 				poo.Pick("unit", "", "")
 			}
--- /dev/null
+++ b/burner/burner_test.go
@@ -0,0 +1,63 @@
+package burner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/burner"
+	"github.com/lovagelever/lovagelever/cataloger"
+)
+
+func TestBurner(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "burner")
+}
+
+var _ = Describe("Burner", func() {
+	objective := cataloger.Objective{Target: 0.95, FirstTokenIn: cataloger.Duration(490 * time.Millisecond), WholeIn: cataloger.Duration(10 * time.Second)}
+
+	results := []struct {
+		name string
+		res  burner.Result
+		good int64
+	}{
+		{"a whole answer in time", burner.Result{Whole: true, FirstToken: 490 * time.Millisecond, Took: 10 * time.Second}, 1},
+		{"a late first token", burner.Result{Whole: true, FirstToken: 491 * time.Millisecond, Took: time.Second}, 0},
+		{"a late end", burner.Result{Whole: true, FirstToken: time.Millisecond, Took: 10*time.Second + 1}, 0},
+		{"a refusal", burner.Result{Took: time.Millisecond}, 0},
+	}
+	for _, row := range results {
+		It("judges "+row.name, func() {
+			bur := burner.New(clockwork.NewFakeClock())
+			bur.Add("w", "model", objective, row.res)
+			Expect(bur.Lines()).To(HaveLen(1))
+			Expect(bur.Lines()[0].Windows["5m0s"]).To(Equal(burner.Count{Good: row.good, Total: 1}))
+		})
+	}
+
+	It("forgets each window at its own time", func() {
+		clk := clockwork.NewFakeClockAt(time.Date(2026, 12, 3, 20, 0, 0, 0, time.UTC))
+		bur := burner.New(clk)
+		bur.Add("w", "model", objective, burner.Result{})
+		ages := []struct {
+			after time.Duration
+			left  map[string]int64
+		}{
+			{4 * time.Minute, map[string]int64{"5m0s": 1, "30m0s": 1, "1h0m0s": 1, "6h0m0s": 1}},
+			{2 * time.Minute, map[string]int64{"5m0s": 0, "30m0s": 1, "1h0m0s": 1, "6h0m0s": 1}},
+			{30 * time.Minute, map[string]int64{"5m0s": 0, "30m0s": 0, "1h0m0s": 1, "6h0m0s": 1}},
+			{30 * time.Minute, map[string]int64{"5m0s": 0, "30m0s": 0, "1h0m0s": 0, "6h0m0s": 1}},
+			{5 * time.Hour, map[string]int64{"5m0s": 0, "30m0s": 0, "1h0m0s": 0, "6h0m0s": 0}},
+		}
+		for _, age := range ages {
+			clk.Advance(age.after)
+			for win, total := range age.left {
+				Expect(bur.Lines()[0].Windows[win].Total).To(Equal(total), win)
+			}
+		}
+	})
+})
--- a/commander/report.go
+++ b/commander/report.go
@@ -5,6 +5,8 @@
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
+
+	"github.com/lovagelever/lovagelever/reporter"
 )
 
 func reportCommand() *cli.Command {
@@ -22,10 +24,23 @@
 			Name:         "burn",
 			Usage:        "print how fast the workspaces use up their service-level objectives",
 			OnUsageError: asUsage,
-			Flags:        []cli.Flag{entryFlag()},
-			Action: func(context.Context, *cli.Command) error {
-				return errors.NotImplementedf("report on service-level burn")
-			},
+			Flags:        []cli.Flag{entryFlag(), &cli.BoolFlag{Name: "json", Usage: "print the answer as JSON"}},
+			Action:       reportBurn,
 		}},
 	}
 }
+
+func reportBurn(ctx context.Context, cmd *cli.Command) error {
+	req, err := entries(cmd)
+	if err != nil {
+		return err
+	}
+	rep, err := reporter.New(req).Report(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if cmd.Bool("json") {
+		return printJSON(cmd, rep)
+	}
+	return rep.Write(cmd.Root().Writer)
+}
--- /dev/null
+++ b/reporter/reporter_test.go
@@ -0,0 +1,94 @@
+package reporter_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/burner"
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/reporter"
+	"github.com/lovagelever/lovagelever/requester"
+)
+
+func TestReporter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "reporter")
+}
+
+// desk stands for three entries, of which the third does not answer.
+type desk struct{ lines map[string][]burner.Line }
+
+func (des desk) Catalog(context.Context) (requester.Revision, error) {
+	objectives := map[string]cataloger.Objective{"model": {Target: 0.95}, "non_idempotent_call": {Target: 0.999}}
+	rul := cataloger.Rules{Workspaces: map[string]cataloger.WorkspaceRule{"wards": {Objectives: objectives}}}
+	return requester.Revision{Revision: 7, Catalog: cataloger.Catalog{Rules: rul}}, nil
+}
+
+func (des desk) Status(context.Context) (requester.Status, error) {
+	return requester.Status{Entries: []requester.Entry{{Name: "one", Address: "a"}, {Name: "two", Address: "b"}, {Name: "three", Address: "c"}}}, nil
+}
+
+func (des desk) Burn(_ context.Context, address string) ([]burner.Line, error) {
+	lines, answers := des.lines[address]
+	if !answers {
+		return nil, errors.NotFoundf("entry")
+	}
+	return lines, nil
+}
+
+func line(fast, fastLong, slow, slowLong burner.Count) []burner.Line {
+	return []burner.Line{{Workspace: "wards", Class: "model", Windows: map[string]burner.Count{
+		"5m0s": fast, "1h0m0s": fastLong, "30m0s": slow, "6h0m0s": slowLong,
+	}}}
+}
+
+var _ = Describe("Reporter", func() {
+	It("matches a case computed by hand", func() {
+		des := desk{lines: map[string][]burner.Line{
+			"a": line(burner.Count{Good: 10, Total: 30}, burner.Count{Good: 50, Total: 100}, burner.Count{Good: 60, Total: 80}, burner.Count{Good: 380, Total: 400}),
+			"b": line(burner.Count{Good: 0, Total: 10}, burner.Count{Good: 0, Total: 100}, burner.Count{Good: 10, Total: 20}, burner.Count{Good: 580, Total: 600}),
+		}}
+		rep, err := reporter.New(des).Report(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rep.Answered).To(Equal([]string{"one", "two"}))
+		Expect(rep.Missing).To(Equal([]string{"three"}))
+		Expect(rep.Rows).To(HaveLen(2))
+		got := rep.Rows[0]
+		Expect(got.Good).To(Equal(int64(960)))
+		Expect(got.Total).To(Equal(int64(1000)))
+		Expect(got.Burn["5m0s"]).To(BeNumerically("~", 15, 1e-9))
+		Expect(got.Burn["1h0m0s"]).To(BeNumerically("~", 15, 1e-9))
+		Expect(got.Burn["30m0s"]).To(BeNumerically("~", 6, 1e-9))
+		Expect(got.Burn["6h0m0s"]).To(BeNumerically("~", 0.8, 1e-9))
+		Expect(got.BudgetLeft).To(BeNumerically("~", 0.2, 1e-9))
+		Expect(got.Alarm).To(Equal("fast"))
+		Expect(rep.Rows[1].Total).To(BeZero())
+		Expect(rep.Rows[1].BudgetLeft).To(BeNumerically("==", 1))
+
+		var out bytes.Buffer
+		Expect(rep.Write(&out)).To(Succeed())
+		Expect(out.String()).To(ContainSubstring("BURN 5m  BURN 1h  BURN 30m  BURN 6h"))
+		Expect(out.String()).To(ContainSubstring("did not answer, their counts are missing: three"))
+	})
+
+	alarms := []struct {
+		name                           string
+		fast, fastLong, slow, slowLong burner.Count
+		alarm                          string
+	}{
+		{"none when only the short window burns", burner.Count{Total: 10}, burner.Count{Good: 90, Total: 100}, burner.Count{Good: 90, Total: 100}, burner.Count{Good: 900, Total: 1000}, ""},
+		{"slow when both slow windows burn", burner.Count{Good: 10, Total: 10}, burner.Count{Good: 60, Total: 100}, burner.Count{Good: 60, Total: 100}, burner.Count{Good: 600, Total: 1000}, "slow"},
+	}
+	for _, row := range alarms {
+		It("alarms: "+row.name, func() {
+			rep, err := reporter.New(desk{lines: map[string][]burner.Line{"a": line(row.fast, row.fastLong, row.slow, row.slowLong)}}).Report(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rep.Rows[0].Alarm).To(Equal(row.alarm))
+		})
+	}
+})
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/burner"
 )
 
 const (
@@ -137,3 +139,8 @@
 	body.Error.Status, body.Error.Body = res.StatusCode, string(data)
 	return &body.Error
 }
+
+// Burn returns what the entry at an address has counted for the report on service-level burn.
+func (req *Requester) Burn(ctx context.Context, address string) ([]burner.Line, error) {
+	return send[[]burner.Line](ctx, req.client, http.MethodGet, address, "/v1/burn", nil)
+}
--- a/server/build.go
+++ b/server/build.go
@@ -8,6 +8,7 @@
 	"github.com/lovagelever/lovagelever/appender"
 	"github.com/lovagelever/lovagelever/balancer"
 	"github.com/lovagelever/lovagelever/breaker"
+	"github.com/lovagelever/lovagelever/burner"
 	"github.com/lovagelever/lovagelever/claimer"
 	"github.com/lovagelever/lovagelever/completer"
 	"github.com/lovagelever/lovagelever/evictor"
@@ -38,6 +39,7 @@
 
 func (srv *Server) buildControl() {
 	srv.mtr = newMeter()
+	srv.bur = burner.New(srv.clk)
 	srv.lcl = logcaller.New(srv.set.LogAddress, srv.ctl)
 	srv.fol = follower.New(follower.Options{
 		Log:    srv.lcl,
--- a/server/complete.go
+++ b/server/complete.go
@@ -43,7 +43,7 @@
 	cal.RequestID = requestID(ctx)
 	srv.running.Add(1)
 	defer srv.running.Done()
-	watch := srv.mtr.begin(workspace, classModel, srv.clk)
+	watch := srv.begin(workspace, classModel)
 	if chat.Stream {
 		return srv.completeStream(ctx, cal, watch)
 	}
--- a/server/forward.go
+++ b/server/forward.go
@@ -26,7 +26,7 @@
 	srv.running.Add(1)
 	defer srv.running.Done()
 	cal := srv.serviceCall(ctx, workspace, service, body)
-	wat := srv.mtr.begin(workspace, srv.classOf(service, cal.Method), srv.clk)
+	wat := srv.begin(workspace, srv.classOf(service, cal.Method))
 	ans := srv.fwd.Forward(ctx.Request().Context(), cal)
 	if ans.Refusal != nil {
 		wat.end(*ans.Refusal)
--- a/server/meter.go
+++ b/server/meter.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/lovagelever/lovagelever/burner"
 	"github.com/lovagelever/lovagelever/counter"
 	"github.com/lovagelever/lovagelever/recorder"
 	"github.com/lovagelever/lovagelever/reducer"
@@ -27,8 +27,9 @@
 
 // meter keeps the metrics of an entry; labels are bounded by the inventory and by the refusals' types.
 type meter struct {
-	scope tally.Scope
-	rep   prometheus.Reporter
+	scope  tally.Scope
+	tokens tally.Counter
+	rep    prometheus.Reporter
 }
 
 func newMeter() *meter {
@@ -39,7 +40,7 @@
 		CachedReporter: rep,
 		Separator:      prometheus.DefaultSeparator,
 	}, reportEvery)
-	return &meter{scope: scope, rep: rep}
+	return &meter{scope: scope, tokens: scope.Counter("tokens"), rep: rep}
 }
 
 func (mtr *meter) handler() http.Handler {
@@ -72,24 +73,24 @@
 
 // stopwatch times one request.
 type stopwatch struct {
-	mtr   *meter
-	clk   clockwork.Clock
-	tags  map[string]string
+	srv   *Server
+	space string
+	class string
 	begun time.Time
 	once  sync.Once
 	first time.Duration
 }
 
-func (mtr *meter) begin(workspace, class string, clk clockwork.Clock) *stopwatch {
-	return &stopwatch{mtr: mtr, clk: clk, tags: map[string]string{"workspace": workspace, "class": class}, begun: clk.Now()}
+func (srv *Server) begin(workspace, class string) *stopwatch {
+	return &stopwatch{srv: srv, space: workspace, class: class, begun: srv.clk.Now()}
 }
 
 func (wat *stopwatch) token() {
 	wat.once.Do(func() {
-		wat.first = wat.clk.Since(wat.begun)
-		wat.mtr.scope.Tagged(wat.tags).Timer("first_token").Record(wat.first)
+		wat.first = wat.srv.clk.Since(wat.begun)
+		wat.scope().Timer("first_token").Record(wat.first)
 	})
-	wat.mtr.scope.Counter("tokens").Inc(1)
+	wat.srv.mtr.tokens.Inc(1)
 }
 
 func (wat *stopwatch) end(err error) {
@@ -97,7 +98,13 @@
 	if err != nil {
 		result = string(refuser.From(err).Type)
 	}
-	scope := wat.mtr.scope.Tagged(wat.tags)
-	scope.Tagged(map[string]string{"result": result}).Counter("requests").Inc(1)
-	scope.Timer("whole").Record(wat.clk.Since(wat.begun))
+	took := wat.srv.clk.Since(wat.begun)
+	wat.scope().Tagged(map[string]string{"result": result}).Counter("requests").Inc(1)
+	wat.scope().Timer("whole").Record(took)
+	obj := wat.srv.view().Catalog.Rules.Workspaces[wat.space].Objectives[wat.class]
+	wat.srv.bur.Add(wat.space, wat.class, obj, burner.Result{Whole: err == nil, FirstToken: wat.first, Took: took})
+}
+
+func (wat *stopwatch) scope() tally.Scope {
+	return wat.srv.mtr.scope.Tagged(map[string]string{"workspace": wat.space, "class": wat.class})
 }
--- a/server/publish.go
+++ b/server/publish.go
@@ -21,7 +21,7 @@
 const (
 	publishTimeout  = 10 * time.Second
 	catchUpTimeout  = 3 * time.Second
-	confirmTimeout  = 5 * time.Second
+	confirmTimeout  = 3 * time.Second
 	confirmEvery    = 50 * time.Millisecond
 	maxPublishBytes = 4 << 20
 )
--- a/server/routes.go
+++ b/server/routes.go
@@ -38,6 +38,7 @@
 	ech.GET("/v1/catalog", srv.catalog)
 	ech.GET("/v1/status", srv.status)
 	ech.GET("/v1/self", srv.selfStatus)
+	ech.GET("/v1/burn", srv.burn)
 	ech.GET("/healthz", srv.health)
 	ech.GET("/metrics", echo.WrapHandler(srv.mtr.handler()))
 	return ech
@@ -85,6 +86,10 @@
 	return ctx.JSON(http.StatusOK, ans)
 }
 
+func (srv *Server) burn(ctx echo.Context) error {
+	return ctx.JSON(http.StatusOK, srv.bur.Lines())
+}
+
 // health answers 200 while this entry takes new work.
 func (srv *Server) health(ctx echo.Context) error {
 	if ref := srv.closed(); ref != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/lovagelever/lovagelever/admitter"
 	"github.com/lovagelever/lovagelever/appender"
+	"github.com/lovagelever/lovagelever/burner"
 	"github.com/lovagelever/lovagelever/claimer"
 	"github.com/lovagelever/lovagelever/completer"
 	"github.com/lovagelever/lovagelever/configurer"
@@ -71,6 +72,7 @@
 	fwd *forwarder.Forwarder
 	loc *locator.Locator
 	mtr *meter
+	bur *burner.Burner
 
 	cla      atomic.Pointer[claimer.Claimer]
 	rpcBytes counter.Counter
