Hold a paused request until the pause ends

Cause: a caller that gave up ended the wait of its own request, so a paused VM ran the request while it was paused. Ruled out: dropping such a request; a process that was paused finds it in its buffers and runs it late, which is the case that the system has to bear. Change: the wait before a request ends only with the pause. A kill breaks the requests that wait, so that none runs on a killed VM. Before: the request ran in the pause. After: it runs behind it, or never after a kill; both are tested. Conclusion: pause now behaves as a stopped process does.

--- a/disturber/disturber.go
+++ b/disturber/disturber.go
@@ -24,6 +24,7 @@
 type flight struct {
 	source string
 	cancel context.CancelFunc
+	broken bool
 }
 
 // New makes a disturber without faults.
@@ -47,6 +48,16 @@
 	return nil
 }
 
+// Break closes the connections of the running requests; none of them begins to run any more.
+func (dis *Disturber) Break() {
+	dis.mut.Lock()
+	defer dis.mut.Unlock()
+	for flg := range dis.flights {
+		flg.broken = true
+		flg.cancel()
+	}
+}
+
 func (dis *Disturber) turnPause(before, after bool) {
 	if !before && after {
 		dis.resumed = make(chan struct{})
@@ -86,7 +97,8 @@
 		wait := dis.begin(flg)
 		defer dis.end(flg)
 		dis.sleep(ctx, wait)
-		dis.Wait(ctx)
+		// A caller that gives up does not end the pause: its request runs after it.
+		dis.Wait(context.Background())
 		dis.abortIfCut(flg)
 		next.ServeHTTP(wtr, req.WithContext(ctx))
 		dis.abortIfCut(flg)
@@ -118,7 +130,7 @@
 
 func (dis *Disturber) abortIfCut(flg *flight) {
 	dis.mut.Lock()
-	cut := dis.cuts(flg.source)
+	cut := flg.broken || dis.cuts(flg.source)
 	dis.mut.Unlock()
 	if cut {
 		panic(http.ErrAbortHandler)
--- a/disturber/disturber_test.go
+++ b/disturber/disturber_test.go
@@ -96,23 +96,33 @@
 		Expect(<-done).To(Succeed())
 	})
 
-	It("runs nothing while paused", func() {
-		Expect(post(`{"pause":true}`)).To(Equal(200))
-		ctx, cancel := context.WithCancel(context.Background())
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, srv.URL, nil)
-		Expect(err).NotTo(HaveOccurred())
-		done := make(chan error, 1)
-		go func() {
-			_, err := http.DefaultClient.Do(req)
-			done <- err
-		}()
-		Eventually(flying).Should(Equal(1))
-		Expect(runs).To(BeEmpty())
-		cancel()
-		Expect(<-done).To(HaveOccurred())
-		Expect(post(`{}`)).To(Equal(200))
-		rsp, err := http.Get(srv.URL)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(rsp.Body.Close()).To(Succeed())
-	})
+	pauses := []struct {
+		name string
+		end  func()
+		runs int
+	}{
+		{"runs a request after its pause though the caller gave up", func() {}, 1},
+		{"runs no paused request after a break", func() { dis.Break() }, 0},
+	}
+	for _, cas := range pauses {
+		It(cas.name, func() {
+			Expect(post(`{"pause":true}`)).To(Equal(200))
+			ctx, cancel := context.WithCancel(context.Background())
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, srv.URL, nil)
+			Expect(err).NotTo(HaveOccurred())
+			done := make(chan error, 1)
+			go func() {
+				_, err := http.DefaultClient.Do(req)
+				done <- err
+			}()
+			Eventually(flying).Should(Equal(1))
+			cancel()
+			Expect(<-done).To(HaveOccurred())
+			Expect(runs).To(BeEmpty())
+			cas.end()
+			Expect(post(`{}`)).To(Equal(200))
+			Eventually(flying).Should(BeZero())
+			Expect(runs).To(HaveLen(cas.runs))
+		})
+	}
 })
--- a/vmrunner/machine.go
+++ b/vmrunner/machine.go
@@ -51,6 +51,9 @@
 
 // Apply opens or closes the listener and sets the faults of the VM.
 func (mac *Machine) Apply(lif Life) error {
+	if lif.Kill {
+		mac.dis.Break()
+	}
 	if err := mac.dis.Set(lif.Faults); err != nil {
 		return err
 	}
