Hand a unit's load over to the next home, and keep room while cancellations go unconfirmed

Cause: a successor that only had reports admitted nothing for the lag of a report and the validity of a ticket, also after a planned move. And a warm unit with steady short requests lost room with each unconfirmed cancellation, as no report could lower the upper bound of foreign load. Change: HandOver and TakeOver, valid for one fence and one term, with the running requests, the limit and the warmth; a warm unit counts the smaller of the upper bound and the plain difference, a cold or uncertain one the upper bound. Ruled out: a handoff without a term; one that comes late in a later tenure would undercount.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -30,6 +30,8 @@
 	Report(rep limiter.Report)
 	SetMode(mod limiter.Mode)
 	Resize(cold, warm int)
+	HandOver() (limiter.Handoff, bool)
+	TakeOver(han limiter.Handoff) bool
 	Limit() int
 	Running() int
 	Foreign() int
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -103,6 +103,24 @@
 		Expect((<-out).err).NotTo(HaveOccurred())
 	})
 
+	It("takes over a unit of the same fence and term only", func() {
+		fill()
+		out := later(admitter.Request{ID: "w"})
+		han, err := adm.HandOver("u", 9)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(refuser.From((<-out).err).Type).To(Equal(refuser.TypeNotRun))
+		nex := cfg
+		nex.Untouched = false
+		for _, tst := range []struct{ fence, term int64 }{{7, 8}, {8, 9}, {7, 9}} {
+			suc := admitter.New(admitter.Options{Clock: clk})
+			nex.Fence, nex.Term = tst.fence, tst.term
+			suc.Update(nex)
+			Expect(suc.TakeOver(han) == nil).To(Equal(tst.fence == 7 && tst.term == 9))
+			sta, _ := suc.Status("u")
+			Expect(sta.Foreign).To(Equal(map[bool]int{true: 2}[tst.fence == 7 && tst.term == 9]))
+		}
+	})
+
 	It("runs one suspect request at a time", func() {
 		tic, err := admit(admitter.Request{ID: "s1", Suspect: true})
 		Expect(err).NotTo(HaveOccurred())
--- a/admitter/unit.go
+++ b/admitter/unit.go
@@ -52,16 +52,25 @@
 	}
 }
 
-// Config is what the control state says of a unit; Untouched says that no other home has ever admitted a request to it.
+// Config is what the control state says of a unit; Term is the offset of the record that made this entry its home, and Untouched says that no other home has ever admitted a request to it.
 type Config struct {
 	Name      string
 	Fence     int64
+	Term      int64
 	State     State
 	ColdLimit int
 	WarmLimit int
 	Untouched bool
 }
 
+// Handoff is what the home of a unit tells its successor.
+type Handoff struct {
+	Unit  string
+	Fence int64
+	Term  int64
+	Load  limiter.Handoff
+}
+
 // Status is the load of a unit at its home.
 type Status struct {
 	Name    string
--- a/admitter/update.go
+++ b/admitter/update.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 
+	"github.com/juju/errors"
+
 	"github.com/lovagelever/lovagelever/limiter"
 	"github.com/lovagelever/lovagelever/queuer"
 	"github.com/lovagelever/lovagelever/refuser"
@@ -35,6 +37,37 @@
 	}
 }
 
+// HandOver gives a unit up to the home of the next term: it refuses what waits and returns what the successor must know. It fails with errors.NotFound for a unit that is not here, and with errors.NotValid when this home was not sole; the successor then waits for reports.
+func (adm *Admitter) HandOver(unitName string, next int64) (Handoff, error) {
+	adm.mux.Lock()
+	defer adm.mux.Unlock()
+	uni := adm.units[unitName]
+	if uni == nil {
+		return Handoff{}, errors.NotFoundf("admitter: unit %s", unitName)
+	}
+	loa, sole := uni.limiter.HandOver()
+	adm.setState(uni, NotHome)
+	if !sole {
+		return Handoff{}, errors.NotValidf("admitter: handoff of unit %s by a home that is not sole,", unitName)
+	}
+	return Handoff{Unit: unitName, Fence: uni.cfg.Fence, Term: next, Load: loa}, nil
+}
+
+// TakeOver lets a successor admit at once. It fails with errors.NotFound for a unit that is not here under the same fence and term, and with errors.NotValid when the unit does not wait for its predecessor.
+func (adm *Admitter) TakeOver(han Handoff) error {
+	adm.mux.Lock()
+	defer adm.mux.Unlock()
+	uni := adm.units[han.Unit]
+	if uni == nil || uni.cfg.Fence != han.Fence || uni.cfg.Term != han.Term {
+		return errors.NotFoundf("admitter: unit %s with fence %d in term %d", han.Unit, han.Fence, han.Term)
+	}
+	if !uni.limiter.TakeOver(han.Load) {
+		return errors.NotValidf("admitter: handoff of unit %s in state %d", han.Unit, uni.state)
+	}
+	adm.pump(uni)
+	return nil
+}
+
 // Remove refuses what waits for a unit and drops its tickets.
 func (adm *Admitter) Remove(unitName string) {
 	adm.mux.Lock()
--- a/admitter/world_test.go
+++ b/admitter/world_test.go
@@ -68,6 +68,8 @@
 	warmMost  int
 	staysCold bool
 	longest   int
+	term      int64
+	late      Handoff
 	calm      int
 }
 
@@ -96,7 +98,7 @@
 }
 
 func (wor *world) state(num int, sta State) {
-	wor.homes[num].Update(Config{Name: "u", State: sta, ColdLimit: coldLimit, WarmLimit: warmLimit})
+	wor.homes[num].Update(Config{Name: "u", Term: wor.term, State: sta, ColdLimit: coldLimit, WarmLimit: warmLimit})
 }
 
 func (wor *world) run(dur time.Duration, faults bool) {
@@ -137,7 +139,9 @@
 	old, nex := wor.home, 1-wor.home
 	move := func() { wor.home = nex }
 	to := func(num int, sta State) func() { return func() { wor.state(num, sta) } }
-	switch wor.rnd.IntN(4) {
+	switch wor.rnd.IntN(5) {
+	case 4:
+		return []func(){func() { wor.handOver(old, nex) }}
 	case 0:
 		return []func(){to(old, NotHome), to(nex, Serving), move}
 	case 1:
@@ -149,6 +153,21 @@
 	}
 }
 
+// handOver moves the home at once; the handoff may get lost, and an old one may come late.
+func (wor *world) handOver(old, nex int) {
+	wor.home = nex
+	wor.term++
+	han, err := wor.homes[old].HandOver("u", wor.term)
+	wor.state(nex, Serving)
+	if wor.rnd.IntN(2) == 0 {
+		_ = wor.homes[nex].TakeOver(wor.late)
+	}
+	if err == nil && wor.rnd.IntN(4) > 0 {
+		_ = wor.homes[nex].TakeOver(han)
+	}
+	wor.late = han
+}
+
 func (wor *world) restart() {
 	now := wor.clk.Now()
 	wor.starts++
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -69,6 +69,7 @@
 	asked     Mode
 	settleAt  time.Time
 	foreign   int
+	guess     int
 	lost      []time.Time
 	known     bool
 	cold      bool
@@ -149,7 +150,11 @@
 		return 0
 	}
 	own := len(lim.permits)
-	return min(lim.Limit()-own-lim.foreign, lim.share()-own-len(lim.lost))
+	room := lim.Limit() - own - lim.others()
+	if lim.mode == Sole {
+		return room
+	}
+	return min(room, lim.share()-own-len(lim.lost))
 }
 
 // Limit returns how many requests of all homes the unit may run at once.
@@ -170,6 +175,14 @@
 	return lim.foreign
 }
 
+// others is the load beside the permits; a warm unit bears an error of the lag, which the upper bound would turn into lost capacity.
+func (lim *Limiter) others() int {
+	if lim.cold || lim.mode != Sole {
+		return lim.foreign
+	}
+	return min(lim.foreign, lim.guess)
+}
+
 // Warm reports whether the unit is known to be warm.
 func (lim *Limiter) Warm() bool {
 	return !lim.cold
@@ -178,6 +191,7 @@
 // lose counts a request as running although its permit is gone.
 func (lim *Limiter) lose() {
 	lim.foreign++
+	lim.guess++
 	lim.lost = append(lim.lost, lim.settled())
 }
 
@@ -196,7 +210,7 @@
 	if lim.cold && own+lim.foreign > lim.opt.ColdLimit {
 		panic(fmt.Sprintf("limiter: %d own and %d foreign requests on a cold unit with limit %d", own, lim.foreign, lim.opt.ColdLimit))
 	}
-	if own+len(lim.lost) > lim.share() {
+	if lim.mode != Sole && own+len(lim.lost) > lim.share() {
 		panic(fmt.Sprintf("limiter: %d own and %d lost requests in mode %d with share %d", own, len(lim.lost), lim.mode, lim.share()))
 	}
 }
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -153,6 +153,41 @@
 		Expect(fill()).To(HaveLen(4))
 	})
 
+	It("keeps a warm unit's room while cancellations go unconfirmed", func() {
+		warm()
+		for range 60 {
+			held := fill()
+			lim.Release(held[0], limiter.Outcome{MayRun: true})
+			report(lag/2, limiter.Report{Running: len(held) - 1, Warm: true, Started: "a"})
+			for _, per := range held[1:] {
+				lim.Release(per, limiter.Outcome{})
+			}
+		}
+		Expect(lim.Room()).To(BeNumerically(">=", 14))
+	})
+
+	It("counts a lost request in the half of an uncertain home", func() {
+		lim.SetMode(limiter.UncertainOld)
+		lim.Abandon(fill()[0])
+		Expect(fill()).To(BeEmpty())
+		report(3*lag, limiter.Report{Running: 1})
+		Expect(fill()).To(HaveLen(1))
+	})
+
+	It("takes over what a predecessor hands over", func() {
+		warm()
+		fill()
+		han, sole := lim.HandOver()
+		Expect(sole).To(BeTrue())
+		Expect(fill()).To(BeEmpty())
+		fresh(false)
+		Expect(lim.TakeOver(han)).To(BeTrue())
+		Expect(lim.Limit()).To(Equal(20))
+		Expect(fill()).To(BeEmpty())
+		report(3*lag, limiter.Report{Running: 15, Warm: true, Started: "a"})
+		Expect(fill()).To(HaveLen(5))
+	})
+
 	losses := []struct {
 		name string
 		act  func(limiter.Permit) bool
--- a/limiter/mode.go
+++ b/limiter/mode.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// share is the part of the cold limit that this home may fill by itself.
+// share is the part of the cold limit that a home which is not sole may fill by itself.
 func (lim *Limiter) share() int {
 	half := lim.opt.ColdLimit / 2
 	switch lim.mode {
@@ -47,8 +47,6 @@
 		return half
 	case UncertainNew:
 		return lim.opt.ColdLimit - half
-	case Sole:
-		return lim.Limit()
 	default:
 		return 0
 	}
--- a/limiter/report.go
+++ b/limiter/report.go
@@ -33,7 +33,9 @@
 	total := rep.Running + rep.Queued
 	seen := max(0, total-lim.surelyRunning(rep.At))
 	lower := max(0, total-lim.peak.max(len(lim.permits), lim.window(rep.At)))
-	upper := seen + lim.trimLost(rep.At, seen)
+	young := lim.trimLost(rep.At, seen)
+	upper := seen + young
+	lim.guess = max(0, total-len(lim.permits)) + young
 	settled := !rep.At.Before(lim.settleAt)
 	switch {
 	case lower > lim.foreign || settled && lim.mode != Sole:
--- a/limiter/unlimited.go
+++ b/limiter/unlimited.go
@@ -42,6 +42,16 @@
 // Resize changes nothing.
 func (unl *Unlimited) Resize(int, int) {}
 
+// HandOver tells nothing.
+func (unl *Unlimited) HandOver() (Handoff, bool) {
+	return Handoff{}, true
+}
+
+// TakeOver changes nothing.
+func (unl *Unlimited) TakeOver(Handoff) bool {
+	return true
+}
+
 // Limit returns one more than the places taken.
 func (unl *Unlimited) Limit() int {
 	return len(unl.permits) + 1
