--- a/configurer/load_test.go
+++ b/configurer/load_test.go
@@ -40,6 +40,7 @@
 	{"a duration of zero", whole + "fresh_for: 0\nqueue_timeout: 0s\n", []string{"f.yaml:9: fresh_for:", "f.yaml:10: queue_timeout:"}},
 	{"a host name as address", strings.Replace(whole, "127.0.9.1:7000", "log:7000", 1), []string{"f.yaml:6: log_address:"}},
 	{"an unknown level and format", whole + "log_level: loud\nlog_format: xml\n", []string{"f.yaml:9: log_level:", "f.yaml:10: log_format:"}},
+	{"unknown choices", whole + "policy: luck\nbalancer: luck\nlimits: some\n", []string{"f.yaml:9: policy:", "f.yaml:10: balancer:", "f.yaml:11: limits:"}},
 	{"a count below one", whole + "max_body_bytes: 0\n", []string{"f.yaml:9: max_body_bytes:"}},
 	{"one address for two listeners", strings.Replace(whole, ":8001", ":8000", 1), []string{"f.yaml:5: rpc_address: must differ from address"}},
 	{"one advertised address for two", whole + "advertise_address: 127.0.0.1:8001\n", []string{"f.yaml:9: advertise_rpc_address: must differ from advertise_address"}},
@@ -57,6 +58,7 @@
 		Expect(set.MaxBodyBytes).To(Equal(1 << 20))
 		Expect(set.AdvertiseRPCAddress).To(Equal("127.0.0.1:8001"))
 		Expect(set.LogFormat).To(Equal("text"))
+		Expect([]string{set.Policy, set.Balancer, set.Limits}).To(Equal([]string{"spare_first", "affinity", "home"}))
 	})
 	It("reads what it prints", func() {
 		set, err := configurer.Parse("f.yaml", []byte(whole+"advertise_address: 10.0.0.1:80\n"))
--- a/configurer/option.go
+++ b/configurer/option.go
@@ -37,5 +37,8 @@
 		{"snapshot_every_records", "1000", false, count(func(set *Settings) *int { return &set.SnapshotEveryRecords }), "records between two snapshots in the log"},
 		{"max_body_bytes", "1048576", false, count(func(set *Settings) *int { return &set.MaxBodyBytes }), "largest body of a request"},
 		{"outcome_window", "5m", false, duration(func(set *Settings) *time.Duration { return &set.OutcomeWindow }), "how long the outcome of an idempotency key is kept"},
+		{"policy", PolicySpareFirst, false, text(func(set *Settings) *string { return &set.Policy }, oneOf(PolicySpareFirst, PolicyReformElsewhere)), "how a replica group that lost a member comes back; reform_elsewhere is for comparison"},
+		{"balancer", BalancerAffinity, false, text(func(set *Settings) *string { return &set.Balancer }, oneOf(BalancerAffinity, BalancerRoundRobin)), "how a unit is picked for a request; round_robin is for comparison"},
+		{"limits", LimitsHome, false, text(func(set *Settings) *string { return &set.Limits }, oneOf(LimitsHome, LimitsNone)), "what bounds the requests of a unit; none is for comparison and harms cold backend servers"},
 	}
 }
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -2,6 +2,16 @@
 
 import "time"
 
+// Values of policy, balancer and limits; the second of each is a baseline to compare with.
+const (
+	PolicySpareFirst      = "spare_first"
+	PolicyReformElsewhere = "reform_elsewhere"
+	BalancerAffinity      = "affinity"
+	BalancerRoundRobin    = "round_robin"
+	LimitsHome            = "home"
+	LimitsNone            = "none"
+)
+
 // Settings is what one entry is told at its start; addresses are IP:PORT.
 type Settings struct {
 	Name                 string
@@ -27,4 +37,7 @@
 	SnapshotEveryRecords int
 	MaxBodyBytes         int
 	OutcomeWindow        time.Duration
+	Policy               string
+	Balancer             string
+	Limits               string
 }
--- a/server/build.go
+++ b/server/build.go
@@ -6,7 +6,6 @@
 
 	"github.com/lovagelever/lovagelever/admitter"
 	"github.com/lovagelever/lovagelever/appender"
-	"github.com/lovagelever/lovagelever/balancer"
 	"github.com/lovagelever/lovagelever/breaker"
 	"github.com/lovagelever/lovagelever/burner"
 	"github.com/lovagelever/lovagelever/claimer"
@@ -86,6 +85,7 @@
 		Orders:   orderer.New(srv.ctl),
 		Clock:    srv.clk,
 		Logger:   srv.log,
+		Planner:  srv.newPlanner,
 	})
 	srv.sna = snapshotter.New(snapshotter.Options{
 		State:    srv.fol,
@@ -120,6 +120,7 @@
 	srv.adm = admitter.New(admitter.Options{
 		Incarnation: srv.self(),
 		Queue:       queuer.Options{},
+		NewLimiter:  limiterOf(srv.set.Limits),
 		Clock:       srv.clk,
 	})
 	srv.kee = keeper.New(keeper.Options{
@@ -150,7 +151,7 @@
 		Clock:     srv.clk,
 	})
 	bre := breaker.New(breaker.Options{Clock: srv.clk})
-	bal := balancer.New(bre, seedOf(srv.set.Name))
+	bal := srv.newBalancer(bre)
 	srv.com = completer.New(completer.Options{
 		View:       srv.view,
 		Candidates: srv.groupsOf,
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -44,6 +44,8 @@
 	Orders   Orders
 	Clock    clockwork.Clock
 	Logger   logrus.FieldLogger
+	// Planner makes the planner of a region; planner.New when it is nil.
+	Planner func(region string) *planner.Planner
 }
 
 // Steerer controls the regions that the fold assigns to this entry.
@@ -63,6 +65,9 @@
 
 // New returns a steerer.
 func New(opt Options) *Steerer {
+	if opt.Planner == nil {
+		opt.Planner = planner.New
+	}
 	return &Steerer{opt: opt, terms: map[string]*term{}, reasons: map[string]string{}}
 }
 
@@ -110,7 +115,7 @@
 	now := ste.opt.Clock.Now()
 	ter, begun := ste.terms[region]
 	if !begun {
-		ter = &term{pla: planner.New(region), mem: planner.NewMemory(), since: now}
+		ter = &term{pla: ste.opt.Planner(region), mem: planner.NewMemory(), since: now}
 		ste.terms[region] = ter
 		ste.opt.Logger.WithField("region", region).Info("control begins")
 	}
