--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,13 @@
 GOBIN := $(shell go env GOPATH)/bin
 LINT_VERSION := v2.15.0
 
-.PHONY: build test lint fmt run up down soak measure bench tools ci
+.PHONY: build test lint fmt run up down soak measure scale bench tools ci
 
 build:
 	go build -o bin/lovagelever .
 	go build -o bin/standin ./standin
 	go build -o bin/caller ./caller
+	go build -o bin/measurer ./measurer
 
 test:
 	go test -race -count=1 ./...
@@ -15,6 +16,12 @@
 soak: build
 	go test -tags soak -count=1 -timeout 60m -v ./prover
 
+measure:
+	scripts/measure.sh
+
+scale:
+	scripts/scale.sh
+
 run:
 	scripts/run.sh
 
--- /dev/null
+++ b/drawer/doc.go
@@ -0,0 +1,2 @@
+// Package drawer draws measured series as lines.
+package drawer
--- /dev/null
+++ b/fitter/doc.go
@@ -0,0 +1,2 @@
+// Package fitter fits lines to measured points.
+package fitter
--- /dev/null
+++ b/generator/generator.go
@@ -0,0 +1,173 @@
+package generator
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+)
+
+const (
+	region       = "kolkata"
+	accelerators = 4
+	unitVMs      = 60
+	workspaces   = 10
+	maxEntries   = 250
+	maxZoneVMs   = 200
+	fileMode     = 0o644
+	dirMode      = 0o755
+)
+
+var zones = []string{"kolkata-salt-lake", "kolkata-rajarhat", "howrah"}
+
+// Size is how large a deployment is; Net is the first two numbers of its addresses, and Extra are more settings of each entry.
+type Size struct {
+	Net       string
+	Entries   int
+	Engines   int
+	DomainVMs int
+	WarmLimit int
+	// Cells is into how many parts the replicas of the first model are split, each for its own workspaces.
+	Cells int
+	Extra map[string]string
+}
+
+// Check fails with errors.NotValid for a size that the addresses do not hold.
+func (siz Size) Check() error {
+	if siz.Entries < 1 || siz.Entries > maxEntries {
+		return errors.NotValidf("%d entries", siz.Entries)
+	}
+	if siz.Engines%unitVMs != 0 || siz.Engines < unitVMs || siz.Engines/len(zones) > maxZoneVMs {
+		return errors.NotValidf("%d engine VMs (use a multiple of %d)", siz.Engines, unitVMs)
+	}
+	if siz.DomainVMs < 1 || siz.WarmLimit < 1 || siz.Cells < 1 {
+		return errors.NotValidf("%d VMs in a domain, warm limit %d or %d cells", siz.DomainVMs, siz.WarmLimit, siz.Cells)
+	}
+	return nil
+}
+
+// Generate writes inventory.yaml, rules.yaml and entry-N.yaml into the directory; it fails with errors.NotValid or the file's fault.
+func Generate(siz Size, dir string) error {
+	if err := siz.Check(); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return errors.Annotate(err, "generator: make directory")
+	}
+	inv := Inventory(siz)
+	if err := write(dir, "inventory.yaml", map[string]any{"inventory": inv}); err != nil {
+		return err
+	}
+	if err := write(dir, "rules.yaml", map[string]any{"rules": Rules(inv)}); err != nil {
+		return err
+	}
+	for num := 1; num <= siz.Entries; num++ {
+		if err := write(dir, fmt.Sprintf("entry-%d.yaml", num), settings(siz, num)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Inventory returns the inventory of a size; every 60 engine VMs carry the replicas of one example deployment.
+func Inventory(siz Size) cataloger.Inventory {
+	times := siz.Engines / unitVMs
+	inv := cataloger.Inventory{
+		Deployment: "alokrekha",
+		Zones:      map[string]cataloger.Zone{},
+		VMs:        map[string]cataloger.VM{},
+		Models:     map[string]cataloger.Model{"log-summarizer": siz.model(6*times, 2, 4)},
+		Services:   map[string]cataloger.Service{"venue-api": {Idempotent: []string{"GET", "HEAD"}, ColdLimit: 2, WarmLimit: 16}},
+		Workspaces: map[string]cataloger.WorkspaceSpec{},
+	}
+	for num, zone := range zones {
+		inv.Zones[zone] = cataloger.Zone{Region: region}
+		addVMs(&inv, siz, num, zone)
+	}
+	for num := range siz.Cells {
+		inv.Models[Composer(num, siz.Cells)] = siz.model(8*times/siz.Cells, 4, 10)
+	}
+	for num := range workspaces {
+		inv.Workspaces[Workspace(num)] = cataloger.WorkspaceSpec{
+			Models:   []string{Composer(num%siz.Cells, siz.Cells), "log-summarizer"},
+			Services: []string{"venue-api"},
+		}
+	}
+	return inv
+}
+
+// Composer names the first model, or its part for one of several cells.
+func Composer(cell, cells int) string {
+	if cells == 1 {
+		return "scene-composer"
+	}
+	return fmt.Sprintf("scene-composer-%d", cell+1)
+}
+
+// Workspace names the workspace of a number from 0.
+func Workspace(num int) string {
+	return fmt.Sprintf("workspace-%02d", num+1)
+}
+
+// Rules returns rules that give each workspace of an inventory the same share.
+func Rules(inv cataloger.Inventory) cataloger.Rules {
+	rul := cataloger.Rules{Workspaces: map[string]cataloger.WorkspaceRule{}}
+	for name := range inv.Workspaces {
+		rul.Workspaces[name] = cataloger.WorkspaceRule{Priority: 1, Weight: 1}
+	}
+	return rul
+}
+
+func (siz Size) model(replicas, vms int, gigabytes float64) cataloger.Model {
+	return cataloger.Model{
+		Version: "1", Replicas: replicas, VMsPerReplica: vms, AcceleratorsEach: accelerators,
+		WeightsGigabytes: gigabytes, ColdLimit: 2, WarmLimit: siz.WarmLimit,
+	}
+}
+
+func addVMs(inv *cataloger.Inventory, siz Size, num int, zone string) {
+	for pos := range siz.Engines / len(zones) {
+		inv.VMs[fmt.Sprintf("%s-engine-%03d", zone, pos+1)] = cataloger.VM{
+			Zone:         zone,
+			Domain:       fmt.Sprintf("%s-fabric-%d", zone, pos/siz.DomainVMs+1),
+			Address:      fmt.Sprintf("%s.%d.%d:9000", siz.Net, num+1, pos+1),
+			Worker:       cataloger.WorkerEngine,
+			Accelerators: accelerators,
+			ChecksFence:  pos%3 != 2,
+		}
+	}
+	inv.VMs[zone+"-venue-api"] = cataloger.VM{
+		Zone:    zone,
+		Address: fmt.Sprintf("%s.%d.251:9000", siz.Net, num+1),
+		Worker:  cataloger.WorkerService,
+		Service: "venue-api",
+	}
+}
+
+func settings(siz Size, num int) map[string]string {
+	set := map[string]string{
+		"name":                 fmt.Sprintf("entry-%d", num),
+		"availability_zone":    zones[num%len(zones)],
+		"region":               region,
+		"address":              fmt.Sprintf("%s.0.%d:8000", siz.Net, num),
+		"rpc_address":          fmt.Sprintf("%s.0.%d:8001", siz.Net, num),
+		"log_address":          siz.Net + ".9.1:7000",
+		"vm_list_address":      siz.Net + ".9.2:7000",
+		"weight_store_address": siz.Net + ".9.3:7000",
+	}
+	maps.Copy(set, siz.Extra)
+	return set
+}
+
+func write(dir, name string, val any) error {
+	data, err := yaml.Marshal(val)
+	if err != nil {
+		return errors.Annotate(err, "generator: encode "+name)
+	}
+	return errors.Annotate(os.WriteFile(filepath.Join(dir, name), data, fileMode), "generator: write")
+}
--- /dev/null
+++ b/loader/stream.go
@@ -0,0 +1,69 @@
+package loader
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strings"
+)
+
+// Stream checks a streamed answer against the tokens that it must have; First is called at the first token.
+type Stream struct {
+	Want   []string
+	First  func()
+	Tokens int
+}
+
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// Read reads the stream to its end and returns OutcomeWhole or OutcomeBroken.
+func (str *Stream) Read(body io.Reader) string {
+	finished := false
+	scn := bufio.NewScanner(body)
+	for scn.Scan() {
+		data, event := strings.CutPrefix(scn.Text(), "data: ")
+		if !event {
+			continue
+		}
+		if data == "[DONE]" {
+			return str.judge(finished)
+		}
+		var chk chunk
+		if err := json.Unmarshal([]byte(data), &chk); err != nil || len(chk.Choices) != 1 {
+			return OutcomeBroken
+		}
+		if chk.Choices[0].FinishReason != nil {
+			finished = true
+			continue
+		}
+		if !str.take(chk.Choices[0].Delta.Content) {
+			return OutcomeBroken
+		}
+	}
+	return OutcomeBroken
+}
+
+func (str *Stream) take(content string) bool {
+	if str.Tokens >= len(str.Want) || content != str.Want[str.Tokens] {
+		return false
+	}
+	if str.Tokens == 0 && str.First != nil {
+		str.First()
+	}
+	str.Tokens++
+	return true
+}
+
+func (str *Stream) judge(finished bool) string {
+	if finished && str.Tokens == len(str.Want) {
+		return OutcomeWhole
+	}
+	return OutcomeBroken
+}
--- /dev/null
+++ b/loader/summary.go
@@ -0,0 +1,95 @@
+package loader
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// leastInSecond is how many arrivals a second must have to count as the worst.
+const leastInSecond = 5
+
+// Summary counts the samples of one label; times are in milliseconds, shares from 0 to 1.
+type Summary struct {
+	Label       string         `json:"label"`
+	Asked       int            `json:"asked"`
+	InTime      int            `json:"in_time"`
+	InTimeShare float64        `json:"in_time_share"`
+	WorstSecond float64        `json:"worst_second_share"`
+	Goodput     float64        `json:"in_time_per_second"`
+	Outcomes    map[string]int `json:"outcomes"`
+	FirstMedian float64        `json:"first_token_median_ms"`
+	First95     float64        `json:"first_token_p95_ms"`
+	Median      float64        `json:"whole_median_ms"`
+	P99         float64        `json:"whole_p99_ms"`
+}
+
+// Summarize returns a summary of all samples and one for each label that the function gives.
+func Summarize(sams []Sample, span time.Duration, label func(Sample) string) []Summary {
+	parts := map[string][]Sample{}
+	for _, sam := range sams {
+		parts[label(sam)] = append(parts[label(sam)], sam)
+	}
+	out := []Summary{summarize("all", sams, span)}
+	if len(parts) < 2 {
+		return out
+	}
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		out = append(out, summarize(name, parts[name], span))
+	}
+	return out
+}
+
+func summarize(label string, sams []Sample, span time.Duration) Summary {
+	sum := Summary{Label: label, Asked: len(sams), Outcomes: map[string]int{}, WorstSecond: 1}
+	var firsts, tooks []time.Duration
+	for _, sam := range sams {
+		sum.Outcomes[sam.Outcome]++
+		if sam.Outcome != OutcomeWhole {
+			continue
+		}
+		sum.InTime++
+		tooks = append(tooks, sam.Took)
+		if sam.First > 0 {
+			firsts = append(firsts, sam.First)
+		}
+	}
+	for _, sec := range Seconds(sams, span) {
+		if sec.Asked >= leastInSecond {
+			sum.WorstSecond = min(sum.WorstSecond, float64(sec.InTime)/float64(sec.Asked))
+		}
+	}
+	sum.InTimeShare = float64(sum.InTime) / float64(max(1, sum.Asked))
+	sum.Goodput = float64(sum.InTime) / span.Seconds()
+	sum.FirstMedian, sum.First95 = quantile(firsts, 0.5), quantile(firsts, 0.95)
+	sum.Median, sum.P99 = quantile(tooks, 0.5), quantile(tooks, 0.99)
+	return sum
+}
+
+// Second counts the requests that arrived in one second and those of them that were answered in time.
+type Second struct {
+	Asked  int `json:"asked"`
+	InTime int `json:"in_time"`
+}
+
+// Seconds counts the samples by the second of their arrival.
+func Seconds(sams []Sample, span time.Duration) []Second {
+	out := make([]Second, int(span.Seconds())+1)
+	for _, sam := range sams {
+		sec := &out[int(sam.At.Seconds())]
+		sec.Asked++
+		if sam.Outcome == OutcomeWhole {
+			sec.InTime++
+		}
+	}
+	return out
+}
+
+func quantile(durs []time.Duration, part float64) float64 {
+	if len(durs) == 0 {
+		return 0
+	}
+	slices.Sort(durs)
+	pos := min(len(durs)-1, int(part*float64(len(durs))))
+	return float64(durs[pos]) / float64(time.Millisecond)
+}
--- a/logkeeper/append.go
+++ b/logkeeper/append.go
@@ -17,6 +17,7 @@
 }
 
 func (kpr *Keeper) serveAppend(wtr http.ResponseWriter, req *http.Request) {
+	kpr.appends.Add(1)
 	data, err := io.ReadAll(io.LimitReader(req.Body, maxRecord+1))
 	if err != nil {
 		jsoncoder.Fail(wtr, http.StatusBadRequest, errors.NewNotValid(err, "logkeeper: read record"))
--- a/logkeeper/logkeeper.go
+++ b/logkeeper/logkeeper.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -40,6 +41,9 @@
 	first  int64
 	latest time.Time
 	grown  chan struct{}
+
+	reads   atomic.Int64
+	appends atomic.Int64
 }
 
 // New makes an empty log.
@@ -57,6 +61,7 @@
 	calls.HandleFunc("GET /v1/records", kpr.serveRead)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/faults", disturber.Endpoint(kpr.faults, kpr.setFaults))
+	mux.HandleFunc("GET /v1/counts", kpr.serveCounts)
 	mux.Handle("/", kpr.dis.Wrap(calls))
 	return mux
 }
--- a/logkeeper/read.go
+++ b/logkeeper/read.go
@@ -31,6 +31,7 @@
 }
 
 func (kpr *Keeper) serveRead(wtr http.ResponseWriter, req *http.Request) {
+	kpr.reads.Add(1)
 	qry, err := parse(req.URL.Query())
 	if err != nil {
 		jsoncoder.Fail(wtr, http.StatusBadRequest, err)
--- /dev/null
+++ b/measurecommander/doc.go
@@ -0,0 +1,2 @@
+// Package measurecommander is the command line of the measurements.
+package measurecommander
--- /dev/null
+++ b/measurer/main.go
@@ -0,0 +1,12 @@
+// Command measurer measures a running deployment.
+package main
+
+import (
+	"os"
+
+	"github.com/lovagelever/lovagelever/measurecommander"
+)
+
+func main() {
+	os.Exit(measurecommander.Main())
+}
--- /dev/null
+++ b/observer/doc.go
@@ -0,0 +1,2 @@
+// Package observer watches how many replica groups of a deployment serve.
+package observer
--- /dev/null
+++ b/sampler/doc.go
@@ -0,0 +1,2 @@
+// Package sampler reads what the processes of a deployment have used.
+package sampler
--- /dev/null
+++ b/sampler/process.go
@@ -0,0 +1,82 @@
+package sampler
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	tick          = 10 * time.Millisecond
+	statSkipped   = 11
+	kibibyte      = 1024
+	residentLabel = "VmRSS:"
+)
+
+// Process is one process of a deployment.
+type Process struct {
+	ID   int
+	Name string
+}
+
+// Processes reads a file with lines of process ID and name, and returns those whose name begins with the prefix.
+func Processes(file, prefix string) ([]Process, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Annotate(err, "sampler: read process list")
+	}
+	var out []Process
+	for line := range strings.Lines(string(data)) {
+		var pro Process
+		if _, err := fmt.Sscan(line, &pro.ID, &pro.Name); err != nil {
+			return nil, errors.NewNotValid(err, "sampler: process list")
+		}
+		if strings.HasPrefix(pro.Name, prefix) {
+			out = append(out, pro)
+		}
+	}
+	return out, nil
+}
+
+// Used returns the processor time that the process has used since its start.
+func (pro Process) Used() (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pro.ID))
+	if err != nil {
+		return 0, errors.Annotate(err, "sampler: read processor time")
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < statSkipped+2 {
+		return 0, errors.NotValidf("sampler: processor time of process %d", pro.ID)
+	}
+	user, _ := strconv.ParseInt(fields[statSkipped], 10, 64)
+	system, _ := strconv.ParseInt(fields[statSkipped+1], 10, 64)
+	return time.Duration(user+system) * tick, nil
+}
+
+// Resident returns the bytes of memory that the process holds.
+func (pro Process) Resident() (int64, error) {
+	fil, err := os.Open(fmt.Sprintf("/proc/%d/status", pro.ID))
+	if err != nil {
+		return 0, errors.Annotate(err, "sampler: read memory")
+	}
+	defer func() { _ = fil.Close() }()
+	scn := bufio.NewScanner(fil)
+	for scn.Scan() {
+		rest, found := strings.CutPrefix(scn.Text(), residentLabel)
+		if !found {
+			continue
+		}
+		var num int64
+		if _, err := fmt.Sscan(rest, &num); err != nil {
+			return 0, errors.NewNotValid(err, "sampler: memory")
+		}
+		return num * kibibyte, nil
+	}
+	return 0, errors.NotFoundf("sampler: memory of process %d", pro.ID)
+}
--- /dev/null
+++ b/scaler/doc.go
@@ -0,0 +1,2 @@
+// Package scaler measures what control costs at one size of a deployment.
+package scaler
--- /dev/null
+++ b/scaler/takeover.go
@@ -0,0 +1,58 @@
+package scaler
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/requester"
+)
+
+// Takeover says how many seconds after its loss an entry was evicted, and when every group had a home and served again.
+type Takeover struct {
+	Victim  string  `json:"victim"`
+	Homes   int     `json:"homes"`
+	Evicted float64 `json:"evicted_seconds"`
+	Served  float64 `json:"taken_over_seconds"`
+}
+
+// Takeover waits until a lost entry's work is taken over; it fails with ErrNotReached.
+func (sca *Scaler) Takeover(ctx context.Context, victim string, lost time.Time) (Takeover, error) {
+	out := Takeover{Victim: victim}
+	for sca.opt.Clock.Since(lost) < takeoverMax && ctx.Err() == nil {
+		sta, err := sca.req.Status(ctx)
+		if err == nil {
+			out.note(sta, sca.opt.Clock.Since(lost).Seconds())
+		}
+		if out.Served > 0 {
+			return out, nil
+		}
+		sca.opt.Clock.Sleep(pollEvery)
+	}
+	return out, errors.Trace(ErrNotReached)
+}
+
+func (tak *Takeover) note(sta requester.Status, after float64) {
+	homes, serving := 0, 0
+	for _, grp := range sta.Groups {
+		if grp.Home == tak.Victim {
+			homes++
+		}
+		if grp.Stage == "serving" {
+			serving++
+		}
+	}
+	tak.Homes = max(tak.Homes, homes)
+	for _, ent := range sta.Entries {
+		if ent.Name == tak.Victim {
+			return
+		}
+	}
+	if tak.Evicted == 0 {
+		tak.Evicted = after
+	}
+	if homes == 0 && serving == len(sta.Groups) && serving > 0 {
+		tak.Served = after
+	}
+}
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,261 @@
+#!/usr/bin/env bash
+# Runs the measurements that decide between designs: scripts/measure.sh [NAME...], all when none is given.
+set -euo pipefail
+cd -P "$(dirname "$0")/.."
+
+NET=127.40
+SEED=${SEED:-1}
+RATE=100
+ENGINE_FLAGS=()
+BASELINE=(--extra balancer=round_robin --extra limits=none)
+SLOW_ENGINES=(--step 20ms --step-each 1ms)
+source scripts/stage.sh
+
+EXPERIMENTS=(downtime zone overload keys cost crash placement)
+
+results() {
+	echo --out "out/$1.jsonl" --experiment "$2" --variant "$3"
+}
+
+load() {
+	bin/measurer load "${ENTRY_FLAGS[@]}" --seed "$SEED" "$@"
+}
+
+status() {
+	bin/lovagelever status "${ENTRY_FLAGS[@]}" --json
+}
+
+# group_of MODEL prints the fabric domain and the members of its first serving group.
+group_of() {
+	status | grep -v '^ *"voids"' | awk -v model="\"$1\"," '
+		/"model":/ { found = ($2 == model) }
+		found && /"fabric_domain":/ { gsub(/[",]/, "", $2); domain = $2 }
+		found && /"vms": \[/ { getline; gsub(/[", ]/, ""); vm = $0; print domain, vm; exit }'
+}
+
+watch_downtime() {
+	local experiment=$1 variant=$2 since=$3 span=$4
+	shift 4
+	bin/measurer downtime "${ENTRY_FLAGS[@]}" $(results downtime "$experiment" "$variant") --since "$since" --for "$span" "$@"
+}
+
+lose_member() {
+	local domain vm at
+	read -r domain vm < <(group_of scene-composer)
+	at=$(now)
+	faults "$(control "$domain")" "{\"vms\": {\"$vm\": {\"kill\": true}}}"
+	watch_downtime member_loss "$1" "$at" 40s
+	faults "$(control "$domain")" '{}'
+	sleep 3
+}
+
+lose_domain() {
+	local domain vm at members
+	read -r domain vm < <(group_of scene-composer)
+	members=$(awk -v domain="$domain" '/^        [a-z].*:$/ {name = $1} $1 == "fabric_domain:" && $2 == domain {print name}' "$dir/inventory.yaml" |
+		sed 's/:$//; s/.*/"&": {"kill": true}/' | paste -sd, -)
+	at=$(now)
+	faults "$(control "$domain")" "{\"vms\": {$members}}"
+	watch_downtime domain_loss "$1" "$at" 60s
+	faults "$(control "$domain")" '{}'
+	sleep 3
+}
+
+lose_entry() {
+	local at
+	at=$(now)
+	kill -KILL "$(pid_of entry-5)"
+	watch_downtime entry_loss "$1" "$at" 15s
+	start_entry 5
+	sleep 5
+}
+
+replace_entries() {
+	local number at
+	at=$(now)
+	watch_downtime replacement_of_all_entries "$1" "$at" 80s --planned &
+	local watch=$!
+	load $(results downtime "load_in_replacement" "$1") --rate 20 --for 60s &
+	local sending=$!
+	for ((number = 1; number <= ENTRIES; number++)); do
+		kill -TERM "$(pid_of "entry-$number")"
+		await_end "$(pid_of "entry-$number")"
+		start_entry "$number"
+		await_answer "http://$NET.0.$number:8000/v1/self"
+		sleep 4
+	done
+	wait "$sending"
+	kill -TERM "$watch" 2>/dev/null || true
+	wait "$watch" || true
+}
+
+downtime() {
+	RATE=10
+	local policy repeat
+	for policy in spare_first reform_elsewhere; do
+		up downtime --domain-vms 5 --extra "policy=$policy"
+		for repeat in 1 2 3; do
+			lose_member "$policy"
+		done
+		lose_domain "$policy"
+		if [ "$policy" = spare_first ]; then
+			lose_entry "$policy"
+			replace_entries "$policy"
+		fi
+		down
+	done
+	RATE=100
+}
+
+zone_rules() {
+	sed "s/^rules:/rules:\n    availability_zones_out: [$1]/" "$dir/rules.yaml" >"$dir/rules-out.yaml"
+	publish "$dir/rules-out.yaml"
+}
+
+# zone_move VARIANT LOG_OUT drains a zone after 8 s and takes it back after 25 s of 50 s.
+zone_move() {
+	load $(results zone zone_move "$1") --rate 40 --for 50s --seconds \
+		--mix compose=6,summarize=2,fetch=4,issued=3 --service-control "$SERVICE_CONTROL" &
+	local sending=$!
+	sleep 8
+	zone_rules kolkata-salt-lake || echo "drain not read back" >&2
+	if [ "$2" = log_out ]; then
+		faults "$LOG_ADDRESS" '{"down": true}'
+		sleep 12
+		faults "$LOG_ADDRESS" '{}'
+		sleep 4
+	else
+		sleep 16
+	fi
+	zone_rules "" || echo "return not read back" >&2
+	wait "$sending"
+}
+
+zone() {
+	ENGINE_FLAGS=("${SLOW_ENGINES[@]}")
+	up zone --domain-vms 5
+	warm_up zone
+	zone_move normal no
+	sleep 10
+	zone_move log_out log_out
+	down
+	up zone --domain-vms 5 "${BASELINE[@]}"
+	warm_up zone
+	zone_move baseline no
+	down
+	ENGINE_FLAGS=()
+}
+
+# warm_up sends so little that cold engines bear it, until they are warm.
+warm_up() {
+	load $(results "$1" warm_up any) --rate 12 --for 25s --mix compose=3,summarize=1 >/dev/null
+}
+
+overload_steps() {
+	local times
+	warm_up overload
+	load $(results overload unloaded "$1") --rate 8 --for 8s
+	for times in 0.5 1 2 4; do
+		load $(results overload "times_$times" "$1") --rate "$(awk -v times="$times" 'BEGIN {print 148 * times}')" --for 10s
+		sleep 3
+	done
+	load $(results overload small_alone "$1") --rate 9 --for 10s --flood 0.0001 --by size
+	load $(results overload small_beside_flood "$1") --rate 296 --for 10s --flood 0.97 --by size
+}
+
+overload() {
+	ENGINE_FLAGS=("${SLOW_ENGINES[@]}")
+	up overload --domain-vms 5
+	overload_steps home
+	down
+	up overload --domain-vms 5 "${BASELINE[@]}"
+	overload_steps baseline
+	down
+	ENGINE_FLAGS=()
+}
+
+key_load() {
+	local before after
+	before=$(curl --silent "http://$LOG_ADDRESS/v1/counts" | grep -o '"appends":[0-9]*' | cut -d : -f 2)
+	load $(results keys "$1" both) --rate 60 --for 12s --mix issued=1,claimed=1 --service-control "$SERVICE_CONTROL"
+	after=$(curl --silent "http://$LOG_ADDRESS/v1/counts" | grep -o '"appends":[0-9]*' | cut -d : -f 2)
+	echo "{\"experiment\": \"$1\", \"variant\": \"appends\", \"result\": $((after - before))}" >>out/keys.jsonl
+}
+
+keys() {
+	up keys --domain-vms 5
+	key_load warm_up
+	key_load no_fault
+	(sleep 4 && kill -KILL "$(pid_of entry-3)") &
+	key_load entry_killed
+	start_entry 3
+	sleep 8
+	(sleep 3 && kill -STOP "$(pid_of entry-2)" && sleep 5 && kill -CONT "$(pid_of entry-2)") &
+	key_load entry_paused
+	sleep 5
+	(sleep 3 && faults "$LOG_ADDRESS" "{\"cut_sources\": [\"$NET.0.4\"]}") &
+	key_load entry_cut_off_from_log
+	faults "$LOG_ADDRESS" '{"cut_sources": []}'
+	sleep 5
+	(sleep 2 && faults "$LOG_ADDRESS" '{"down": true}') &
+	key_load log_out
+	faults "$LOG_ADDRESS" '{}'
+	down
+}
+
+cost() {
+	local way callers
+	up cost --domain-vms 5 --warm-limit 64
+	start copy bin/measurer copy --listen "$NET.8.251:7000"
+	load $(results cost warm_up any) --rate 25 --for 12s >/dev/null
+	load $(results cost warm_up any) --rate 100 --for 10s >/dev/null
+	for callers in 1 64 512; do
+		for way in direct copy entry; do
+			bin/measurer cost "${ENTRY_FLAGS[@]}" $(results cost path "$way") --way "$way" --copier "$NET.8.251:7000" \
+				--processes "$dir/pids" --concurrency "$callers" --for 5s
+		done
+	done
+	down
+}
+
+# crash_load VARIANT FLAGS... sends crashing requests of one workspace beside everybody's work.
+crash_load() {
+	local variant=$1
+	shift
+	load $(results crash crash "$variant") --rate 40 --for 25s --mix compose=39,crash=1 --by workspace "$@"
+}
+
+crash() {
+	local cells
+	ENGINE_FLAGS=("${SLOW_ENGINES[@]}")
+	for cells in 1 2; do
+		up crash --domain-vms 5 --cells "$cells"
+		load $(results crash warm_up any) --rate 12 --for 25s --cells "$cells" >/dev/null
+		crash_load "cells_$cells-isolation" --cells "$cells"
+		sleep 8
+		crash_load "cells_$cells-no_isolation" --cells "$cells" --fresh
+		down
+	done
+	ENGINE_FLAGS=()
+}
+
+placement() {
+	go test -run '^$' -bench 'StrandedShare' -benchtime 1x ./placer | tee out/placement.txt
+}
+
+trap down EXIT
+trap 'exit 130' INT TERM
+
+make -s build
+mkdir -p out
+wanted=("$@")
+[ ${#wanted[@]} -gt 0 ] || wanted=("${EXPERIMENTS[@]}")
+echo "seed $SEED, experiments ${wanted[*]}"
+for name in "${wanted[@]}"; do
+	echo "== $name, $(date +%H:%M:%S)"
+	rm -f "out/$name.jsonl"
+	"$name"
+	if [ -e "out/$name.jsonl" ]; then
+		bin/measurer table "out/$name.jsonl"
+	fi
+done
