--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -246,16 +246,32 @@
 trap down EXIT
 trap 'exit 130' INT TERM
 
+# run_each runs each experiment in a shell of its own, so that one that fails does not end the others.
+run_each() {
+	local name failed=0
+	for name in "$@"; do
+		scripts/measure.sh "$name" || {
+			echo "$name: failed" >&2
+			failed=1
+		}
+	done
+	return "$failed"
+}
+
+if [ $# -eq 0 ]; then
+	run_each "${EXPERIMENTS[@]}"
+	exit
+fi
+if [ $# -gt 1 ]; then
+	run_each "$@"
+	exit
+fi
+
 make -s build
 mkdir -p out
-wanted=("$@")
-[ ${#wanted[@]} -gt 0 ] || wanted=("${EXPERIMENTS[@]}")
-echo "seed $SEED, experiments ${wanted[*]}"
-for name in "${wanted[@]}"; do
-	echo "== $name, $(date +%H:%M:%S)"
-	rm -f "out/$name.jsonl"
-	"$name"
-	if [ -e "out/$name.jsonl" ]; then
-		bin/measurer table "out/$name.jsonl"
-	fi
-done
+rm -f "out/$1.jsonl"
+echo "== $1, seed $SEED"
+"$1"
+if [ -e "out/$1.jsonl" ]; then
+	bin/measurer table "out/$1.jsonl"
+fi
