--- a/observer/observer.go
+++ b/observer/observer.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
 
 	"github.com/lovagelever/lovagelever/requester"
 )
@@ -28,17 +30,45 @@
 type Observer struct {
 	Planned bool
 
-	req *requester.Requester
-	clk clockwork.Clock
+	reqs []*requester.Requester
+	clk  clockwork.Clock
 }
 
 // New returns an observer of the entries at the addresses; it fails with requester.ErrNoEntry.
 func New(addresses []string, clk clockwork.Clock) (*Observer, error) {
-	req, err := requester.New(addresses)
-	if err != nil {
-		return nil, err
+	if len(addresses) == 0 {
+		return nil, errors.Trace(requester.ErrNoEntry)
 	}
-	return &Observer{req: req, clk: clk}, nil
+	obs := &Observer{clk: clk}
+	for _, address := range addresses {
+		req, err := requester.New([]string{address})
+		if err != nil {
+			return nil, err
+		}
+		obs.reqs = append(obs.reqs, req)
+	}
+	return obs, nil
+}
+
+// missing asks every entry and returns the fewest missing replicas, since an entry that has just started knows of none.
+func (obs *Observer) missing(ctx context.Context) (int, bool) {
+	fewest, told := 0, false
+	var mtx sync.Mutex
+	var wai sync.WaitGroup
+	for _, req := range obs.reqs {
+		wai.Add(1)
+		go func() {
+			defer wai.Done()
+			sta, err := req.Status(ctx)
+			mtx.Lock()
+			defer mtx.Unlock()
+			if num := Missing(sta); err == nil && len(sta.Models) > 0 && (!told || num < fewest) {
+				fewest, told = num, true
+			}
+		}()
+	}
+	wai.Wait()
+	return fewest, told
 }
 
 // Watch sums the downtime since a fault until all groups serve for two seconds after a loss, or the span has passed; the time until the first report counts as lost.
@@ -47,12 +77,12 @@
 	last := obs.clk.Since(since)
 	missing := 0
 	for obs.clk.Since(since) < span && ctx.Err() == nil {
-		sta, err := obs.req.Status(ctx)
+		num, told := obs.missing(ctx)
 		now := obs.clk.Since(since)
 		los.GroupSeconds += float64(missing) * (now - last).Seconds()
 		last = now
-		if err == nil {
-			missing = Missing(sta)
+		if told {
+			missing = num
 			los.note(missing, now)
 			if los.First == now.Seconds() && !obs.Planned {
 				los.GroupSeconds += float64(missing) * los.First
--- a/scripts/stage.sh
+++ b/scripts/stage.sh
@@ -66,7 +66,7 @@
 
 # control prints the control address of the engines of a fabric domain.
 control() {
-	awk -v name="$1" '$2 == name {print $1}' "$dir/controls"
+	awk -v name="$1" '$1 == name {print $2}' "$dir/controls"
 }
 
 start_engines() {
