--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -11,7 +11,7 @@
 SLOW_ENGINES=(--step 20ms --step-each 1ms)
 source scripts/stage.sh
 
-EXPERIMENTS=(downtime replacement zone overload keys cost crash placement)
+EXPERIMENTS=(downtime replacement zone zone_busy overload keys cost crash placement)
 
 results() {
 	echo --out "out/$1.jsonl" --experiment "$2" --variant "$3"
@@ -113,6 +113,14 @@
 	down
 }
 
+# fallen prints how often an engine fell over because it was cold.
+fallen() {
+	local address
+	for address in $(awk '{print $2}' "$dir/controls"); do
+		curl --silent "http://$address/v1/counts"
+	done | grep -o '"fell_over":[0-9]*' | awk -F : '{sum += $2} END {print sum + 0}'
+}
+
 zone_rules() {
 	sed "s/^rules:/rules:\n    availability_zones_out: [$1]/" "$dir/rules.yaml" >"$dir/rules-out.yaml"
 	publish "$dir/rules-out.yaml"
@@ -120,7 +128,9 @@
 
 # zone_move VARIANT LOG_OUT drains a zone after 8 s and takes it back after 24 s of 40 s.
 zone_move() {
-	load $(results zone zone_move "$1") --rate 40 --for 40s --seconds \
+	local before
+	before=$(fallen)
+	load $(results "$file" zone_move "$1") --rate "$rate" --for 40s --seconds \
 		--mix compose=6,summarize=2,fetch=4,issued=3 --service-control "$SERVICE_CONTROL" &
 	local sending=$!
 	sleep 8
@@ -135,9 +145,11 @@
 	fi
 	zone_rules "" || echo "return not read back" >&2
 	wait "$sending"
+	echo "{\"experiment\": \"engines_fallen_over\", \"variant\": \"$1\", \"result\": $(($(fallen) - before))}" >>"out/$file.jsonl"
 }
 
 zone() {
+	local file=zone rate=40
 	ENGINE_FLAGS=("${SLOW_ENGINES[@]}")
 	up zone --domain-vms 5
 	warm_up zone
@@ -152,6 +164,21 @@
 	ENGINE_FLAGS=()
 }
 
+# zone_busy has so many requests that a replica that returns cold can't bear its share.
+zone_busy() {
+	local file=zone_busy rate=130
+	ENGINE_FLAGS=("${SLOW_ENGINES[@]}")
+	up zone_busy --domain-vms 5
+	warm_up zone_busy
+	zone_move normal no
+	down
+	up zone_busy --domain-vms 5 "${BASELINE[@]}"
+	warm_up zone_busy
+	zone_move baseline no
+	down
+	ENGINE_FLAGS=()
+}
+
 # warm_up sends so little that cold engines bear it, until they are warm.
 warm_up() {
 	load $(results "$1" warm_up any) --rate 12 --for 20s --mix compose=3,summarize=1 >/dev/null
@@ -234,7 +261,7 @@
 crash() {
 	local cells
 	ENGINE_FLAGS=("${SLOW_ENGINES[@]}")
-	for cells in 1 2; do
+	for cells in ${CELLS:-1 2}; do
 		up crash --domain-vms 5 --cells "$cells"
 		load $(results crash warm_up any) --rate 12 --for 20s --cells "$cells" >/dev/null
 		crash_load "cells_$cells-isolation" --cells "$cells"
