Allow first tokens of a busy unit the wait for a running step

The limit of warm units fell to 1 to 4 of 16 under load, because an idle unit's first token set the best latency and the wait for the step that runs counted as overload.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -10,10 +10,12 @@
 
 // Growth and shrinkage of the limit of a warm unit.
 const (
-	DecreaseFactor  = 0.7
-	LatencyFactor   = 1.5
-	DefaultLag      = time.Second
-	DefaultValidity = time.Second
+	DecreaseFactor = 0.7
+	LatencyFactor  = 1.5
+	// FirstTokenFactor is larger, since on a busy unit a request first waits for the step that runs.
+	FirstTokenFactor = 4
+	DefaultLag       = time.Second
+	DefaultValidity  = time.Second
 )
 
 // Options are the limits of one unit; ReportLag is the largest lag of its load reports and Validity is how long a permit may wait for its dispatch.
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -51,6 +51,35 @@
 		serve(200, time.Millisecond)
 	}
 
+	It("does not take the wait for a running step for an overload", func() {
+		report(3*lag, limiter.Report{Warm: true, Started: "a"})
+		step := 21 * time.Millisecond
+		before := lim.Limit()
+		for num := range 20 {
+			per, free := lim.Acquire()
+			Expect(free).To(BeTrue())
+			lim.Release(per, limiter.Outcome{FirstToken: step * time.Duration(min(num, 1)+1), Step: step})
+			clk.Advance(lag)
+		}
+		Expect(lim.Limit()).To(BeNumerically(">=", before))
+	})
+	It("shrinks when the first token waits for far more than a step", func() {
+		warm()
+		before := lim.Limit()
+		for range 20 {
+			for _, per := range fill() {
+				lim.Release(per, limiter.Outcome{FirstToken: 10 * time.Millisecond, Step: time.Millisecond})
+			}
+		}
+		for range 20 {
+			for _, per := range fill() {
+				lim.Release(per, limiter.Outcome{FirstToken: 100 * time.Millisecond, Step: time.Millisecond})
+			}
+			clk.Advance(lag)
+		}
+		Expect(lim.Limit()).To(BeNumerically("<", before))
+	})
+
 	It("grows a warm unit's limit by one per completion at most, up to the warm limit", func() {
 		report(3*lag, limiter.Report{Warm: true, Started: "a"})
 		Expect(lim.Limit()).To(Equal(5))
--- a/limiter/rate.go
+++ b/limiter/rate.go
@@ -17,7 +17,7 @@
 func (lim *Limiter) learn(out Outcome) {
 	lim.first.add(out.FirstToken)
 	lim.step.add(out.Step)
-	if lim.first.over() || lim.step.over() {
+	if lim.first.over(FirstTokenFactor) || lim.step.over(LatencyFactor) {
 		lim.shrink()
 		return
 	}
@@ -66,6 +66,6 @@
 	gau.best = math.Min(gau.best*1.001, gau.recent)
 }
 
-func (gau *gauge) over() bool {
-	return gau.recent > gau.best*LatencyFactor
+func (gau *gauge) over(factor float64) bool {
+	return gau.recent > gau.best*factor
 }
