--- a/scripts/stage.sh
+++ b/scripts/stage.sh
@@ -91,6 +91,10 @@
 up() {
 	dir=run/$1
 	shift
+	if curl --silent --output /dev/null --max-time 1 "http://$LOG_ADDRESS/v1/counts"; then
+		echo "a deployment is up already at $NET" >&2
+		return 1
+	fi
 	rm -rf "$dir"
 	bin/measurer generate --net "$NET" --entries "$ENTRIES" --engines "$ENGINES" --dir "$dir" "$@"
 	: >"$dir/pids"
