--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -220,14 +220,14 @@
 	up keys --domain-vms 5
 	key_load warm_up
 	key_load no_fault
-	(sleep 4 && kill -KILL "$(pid_of entry-3)") &
+	(sleep 4 && kill -KILL "$(pid_of entry-1)") &
 	key_load entry_killed
-	start_entry 3
+	start_entry 1
 	sleep 8
 	(sleep 3 && kill -STOP "$(pid_of entry-2)" && sleep 5 && kill -CONT "$(pid_of entry-2)") &
 	key_load entry_paused
 	sleep 5
-	(sleep 3 && faults "$LOG_ADDRESS" "{\"cut_sources\": [\"$NET.0.4\"]}") &
+	(sleep 3 && faults "$LOG_ADDRESS" "{\"cut_sources\": [\"$NET.0.7\"]}") &
 	key_load entry_cut_off_from_log
 	faults "$LOG_ADDRESS" '{"cut_sources": []}'
 	sleep 5
