Give up loads that do not end, and test the order of forms

Cause: an engine that stays in the loading state for ever was waited for without limit; neither the order of forms nor the split over regions had a test. Change: a load may last twice its wait at the weight store and 2 minutes more; then the VM counts as lost and is avoided, with a reason. Hung loads join the scenes and the random faults. What was tried of an order has its own file. Ruled out: a limit from the weights alone, which a long queue at the store would overrun. Conclusion: every state that an engine may be stuck in now ends in a repair or a visible reason.

--- a/planner/drainer.go
+++ b/planner/drainer.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"time"
 )
 
 // drain replaces the members that are leaving before they leave.
@@ -86,7 +85,11 @@
 			held++
 			continue
 		}
-		if rnd.headway(name, model) > 0 || !rnd.queueRoom(aheadForRepair) || !rnd.due(name, "staged/"+model, 0) {
+		if rnd.headway(name, model) > 0 {
+			rnd.watchLoad(name, "staged/"+model, 0)
+			continue
+		}
+		if !rnd.queueRoom(aheadForRepair) || !rnd.due(name, "staged/"+model, 0) {
 			continue
 		}
 		rnd.enqueue(model, []string{name})
@@ -97,23 +100,3 @@
 	}
 	return held
 }
-
-// due reports whether an order may be sent now, and counts it.
-func (rnd *round) due(vm, group string, fence int64) bool {
-	att := rnd.mem.orders[vm]
-	started := rnd.obs.VMs[vm].Started
-	if att.group != group || att.fence != fence || att.started != started {
-		att = attempt{group: group, fence: fence, started: started}
-	}
-	if rnd.now.Before(att.next) {
-		return false
-	}
-	att.next = rnd.now.Add(rnd.backoff(att.count))
-	att.count++
-	rnd.mem.orders[vm] = att
-	return true
-}
-
-func (rnd *round) backoff(count int) time.Duration {
-	return min(rnd.opt.OrderBackoff<<min(count, 16), rnd.opt.OrderBackoffMax)
-}
--- a/planner/memory.go
+++ b/planner/memory.go
@@ -23,6 +23,7 @@
 	started string
 	count   int
 	next    time.Time
+	limit   time.Time
 }
 
 type avoidance struct {
--- a/planner/options.go
+++ b/planner/options.go
@@ -9,6 +9,7 @@
 	OrderBackoff    time.Duration // OrderBackoff is the wait after the first order; it doubles up to OrderBackoffMax.
 	OrderBackoffMax time.Duration
 	OrderAttempts   int           // OrderAttempts is how many orders a VM may leave without effect.
+	LoadLimit       time.Duration // LoadLimit is how long a load may last beyond twice its wait at the weight store.
 	AvoidFor        time.Duration // AvoidFor is how long a VM that failed or straggled gets no group.
 	LoadAhead       time.Duration // LoadAhead is how much transfer time new groups may queue at the weight store; repairs may queue twice that.
 	LeaveMargin     time.Duration // LeaveMargin is how long before a VM leaves its group is given up.
@@ -30,6 +31,7 @@
 		OrderBackoff:    2 * time.Second,
 		OrderBackoffMax: 30 * time.Second,
 		OrderAttempts:   6,
+		LoadLimit:       2 * time.Minute,
 		AvoidFor:        10 * time.Minute,
 		LoadAhead:       20 * time.Second,
 		LeaveMargin:     5 * time.Second,
--- a/planner/orderer.go
+++ b/planner/orderer.go
@@ -1,7 +1,5 @@
 package planner
 
-import "fmt"
-
 // order repeats orders until the engines show what the fold holds.
 func (rnd *round) order() {
 	for _, uni := range rnd.units {
@@ -24,7 +22,7 @@
 			continue
 		}
 		if obs.shows(uni.Group) && (obs.State == StateReady || obs.State == StateLoading) {
-			rnd.accepted(name, obs)
+			rnd.accepted(uni, name, obs)
 			continue
 		}
 		if uni.zoneOut && rnd.queued > 0 && !obs.holds(uni.Model, uni.Version) {
@@ -37,8 +35,9 @@
 	}
 }
 
-func (rnd *round) accepted(vm string, obs Observation) {
+func (rnd *round) accepted(uni *unit, vm string, obs Observation) {
 	if obs.State != StateReady {
+		rnd.watchLoad(vm, uni.Name, uni.Fence)
 		return
 	}
 	delete(rnd.mem.orders, vm)
@@ -47,15 +46,6 @@
 	}
 }
 
-func (rnd *round) countAttempt(vm string, obs Observation) {
-	num := rnd.mem.orders[vm].count
-	if num <= rnd.opt.OrderAttempts || obs.Health != HealthLive {
-		return
-	}
-	rnd.avoid(vm, true)
-	rnd.reason("vm/"+vm, fmt.Sprintf("%d load orders without effect, state %s: %s", num-1, obs.State, obs.Reason))
-}
-
 func (rnd *round) load(uni *unit, rank int) {
 	mod := rnd.inv.Models[uni.Model]
 	name := uni.VMs[rank]
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -155,6 +155,15 @@
 		},
 		seconds: 180, forms: 1, serving: 2, always: 1,
 	},
+	{
+		what: "an engine whose load does not end is avoided", zones: 2, domains: 1, vms: 5,
+		models: map[string]cataloger.Model{"scene": model(2, 4, 40)},
+		change: func(wor *world) {
+			eng := wor.engines[firstGroup(wor).VMs[0]]
+			eng.hangs, eng.state = true, planner.StateLoading
+		},
+		seconds: 180, forms: 1, serving: 2, always: 1,
+	},
 	{
 		what: "a zone that is out is made good elsewhere and its return ends with the wanted number", zones: 3, domains: 1, vms: 8,
 		models: map[string]cataloger.Model{"scene": model(3, 4, 40)},
@@ -245,6 +254,37 @@
 		Expect(proposed).To(Equal(2))
 	})
 
+	It("forms what returns most service first, within the weight store's rate", func() {
+		cat := catalog(3, 3, 8, map[string]cataloger.Model{
+			"heavy": model(1, 4, 200), "light": model(2, 2, 20), "first": model(1, 2, 40), "second": model(1, 2, 40),
+		})
+		cat.Inventory.Workspaces = map[string]cataloger.WorkspaceSpec{"hall": {Models: []string{"second"}}}
+		cat.Rules.Workspaces = map[string]cataloger.WorkspaceRule{"hall": {Priority: 5}}
+		wor := newWorld(1, cat)
+		wor.pla.Options.LoadAhead = time.Second
+		var order []string
+		wor.onAction = func(act planner.Action) {
+			if act.Form != nil {
+				order = append(order, act.Form.Model)
+				Expect(wor.storeAt.Sub(wor.clk.Now())).To(BeNumerically("<=", time.Second))
+			}
+		}
+		wor.until(60, func() bool { return len(wor.vie.Groups) == 5 })
+		Expect(order).To(Equal([]string{"second", "first", "light", "heavy", "light"}))
+	})
+
+	It("splits the wanted groups over the regions by their room", func() {
+		cat := catalog(3, 2, 4, map[string]cataloger.Model{"scene": model(4, 4, 40)})
+		cat.Inventory.Zones["z3"] = cataloger.Zone{Region: "perak"}
+		wor := newWorld(1, cat)
+		forms := func(region string) int {
+			pla := planner.New(region)
+			pla.Options.LoadAhead = time.Hour
+			return len(pla.Plan(wor.clk.Now(), wor.vie, wor.observe(), planner.NewMemory()))
+		}
+		Expect([]int{forms(region), forms("perak")}).To(Equal([]int{3, 1}))
+	})
+
 	It("does nothing without observations", func() {
 		wor := newWorld(1, catalog(3, 1, 5, map[string]cataloger.Model{"scene": model(2, 4, 40)}))
 		Expect(wor.until(60, func() bool { return len(wor.serving("scene")) == 2 })).To(BeTrue())
--- a/planner/queue.go
+++ b/planner/queue.go
@@ -1,5 +1,7 @@
 package planner
 
+import "time"
+
 // measureQueue takes the larger of the store's own queue and the transfers that live VMs still have to make.
 func (rnd *round) measureQueue() {
 	missing := 0.0
@@ -48,3 +50,12 @@
 		rnd.queued += rnd.missing(name, model, rnd.inv.Models[model].Version)
 	}
 }
+
+// queueTime returns how long the store needs for its queue, or nothing when its rate is not known.
+func (rnd *round) queueTime() time.Duration {
+	rate := rnd.obs.Store.GigabytesPerSecond
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(rnd.queued / rate * float64(time.Second))
+}
--- a/planner/random_test.go
+++ b/planner/random_test.go
@@ -113,6 +113,12 @@
 		eng.fails = true
 		tri.later(tri.between(5, 100), func() { eng.fails = false })
 	}},
+	{"hang in a load", func(tri *trial) {
+		eng := tri.engines[tri.anyVM()]
+		tri.allowed += 2
+		eng.hangs = true
+		tri.later(tri.between(100, 300), func() { eng.hangs = false })
+	}},
 	{"new version", func(tri *trial) {
 		mod := tri.anyModel()
 		tri.allowed += 2 * tri.vie.Catalog.Inventory.Models[mod].Replicas
@@ -249,7 +255,7 @@
 	}
 	for name, vm := range tri.vie.Catalog.Inventory.VMs {
 		eng := tri.engines[name]
-		if vm.Domain == grp.Domain && tri.vie.Owners[name] == "" && eng.alive && !eng.leaving && !eng.ignores && !eng.fails {
+		if vm.Domain == grp.Domain && tri.vie.Owners[name] == "" && eng.alive && !eng.leaving && !eng.ignores && !eng.fails && !eng.hangs {
 			spare++
 		}
 	}
@@ -278,7 +284,7 @@
 	}
 	for _, eng := range tri.engines {
 		tri.returned(eng)
-		eng.ignores, eng.fails, eng.step = false, false, 20*time.Millisecond
+		eng.ignores, eng.fails, eng.hangs, eng.step = false, false, false, 20*time.Millisecond
 	}
 }
 
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -32,6 +32,7 @@
 	leavesAt time.Time
 	ignores  bool
 	fails    bool
+	hangs    bool
 	step     time.Duration
 	seen     int64
 	running  int
@@ -177,7 +178,7 @@
 	if eng.leaving && !eng.leavesAt.IsZero() && now.After(eng.leavesAt) && eng.alive {
 		eng.die(now)
 	}
-	if !eng.alive || eng.state != planner.StateLoading || now.Before(eng.readyAt) {
+	if !eng.alive || eng.state != planner.StateLoading || eng.hangs || now.Before(eng.readyAt) {
 		return
 	}
 	eng.state = planner.StateReady
