Use the VM of a former straggler again

Cause: a straggler whose group was retired, because a whole other group took its place, kept its count of slow reports: in no group it reports no step time, so it stayed suspected for ever. Change: a VM in no group keeps no count; one that had reached the limit is avoided for AvoidFor instead. A benchmark of a zone's leave and return comes with it. Ruled out: clearing the count at the quiesce alone, which leaves the case of a group that ends for another member.

--- a/planner/bench_test.go
+++ b/planner/bench_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/placer"
 	"github.com/lovagelever/lovagelever/planner"
 )
 
@@ -77,3 +78,43 @@
 	b.ReportMetric(80/storeRate, "elsewhere_floor_s")
 	b.ReportMetric(0, "ns/op")
 }
+
+// zoneMove returns the missing group seconds, and the fewest groups that serve, while a zone is out for two minutes and after its return.
+func zoneMove(pol placer.Policy, zone string) (missing, fewest int) {
+	const wanted = 6
+	wor := newWorld(1, catalog(3, 2, 9, map[string]cataloger.Model{"scene": model(wanted, 4, 80)}))
+	wor.pla.Policy = pol
+	wor.until(600, func() bool { return len(wor.serving("scene")) == wanted })
+	wor.setZonesOut(zone)
+	fewest = wanted
+	for second := range 240 {
+		if second == 120 {
+			wor.setZonesOut()
+		}
+		num := min(len(wor.serving("scene")), wanted)
+		fewest = min(fewest, num)
+		missing += wanted - num
+		wor.tick()
+	}
+	return missing, fewest
+}
+
+func BenchmarkZoneMove(b *testing.B) {
+	for _, pol := range []struct {
+		name string
+		pol  placer.Policy
+	}{{"best_fit", placer.BestFit{}}, {"first_fit", placer.FirstFit{}}, {"spread_only", placer.SpreadOnly{}}} {
+		b.Run(pol.name, func(b *testing.B) {
+			worst, fewest := 0, 6
+			for b.Loop() {
+				for _, zone := range []string{"z1", "z2", "z3"} {
+					missing, num := zoneMove(pol.pol, zone)
+					worst, fewest = max(worst, missing), min(fewest, num)
+				}
+			}
+			b.ReportMetric(float64(worst), "worst_missing_group_s")
+			b.ReportMetric(float64(fewest), "fewest_of_6")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/planner/drainer.go
+++ b/planner/drainer.go
@@ -72,6 +72,7 @@
 }
 
 func (rnd *round) avoid(vm string, failed bool) {
+	delete(rnd.mem.suspicions, vm)
 	rnd.mem.avoided[vm] = avoidance{until: rnd.now.Add(rnd.opt.AvoidFor), failed: failed}
 }
 
--- a/planner/memory.go
+++ b/planner/memory.go
@@ -94,9 +94,13 @@
 			delete(mem.orders, name)
 		}
 	}
-	for name := range mem.suspicions {
-		if _, known := rnd.inv.VMs[name]; !known {
-			delete(mem.suspicions, name)
+	for name, sus := range mem.suspicions {
+		if rnd.vie.Owners[name] != "" {
+			continue
+		}
+		delete(mem.suspicions, name)
+		if sus.count >= rnd.opt.StragglerCount {
+			rnd.avoid(name, false)
 		}
 	}
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -285,6 +285,18 @@
 		Expect([]int{forms(region), forms("perak")}).To(Equal([]int{3, 1}))
 	})
 
+	It("uses the VM of a former straggler again after a while", func() {
+		wor := newWorld(1, catalog(3, 1, 4, map[string]cataloger.Model{"scene": model(2, 4, 40)}))
+		Expect(wor.until(60, func() bool { return len(wor.serving("scene")) == 2 })).To(BeTrue())
+		slow := firstGroup(wor).VMs[3]
+		wor.engines[slow].step = 200 * time.Millisecond
+		Expect(wor.until(60, func() bool { return wor.vie.Owners[slow] == "" && len(wor.serving("scene")) == 2 })).To(BeTrue())
+		wor.engines[slow].step = 20 * time.Millisecond
+		wor.until(700, func() bool { return false })
+		wor.engines[firstGroup(wor).VMs[0]].die(wor.clk.Now())
+		Expect(wor.until(60, func() bool { return wor.vie.Owners[slow] != "" && len(wor.serving("scene")) == 2 })).To(BeTrue())
+	})
+
 	It("does nothing without observations", func() {
 		wor := newWorld(1, catalog(3, 1, 5, map[string]cataloger.Model{"scene": model(2, 4, 40)}))
 		Expect(wor.until(60, func() bool { return len(wor.serving("scene")) == 2 })).To(BeTrue())
--- a/planner/straggler.go
+++ b/planner/straggler.go
@@ -67,7 +67,6 @@
 	for _, name := range uni.VMs {
 		if rnd.straggles(name) && !slices.Contains(vms, name) {
 			rnd.avoid(name, false)
-			delete(rnd.mem.suspicions, name)
 		}
 	}
 }
