--- a/reporter/table.go
+++ b/reporter/table.go
@@ -19,22 +19,20 @@
 		head = append(head, "BURN "+short(win.String()))
 	}
 	head = append(head, "BUDGET LEFT", "ALARM")
-	fmt.Fprintln(tab, strings.Join(head, "\t"))
+	line := func(format string, args ...any) { _, _ = fmt.Fprintf(tab, format+"\n", args...) }
+	line("%s", strings.Join(head, "\t"))
 	for _, one := range rep.Rows {
-		fmt.Fprintf(tab, "%s\t%s\t%g\t%d\t%d\t", one.Workspace, one.Class, one.Target, one.Good, one.Total)
+		burns := ""
 		for _, win := range burner.Windows() {
-			fmt.Fprintf(tab, "%.2f\t", one.Burn[win.String()])
+			burns += fmt.Sprintf("%.2f\t", one.Burn[win.String()])
 		}
-		fmt.Fprintf(tab, "%.0f%%\t%s\n", 100*one.BudgetLeft, one.Alarm)
+		line("%s\t%s\t%g\t%d\t%d\t%s%.0f%%\t%s", one.Workspace, one.Class, one.Target, one.Good, one.Total, burns, 100*one.BudgetLeft, one.Alarm)
 	}
-	if err := tab.Flush(); err != nil {
-		return errors.Annotate(err, "reporter: write table")
-	}
-	fmt.Fprintf(out, "\nrevision %d, answered: %s\n", rep.Revision, strings.Join(rep.Answered, ", "))
+	line("\nrevision %d, answered: %s", rep.Revision, strings.Join(rep.Answered, ", "))
 	if len(rep.Missing) > 0 {
-		fmt.Fprintf(out, "did not answer, their counts are missing: %s\n", strings.Join(rep.Missing, ", "))
+		line("did not answer, their counts are missing: %s", strings.Join(rep.Missing, ", "))
 	}
-	return nil
+	return errors.Annotate(tab.Flush(), "reporter: write table")
 }
 
 // short drops the zero units of a duration.
