Test an entry with its platform in one process

Change: a table of refusals with status and type, whole and streamed answers, a repeated key, a repeated publication, and a request that crashes engines.

--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,128 @@
+package server
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/enginefaker"
+)
+
+const chat = `{"model": "writer", "messages": [{"role": "user", "content": "to Gemas"}], "max_tokens": 6`
+
+var _ = Describe("an entry", Ordered, func() {
+	var sit *site
+
+	BeforeAll(func() {
+		inv := siteInventory()
+		sit = newSiteOf(inv)
+		sit.awaitServing(inv)
+	})
+
+	AfterAll(func() { sit.stop() })
+
+	text := strings.Join(enginefaker.Answer([]enginefaker.Message{{Role: "user", Content: "to Gemas"}}, 6), "")
+
+	It("answers a completion whole", func() {
+		rep := sit.send(http.MethodPost, "/v1/chat/completions", chat+"}", "X-Workspace", "club")
+		Expect(rep.status).To(Equal(http.StatusOK), rep.body)
+		Expect(rep.body).To(ContainSubstring(`"completion_tokens":6`))
+		Expect(rep.body).To(ContainSubstring(text))
+	})
+
+	It("streams a completion to its end marker", func() {
+		rep := sit.send(http.MethodPost, "/v1/chat/completions", chat+`, "stream": true}`, "X-Workspace", "club")
+		Expect(rep.header.Get("Content-Type")).To(Equal("text/event-stream"))
+		Expect(strings.Count(rep.body, rep.header.Get("X-Request-Id"))).To(Equal(7))
+		Expect(rep.body).To(HaveSuffix("data: [DONE]\n\n"))
+	})
+
+	It("answers a second send of a key from the first", func() {
+		key := uuid.Must(uuid.NewV7()).String()
+		call := func(body string) reply {
+			return sit.send(http.MethodPost, "/v1/services/desk/seats", body, "X-Workspace", "club", "Idempotency-Key", key)
+		}
+		first, second := call(`{"seat": 4}`), call(`{"seat": 4}`)
+		Expect(first.status).To(Equal(http.StatusOK), first.body)
+		Expect(second.body).To(Equal(first.body))
+		Expect(second.header.Get("X-Replayed")).To(Equal("true"))
+		Expect(call(`{"seat": 5}`).refusal().Type).To(Equal("conflict"))
+	})
+
+	refusals := []struct {
+		name    string
+		method  string
+		path    string
+		body    string
+		headers []string
+		status  int
+		kind    string
+	}{
+		{"no workspace", "POST", "/v1/chat/completions", chat + "}", nil, 404, "invalid"},
+		{"an unknown workspace", "POST", "/v1/chat/completions", chat + "}", []string{"X-Workspace", "nobody"}, 404, "invalid"},
+		{"a workspace that may not use the model", "POST", "/v1/chat/completions", chat + "}", []string{"X-Workspace", "other"}, 404, "invalid"},
+		{"an unknown model", "POST", "/v1/chat/completions", `{"model": "none", "messages": []}`, []string{"X-Workspace", "club"}, 404, "invalid"},
+		{"malformed JSON", "POST", "/v1/chat/completions", `{"model":`, []string{"X-Workspace", "club"}, 400, "invalid"},
+		{"messages that are no list", "POST", "/v1/chat/completions", `{"model": "writer", "messages": 4}`, []string{"X-Workspace", "club"}, 400, "invalid"},
+		{"too many tokens", "POST", "/v1/chat/completions", `{"model": "writer", "messages": [], "max_tokens": 99999999}`, []string{"X-Workspace", "club"}, 400, "invalid"},
+		{"a body over the limit", "POST", "/v1/chat/completions", strings.Repeat("x", 5000), []string{"X-Workspace", "club"}, 413, "too_large"},
+		{"an unknown service", "GET", "/v1/services/none/x", "", []string{"X-Workspace", "club"}, 404, "invalid"},
+		{"a key that is none", "POST", "/v1/services/desk/x", "", []string{"X-Workspace", "club", "Idempotency-Key", "mine"}, 400, "invalid"},
+		{"a key of an entry that is gone", "POST", "/v1/services/desk/x", "", []string{"X-Workspace", "club", "Idempotency-Key", "entry-9.aaaaaaaa-aaaa.0/k"}, 502, "outcome_unknown"},
+		{"a key that is too old", "POST", "/v1/services/desk/x", "", []string{"X-Workspace", "club", "Idempotency-Key", "018f0000-0000-7000-8000-000000000000"}, 410, "expired"},
+		{"an unknown path", "GET", "/v2", "", nil, 404, "invalid"},
+		{"a publication that is none", "POST", "/v1/publications", `{"more": 1}`, nil, 400, "invalid"},
+		{"a publication without an ID", "POST", "/v1/publications", `{"id": "4"}`, nil, 400, "invalid"},
+		{"an unknown workspace to locate", "GET", "/v1/locate?workspace=nobody", "", nil, 404, "invalid"},
+	}
+	for _, row := range refusals {
+		It("refuses "+row.name, func() {
+			rep := sit.send(row.method, row.path, row.body, row.headers...)
+			Expect(rep.status).To(Equal(row.status), rep.body)
+			ref := rep.refusal()
+			Expect(ref.Type).To(Equal(row.kind))
+			Expect(ref.RequestID).NotTo(BeEmpty())
+		})
+	}
+
+	It("refuses a flood of headers", func() {
+		rep := sit.send("GET", "/healthz", "", "X-Flood", strings.Repeat("x", 128<<10))
+		Expect(rep.status).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+	})
+
+	It("refuses a publication from an old revision, and an invalid one", func() {
+		inv := siteInventory()
+		Expect(sit.publish(0, inv).refusal().Type).To(Equal("conflict"))
+		inv.Workspaces["odd"] = inv.Workspaces["club"]
+		delete(inv.Models, "writer")
+		rep := sit.publish(1, inv)
+		Expect(rep.status).To(Equal(http.StatusUnprocessableEntity))
+		Expect(rep.refusal().Message).To(ContainSubstring("workspaces"))
+	})
+
+	It("answers the same publication again as it did first", func() {
+		body := `{"id": "` + uuid.Must(uuid.NewV7()).String() + `", "based_on": 1, "rules": {}}`
+		first := sit.send("POST", "/v1/publications", body)
+		Expect(first.status).To(Equal(http.StatusOK), first.body)
+		Expect(sit.send("POST", "/v1/publications", body).body).To(Equal(first.body))
+	})
+
+	It("refuses a request for good that crashed two engines' starts", func() {
+		crash := strings.Replace(chat, "to Gemas", "crash-the-engine", 1) + "}"
+		Eventually(func() string {
+			rep := sit.send(http.MethodPost, "/v1/chat/completions", crash, "X-Workspace", "club")
+			return rep.refusal().Type
+		}).Should(Equal("condemned"))
+		Eventually(func() int {
+			return sit.send(http.MethodPost, "/v1/chat/completions", chat+"}", "X-Workspace", "club").status
+		}).Should(Equal(http.StatusOK))
+	})
+
+	It("counts requests for the report on burn", func() {
+		Expect(sit.send("GET", "/v1/burn", "").body).To(ContainSubstring(`"class":"non_idempotent_call"`))
+		Eventually(func() string { return sit.send("GET", "/metrics", "").body }).Should(ContainSubstring("lovagelever_requests"))
+	})
+})
--- /dev/null
+++ b/server/site_test.go
@@ -0,0 +1,158 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/configurer"
+	"github.com/lovagelever/lovagelever/enginefaker"
+	"github.com/lovagelever/lovagelever/logkeeper"
+	"github.com/lovagelever/lovagelever/requester"
+	"github.com/lovagelever/lovagelever/servicefaker"
+	"github.com/lovagelever/lovagelever/vmlister"
+	"github.com/lovagelever/lovagelever/weightkeeper"
+)
+
+// site is one entry with the platform and backend servers around it, in this process.
+type site struct {
+	srv  *Server
+	base string
+	stop func()
+}
+
+func freeAddress() string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+func newSiteOf(inv cataloger.Inventory) *site {
+	platform := []*httptest.Server{
+		httptest.NewServer(logkeeper.New(logkeeper.Options{Clock: clockwork.NewRealClock(), RetainRecords: 1000, RetainFor: time.Hour}).Handler()),
+		httptest.NewServer(vmlister.New(vmlister.Options{Clock: clockwork.NewRealClock()}).Handler()),
+		httptest.NewServer(weightkeeper.New(weightkeeper.Options{Clock: clockwork.NewRealClock(), GigabytesPerSecond: 1000}).Handler()),
+	}
+	engines := enginefaker.New(enginefaker.Options{
+		Clock: clockwork.NewRealClock(), Inventory: inv, Domain: "fabric", Control: freeAddress(),
+		WeightStore: address(platform[2]), WarmAfter: time.Millisecond, ColdLimit: 2, Step: time.Millisecond, CrashMarker: "crash-the-engine",
+	})
+	Expect(engines.Start()).To(Succeed())
+	services := servicefaker.New(servicefaker.Options{
+		Clock: clockwork.NewRealClock(), Inventory: inv, Service: "desk", Control: freeAddress(), WarmAfter: time.Millisecond, ColdLimit: 2, WarmLimit: 8,
+	})
+	Expect(services.Start()).To(Succeed())
+	set := configurer.Settings{
+		Name: "entry-1", Zone: "east", Region: "here", Address: freeAddress(), RPCAddress: freeAddress(),
+		LogAddress: address(platform[0]), VMListAddress: address(platform[1]), WeightStoreAddress: address(platform[2]),
+		LogLevel: "error", ProbeInterval: 100 * time.Millisecond, FreshFor: 3 * time.Second, SuspectAfter: 3 * time.Second,
+		LocateValidFor: 10 * time.Millisecond, RequestTimeout: 20 * time.Second, QueueTimeout: 10 * time.Second,
+		StopTimeout: 20 * time.Second, SnapshotEveryRecords: 1000, MaxBodyBytes: 4096, OutcomeWindow: 5 * time.Minute,
+	}
+	set.AdvertiseAddress, set.AdvertiseRPCAddress = set.Address, set.RPCAddress
+	srv, err := New(set)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, halt := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer GinkgoRecover()
+		defer close(done)
+		Expect(srv.Run(ctx)).To(Succeed())
+	}()
+	sit := &site{srv: srv, base: "http://" + set.Address}
+	sit.stop = func() {
+		halt()
+		<-done
+		engines.Close()
+		services.Close()
+		for _, one := range platform {
+			one.CloseClientConnections()
+			one.Close()
+		}
+	}
+	return sit
+}
+
+func address(srv *httptest.Server) string {
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+func siteInventory() cataloger.Inventory {
+	return cataloger.Inventory{
+		Deployment: "site",
+		Zones:      map[string]cataloger.Zone{"east": {Region: "here"}},
+		VMs: map[string]cataloger.VM{
+			"engine-1": {Zone: "east", Domain: "fabric", Address: freeAddress(), Worker: cataloger.WorkerEngine, Accelerators: 4, ChecksFence: true},
+			"engine-2": {Zone: "east", Domain: "fabric", Address: freeAddress(), Worker: cataloger.WorkerEngine, Accelerators: 4},
+			"desk-1":   {Zone: "east", Address: freeAddress(), Worker: cataloger.WorkerService, Service: "desk"},
+		},
+		Models:     map[string]cataloger.Model{"writer": {Version: "1", Replicas: 1, VMsPerReplica: 2, AcceleratorsEach: 4, WeightsGigabytes: 1, ColdLimit: 2, WarmLimit: 8}},
+		Services:   map[string]cataloger.Service{"desk": {Idempotent: []string{"GET"}, ColdLimit: 2, WarmLimit: 8}},
+		Workspaces: map[string]cataloger.WorkspaceSpec{"club": {Models: []string{"writer"}, Services: []string{"desk"}}, "other": {}},
+	}
+}
+
+// reply is an answer read to its end.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (rep reply) refusal() requester.Refusal {
+	var ans struct {
+		Error requester.Refusal `json:"error"`
+	}
+	Expect(json.Unmarshal([]byte(rep.body), &ans)).To(Succeed(), rep.body)
+	return ans.Error
+}
+
+func (sit *site) send(method, path, body string, headers ...string) reply {
+	req, err := http.NewRequest(method, sit.base+path, bytes.NewReader([]byte(body)))
+	Expect(err).NotTo(HaveOccurred())
+	for num := 0; num+1 < len(headers); num += 2 {
+		req.Header.Set(headers[num], headers[num+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return reply{status: res.StatusCode, header: res.Header, body: string(data)}
+}
+
+func (sit *site) publish(basedOn int64, inv cataloger.Inventory) reply {
+	id, err := uuid.NewV7()
+	Expect(err).NotTo(HaveOccurred())
+	body, err := json.Marshal(requester.Publication{ID: id.String(), BasedOn: basedOn, Inventory: &inv})
+	Expect(err).NotTo(HaveOccurred())
+	return sit.send(http.MethodPost, "/v1/publications", string(body))
+}
+
+func (sit *site) awaitServing(inv cataloger.Inventory) {
+	Eventually(func() int { return sit.send(http.MethodGet, "/healthz", "").status }).Should(Equal(http.StatusOK))
+	Expect(sit.publish(0, inv).status).To(Equal(http.StatusOK))
+	Eventually(func() bool {
+		var sta requester.Status
+		Expect(json.Unmarshal([]byte(sit.send(http.MethodGet, "/v1/status", "").body), &sta)).To(Succeed())
+		return len(sta.Models) == 1 && sta.Models[0].Serving == 1
+	}).Should(BeTrue())
+	Eventually(func() int {
+		return sit.send(http.MethodGet, "/v1/services/desk/ready", "", "X-Workspace", "club").status
+	}).Should(Equal(http.StatusOK))
+}
--- /dev/null
+++ b/server/suite_test.go
@@ -0,0 +1,15 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestServer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "server")
+}
