Send suspect requests elsewhere while a lost one may still run

Cause: after a suspect request of an evicted holder the next ones waited until a busy unit's reports covered it, which could take until their deadlines. Change: they are refused with not_run at once, so that another unit is asked; the limiter has its own defaults for lag and validity; one sentence in each doc comment. Before: such a request waited. After: its spec passes, and all specs with -race. Off in a copy and red (go test ./admitter -ginkgo.focus suspect): the refusal of new ones and of waiting ones, the one at a time, the clearing.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -16,8 +16,8 @@
 
 // Defaults of an admitter.
 const (
-	DefaultValidity  = time.Second
-	DefaultReportLag = time.Second
+	DefaultValidity  = limiter.DefaultValidity
+	DefaultReportLag = limiter.DefaultReportLag
 )
 
 const suspectLane = "suspect"
@@ -98,7 +98,7 @@
 	return &Admitter{opt: opt, units: map[string]*unit{}, tickets: map[string]*grant{}}
 }
 
-// Admit waits for a place on the unit; it fails with a refuser.Refusal. A ticket that is granted must be released, also when the context has ended.
+// Admit waits for a place on the unit and fails with a refuser.Refusal; a ticket that is granted must be released, also when the context has ended.
 func (adm *Admitter) Admit(ctx context.Context, req Request) (Ticket, error) {
 	wai, err := adm.enqueue(req)
 	if err != nil {
@@ -178,7 +178,7 @@
 		}
 	}
 	for _, uni := range adm.units {
-		uni.forget(holder)
+		uni.refuseWhere(func(req Request) bool { return req.Holder == holder }, refuser.NotRun("the entry that asked was evicted", 0))
 		adm.pump(uni)
 	}
 }
@@ -263,8 +263,7 @@
 	delete(uni.running, gra.req.ID)
 	uni.limiter.Release(gra.permit, out)
 	if gra.req.Suspect {
-		uni.suspects--
-		uni.suspectLost = uni.suspectLost || out.MayRun
+		uni.endSuspect(out.MayRun)
 	}
 	if out.Whole() {
 		uni.queue.Served(gra.req.Cost, adm.opt.Clock.Since(gra.at))
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -131,6 +131,20 @@
 		Expect((<-out).err).NotTo(HaveOccurred())
 	})
 
+	It("sends suspect requests elsewhere while a lost one may run", func() {
+		_, err := admit(admitter.Request{ID: "s1", Suspect: true})
+		Expect(err).NotTo(HaveOccurred())
+		out := later(admitter.Request{ID: "s2", Suspect: true})
+		adm.Forget("h-s1")
+		Expect(refuser.From((<-out).err).Type).To(Equal(refuser.TypeNotRun))
+		_, err = admit(admitter.Request{ID: "s3", Suspect: true})
+		Expect(refuser.From(err).Type).To(Equal(refuser.TypeNotRun))
+		clk.Advance(3 * time.Second)
+		adm.Report("u", limiter.Report{At: clk.Now()})
+		_, err = admit(admitter.Request{ID: "s4", Suspect: true})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("refuses a second request with the ID of one that has a ticket", func() {
 		fill()
 		_, err := admit(admitter.Request{ID: "r0"})
--- a/admitter/unit.go
+++ b/admitter/unit.go
@@ -83,6 +83,8 @@
 	Warm    bool
 }
 
+const suspectRuns = "a request that may crash the unit may still run there"
+
 type unit struct {
 	cfg         Config
 	state       State
@@ -137,6 +139,9 @@
 	if req.Fence != 0 && req.Fence != uni.cfg.Fence {
 		return refuser.NotRun("the unit has another fencing token", 0)
 	}
+	if req.Suspect && uni.suspectLost {
+		return refuser.NotRun(suspectRuns, refuser.DefaultRetryAfter)
+	}
 	if uni.running[req.ID] != nil {
 		return refuser.Conflict("request " + req.ID + " has a ticket already")
 	}
@@ -145,7 +150,7 @@
 
 // mayRun keeps a second suspect request off the unit.
 func (uni *unit) mayRun(itm queuer.Item) bool {
-	return itm.Lane != suspectLane || uni.suspects == 0 && !uni.suspectLost
+	return itm.Lane != suspectLane || uni.suspects == 0
 }
 
 func (uni *unit) assertSuspects() {
@@ -170,15 +175,24 @@
 	delete(uni.running, gra.req.ID)
 	uni.limiter.Abandon(gra.permit)
 	if gra.req.Suspect {
-		uni.suspects--
-		uni.suspectLost = true
+		uni.endSuspect(true)
 	}
 }
 
-func (uni *unit) forget(holder string) {
+func (uni *unit) refuseWhere(match func(Request) bool, ref refuser.Refusal) {
 	for id, wai := range uni.waiting {
-		if wai.req.Holder == holder && uni.queue.Remove(id) {
-			uni.refuse(id, refuser.NotRun("the entry that asked was evicted", 0))
+		if match(wai.req) && uni.queue.Remove(id) {
+			uni.refuse(id, ref)
 		}
 	}
 }
+
+// endSuspect sends waiting suspects elsewhere when the one that ended may still run.
+func (uni *unit) endSuspect(mayRun bool) {
+	uni.suspects--
+	if !mayRun {
+		return
+	}
+	uni.suspectLost = true
+	uni.refuseWhere(func(req Request) bool { return req.Suspect }, refuser.NotRun(suspectRuns, refuser.DefaultRetryAfter))
+}
--- a/admitter/update.go
+++ b/admitter/update.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// HandOver gives a unit up to the home of the next term: it refuses what waits and returns what the successor must know. It fails with errors.NotFound for a unit that is not here, and with errors.NotValid when this home was not sole; the successor then waits for reports.
+// HandOver gives a unit up to the home of the next term: it refuses what waits and returns what the successor must know; it fails with errors.NotFound for a unit that is not here, and with errors.NotValid when this home was not sole, so that the successor waits for reports.
 func (adm *Admitter) HandOver(unitName string, next int64) (Handoff, error) {
 	adm.mux.Lock()
 	defer adm.mux.Unlock()
@@ -53,7 +53,7 @@
 	return Handoff{Unit: unitName, Fence: uni.cfg.Fence, Term: next, Load: loa}, nil
 }
 
-// TakeOver lets a successor admit at once. It fails with errors.NotFound for a unit that is not here under the same fence and term, and with errors.NotValid when the unit does not wait for its predecessor.
+// TakeOver lets a successor admit at once; it fails with errors.NotFound for a unit that is not here under the same fence and term, and with errors.NotValid when the unit does not wait for its predecessor.
 func (adm *Admitter) TakeOver(han Handoff) error {
 	adm.mux.Lock()
 	defer adm.mux.Unlock()
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -10,10 +10,14 @@
 
 // Growth and shrinkage of the limit of a warm unit.
 const (
-	DecreaseFactor  = 0.7
-	LatencyFactor   = 1.5
-	DefaultLag      = time.Second
-	DefaultValidity = time.Second
+	DecreaseFactor = 0.7
+	LatencyFactor  = 1.5
+)
+
+// Defaults of a limiter.
+const (
+	DefaultReportLag = time.Second
+	DefaultValidity  = time.Second
 )
 
 // Options are the limits of one unit; ReportLag is the largest lag of its load reports and Validity is how long a permit may wait for its dispatch.
@@ -88,6 +92,12 @@
 	if opt.Clock == nil {
 		opt.Clock = clockwork.NewRealClock()
 	}
+	if opt.ReportLag <= 0 {
+		opt.ReportLag = DefaultReportLag
+	}
+	if opt.Validity <= 0 {
+		opt.Validity = DefaultValidity
+	}
 	lim := &Limiter{opt: opt, permits: map[Permit]time.Time{}, cold: true}
 	lim.resetLimit()
 	if opt.Untouched {
--- a/limiter/mode.go
+++ b/limiter/mode.go
@@ -20,7 +20,7 @@
 	Sole
 )
 
-// SetMode changes the mode; a wider mode takes effect with the first report that covers everything which another home may have started before. A home that never was sole admits nothing when it becomes uncertain.
+// SetMode changes the mode; a wider mode takes effect with the first report that covers everything which another home may have started before, and a home that never was sole admits nothing when it becomes uncertain.
 func (lim *Limiter) SetMode(mod Mode) {
 	if mod == lim.asked {
 		return
--- a/queuer/queue.go
+++ b/queuer/queue.go
@@ -64,7 +64,7 @@
 	return &Queue{opt: opt, flows: map[flowKey]*flow{}, items: map[string]*entry{}, held: map[string]int{}, virtual: map[int]float64{}}
 }
 
-// Push adds a request. It fails with a refuser.Refusal of type not_run, or conflict for an ID that waits already; evicted is a waiting request of a workspace over its share that had to make room and must be answered.
+// Push adds a request and returns the waiting one, of a workspace over its share, that had to make room and must be answered; it fails with a refuser.Refusal of type not_run, or conflict for an ID that waits already.
 func (que *Queue) Push(itm Item) (evicted *Item, err error) {
 	itm.Weight = max(1, itm.Weight)
 	itm.Cost = max(1, itm.Cost)
