Hand the load of a unit over to its new home; go on in full while the log is out

Cause 1: a home that lost the log but had most peers kept half of the cold limit, so that a long outage of the log left a warm group one request at a time. The fold can only move a home while somebody has the log and most peers; one of those peers is also a peer of the old home and tells it. Change: such a home goes on in full; the new home takes its half only after three freshness limits of unbroken contact with the log and most peers. Cause 2: every move of a home cost two seconds without admission, until reports showed what ran. The former home now hands over what it knows. Ruled out: half for both sides, as first designed: the sum was safe, the service during an outage was not.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -53,13 +53,16 @@
 
 // Keeper keeps the units of one entry.
 type Keeper struct {
-	opt       Options
-	nudged    chan struct{}
-	rounds    sync.Mutex
-	kept      map[string]bool
-	gone      map[string]bool
-	mtx       sync.Mutex
-	takeovers map[string]*takeover
+	opt      Options
+	nudged   chan struct{}
+	rounds   sync.Mutex
+	kept     map[string]bool
+	gone     map[string]bool
+	handoffs map[string]admitter.Handoff
+
+	mtx        sync.Mutex
+	takeovers  map[string]*takeover
+	majorSince time.Time
 }
 
 // New returns a keeper.
@@ -69,6 +72,7 @@
 		nudged:    make(chan struct{}, 1),
 		kept:      map[string]bool{},
 		gone:      map[string]bool{},
+		handoffs:  map[string]admitter.Handoff{},
 		takeovers: map[string]*takeover{},
 	}
 }
@@ -100,6 +104,7 @@
 	defer kee.rounds.Unlock()
 	vie := kee.opt.View()
 	sta := kee.opt.Standing()
+	kee.noteMajor(sta.MayPublish)
 	homed := map[string]bool{}
 	for _, unit := range slices.Sorted(maps.Keys(vie.Homes)) {
 		hom := vie.Homes[unit]
@@ -110,7 +115,7 @@
 	}
 	for unit := range kee.kept {
 		if !homed[unit] {
-			kee.giveUp(unit)
+			kee.giveUp(unit, vie.Homes[unit])
 		}
 	}
 	kee.forgetEvicted(vie)
@@ -125,13 +130,29 @@
 	cfg, _ := unitLimits(vie, unit)
 	stage, why := kee.opt.Stager.Stage(vie, unit)
 	cfg.State = stateOf(stage, kee.claimOn(ctx, unit, hom), sta)
+	cfg.Term = hom.Since
 	cfg.Untouched = len(hom.Former) == 0 && hom.Since == cfg.Fence
 	kee.kept[unit] = true
+	delete(kee.handoffs, unit)
 	kee.opt.Admitter.Update(cfg)
+	if cfg.State == admitter.Serving {
+		kee.continueFrom(unit)
+	}
 	kee.tell(unit, stage, why)
 }
 
-// stateOf decides what a home may admit; a home that cannot prove to be home keeps at most its half.
+// continueFrom goes on with the load that the former home handed over; without that the unit waits for reports.
+func (kee *Keeper) continueFrom(unit string) {
+	han := kee.takeHandoff(unit)
+	if han == nil {
+		return
+	}
+	if err := kee.opt.Admitter.TakeOver(*han); err != nil {
+		kee.opt.Logger.WithError(err).WithField("unit", unit).Debug("handoff not used")
+	}
+}
+
+// stateOf decides what a home may admit; one whose former homes have not all confirmed keeps at most its half.
 func stateOf(stage watcher.Stage, cla claim, sta freshener.Standing) admitter.State {
 	switch {
 	case stage == watcher.StageQuiesced:
@@ -140,18 +161,22 @@
 		return admitter.ZoneOut
 	case stage != watcher.StageServing || !sta.Fresh || cla == claimNone:
 		return admitter.NotHome
-	case cla == claimSole && sta.Certain:
-		return admitter.Serving
 	case cla == claimSole:
-		return admitter.UncertainOld
-	case sta.Certain:
+		return admitter.Serving
+	case sta.MayPublish:
 		return admitter.UncertainNew
 	default:
 		return admitter.NotHome
 	}
 }
 
-func (kee *Keeper) giveUp(unit string) {
+// giveUp admits no more to a unit that has moved, and keeps what the new home must know until that asks.
+func (kee *Keeper) giveUp(unit string, hom reducer.Home) {
+	if kee.handoffs[unit].Term != hom.Since {
+		if han, err := kee.opt.Admitter.HandOver(unit, hom.Since); err == nil {
+			kee.handoffs[unit] = han
+		}
+	}
 	sta, known := kee.opt.Admitter.Status(unit)
 	if !known || sta.Running == 0 {
 		kee.opt.Admitter.Remove(unit)
@@ -159,9 +184,7 @@
 		kee.mtx.Lock()
 		delete(kee.takeovers, unit)
 		kee.mtx.Unlock()
-		return
 	}
-	kee.opt.Admitter.Update(admitter.Config{Name: unit, Fence: sta.Fence, State: admitter.NotHome, ColdLimit: 1, WarmLimit: 1})
 }
 
 func (kee *Keeper) forgetEvicted(vie *reducer.View) {
--- a/keeper/takeover.go
+++ b/keeper/takeover.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lovagelever/lovagelever/admitter"
 	"github.com/lovagelever/lovagelever/reducer"
 )
 
@@ -16,10 +17,11 @@
 	Offset      int64
 }
 
-// YieldAnswer says that the former home has given the unit up, or that the incarnation no longer runs.
+// YieldAnswer says that the former home has given the unit up, or that the incarnation no longer runs; Handoff is what a former home that was sole knew of the load.
 type YieldAnswer struct {
 	Yielded bool
 	Gone    bool
+	Handoff *admitter.Handoff
 }
 
 // takeover is what a home knows of the former homes of a unit.
@@ -29,6 +31,7 @@
 	confirmed map[string]bool
 	asking    bool
 	askAt     time.Time
+	handoff   *admitter.Handoff
 }
 
 // claim tells how sure this home of a unit is that no other entry admits to it.
@@ -56,12 +59,48 @@
 		tak.asking = true
 		kee.opt.Spawn(func() { kee.askFormer(ctx, unit, hom, tak) })
 	}
-	if kee.opt.Clock.Since(tak.began) > kee.opt.TakeoverAfter {
+	if kee.majorFor(tak.began) > kee.opt.TakeoverAfter {
 		return claimHalf
 	}
 	return claimNone
 }
 
+// majorFor is how long this entry has been in contact with the log and most peers, counted from a time at the earliest.
+// A former home that goes on without the log has most peers too, so by then one of them has told it that it is home no more.
+func (kee *Keeper) majorFor(from time.Time) time.Duration {
+	if kee.majorSince.IsZero() {
+		return 0
+	}
+	if kee.majorSince.After(from) {
+		from = kee.majorSince
+	}
+	return kee.opt.Clock.Since(from)
+}
+
+func (kee *Keeper) noteMajor(major bool) {
+	kee.mtx.Lock()
+	defer kee.mtx.Unlock()
+	switch {
+	case !major:
+		kee.majorSince = time.Time{}
+	case kee.majorSince.IsZero():
+		kee.majorSince = kee.opt.Clock.Now()
+	}
+}
+
+// takeHandoff returns what the last former home knew of a unit, once.
+func (kee *Keeper) takeHandoff(unit string) *admitter.Handoff {
+	kee.mtx.Lock()
+	defer kee.mtx.Unlock()
+	tak := kee.takeovers[unit]
+	if tak == nil {
+		return nil
+	}
+	han := tak.handoff
+	tak.handoff = nil
+	return han
+}
+
 func (tak *takeover) complete(hom reducer.Home) bool {
 	for _, inc := range hom.Former {
 		if !tak.confirmed[inc] {
@@ -80,6 +119,9 @@
 		}
 		kee.mtx.Lock()
 		tak.confirmed[inc] = true
+		if ans.Handoff != nil && ans.Handoff.Term == hom.Since {
+			tak.handoff = ans.Handoff
+		}
 		kee.mtx.Unlock()
 	}
 	kee.mtx.Lock()
@@ -110,7 +152,7 @@
 		}
 		if kee.opt.View().Offset >= req.Offset {
 			kee.Round(ctx)
-			return YieldAnswer{Yielded: true}
+			return YieldAnswer{Yielded: true, Handoff: kee.handoff(req.Unit)}
 		}
 		select {
 		case <-ctx.Done():
@@ -119,3 +161,13 @@
 		}
 	}
 }
+
+func (kee *Keeper) handoff(unit string) *admitter.Handoff {
+	kee.rounds.Lock()
+	defer kee.rounds.Unlock()
+	han, given := kee.handoffs[unit]
+	if !given {
+		return nil
+	}
+	return &han
+}
--- a/keeper/world_test.go
+++ b/keeper/world_test.go
@@ -160,7 +160,7 @@
 		View: nod.fol.View, Changed: nod.fol.Changed, Self: nod.self, Standing: nod.standing,
 		Stager: stager{pro: prober.New(prober.Options{})}, Facts: nod.gos, Admitter: nod.adm,
 		Yield: nod.askYield, Clock: wor.clk, Logger: quiet, Interval: time.Second,
-		TakeoverAfter: 2 * freshFor, Spawn: func(call func()) { wor.spawned = append(wor.spawned, call) },
+		TakeoverAfter: 3 * freshFor, Spawn: func(call func()) { wor.spawned = append(wor.spawned, call) },
 	})
 	return nod
 }
--- a/server/build.go
+++ b/server/build.go
@@ -134,7 +134,7 @@
 		Clock:         srv.clk,
 		Logger:        srv.log,
 		Interval:      srv.set.ProbeInterval,
-		TakeoverAfter: 2 * srv.set.FreshFor,
+		TakeoverAfter: 3 * srv.set.FreshFor,
 		Spawn:         func(call func()) { go call() },
 	})
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -11,7 +11,7 @@
 	"github.com/lovagelever/lovagelever/enginefaker"
 )
 
-const chat = `{"model": "writer", "messages": [{"role": "user", "content": "to Gemas"}], "max_tokens": 6`
+const chat = `{"model": "scene-composer", "messages": [{"role": "user", "content": "to Gemas"}], "max_tokens": 6`
 
 var _ = Describe("an entry", Ordered, func() {
 	var sit *site
@@ -27,14 +27,14 @@
 	text := strings.Join(enginefaker.Answer([]enginefaker.Message{{Role: "user", Content: "to Gemas"}}, 6), "")
 
 	It("answers a completion whole", func() {
-		rep := sit.send(http.MethodPost, "/v1/chat/completions", chat+"}", "X-Workspace", "club")
+		rep := sit.send(http.MethodPost, "/v1/chat/completions", chat+"}", "X-Workspace", "wedding-halls")
 		Expect(rep.status).To(Equal(http.StatusOK), rep.body)
 		Expect(rep.body).To(ContainSubstring(`"completion_tokens":6`))
 		Expect(rep.body).To(ContainSubstring(text))
 	})
 
 	It("streams a completion to its end marker", func() {
-		rep := sit.send(http.MethodPost, "/v1/chat/completions", chat+`, "stream": true}`, "X-Workspace", "club")
+		rep := sit.send(http.MethodPost, "/v1/chat/completions", chat+`, "stream": true}`, "X-Workspace", "wedding-halls")
 		Expect(rep.header.Get("Content-Type")).To(Equal("text/event-stream"))
 		Expect(strings.Count(rep.body, rep.header.Get("X-Request-Id"))).To(Equal(7))
 		Expect(rep.body).To(HaveSuffix("data: [DONE]\n\n"))
@@ -43,7 +43,7 @@
 	It("answers a second send of a key from the first", func() {
 		key := uuid.Must(uuid.NewV7()).String()
 		call := func(body string) reply {
-			return sit.send(http.MethodPost, "/v1/services/desk/seats", body, "X-Workspace", "club", "Idempotency-Key", key)
+			return sit.send(http.MethodPost, "/v1/services/venue-api/seats", body, "X-Workspace", "wedding-halls", "Idempotency-Key", key)
 		}
 		first, second := call(`{"seat": 4}`), call(`{"seat": 4}`)
 		Expect(first.status).To(Equal(http.StatusOK), first.body)
@@ -64,15 +64,15 @@
 		{"no workspace", "POST", "/v1/chat/completions", chat + "}", nil, 404, "invalid"},
 		{"an unknown workspace", "POST", "/v1/chat/completions", chat + "}", []string{"X-Workspace", "nobody"}, 404, "invalid"},
 		{"a workspace that may not use the model", "POST", "/v1/chat/completions", chat + "}", []string{"X-Workspace", "other"}, 404, "invalid"},
-		{"an unknown model", "POST", "/v1/chat/completions", `{"model": "none", "messages": []}`, []string{"X-Workspace", "club"}, 404, "invalid"},
-		{"malformed JSON", "POST", "/v1/chat/completions", `{"model":`, []string{"X-Workspace", "club"}, 400, "invalid"},
-		{"messages that are no list", "POST", "/v1/chat/completions", `{"model": "writer", "messages": 4}`, []string{"X-Workspace", "club"}, 400, "invalid"},
-		{"too many tokens", "POST", "/v1/chat/completions", `{"model": "writer", "messages": [], "max_tokens": 99999999}`, []string{"X-Workspace", "club"}, 400, "invalid"},
-		{"a body over the limit", "POST", "/v1/chat/completions", strings.Repeat("x", 5000), []string{"X-Workspace", "club"}, 413, "too_large"},
-		{"an unknown service", "GET", "/v1/services/none/x", "", []string{"X-Workspace", "club"}, 404, "invalid"},
-		{"a key that is none", "POST", "/v1/services/desk/x", "", []string{"X-Workspace", "club", "Idempotency-Key", "mine"}, 400, "invalid"},
-		{"a key of an entry that is gone", "POST", "/v1/services/desk/x", "", []string{"X-Workspace", "club", "Idempotency-Key", "entry-9.aaaaaaaa-aaaa.0/k"}, 502, "outcome_unknown"},
-		{"a key that is too old", "POST", "/v1/services/desk/x", "", []string{"X-Workspace", "club", "Idempotency-Key", "018f0000-0000-7000-8000-000000000000"}, 410, "expired"},
+		{"an unknown model", "POST", "/v1/chat/completions", `{"model": "none", "messages": []}`, []string{"X-Workspace", "wedding-halls"}, 404, "invalid"},
+		{"malformed JSON", "POST", "/v1/chat/completions", `{"model":`, []string{"X-Workspace", "wedding-halls"}, 400, "invalid"},
+		{"messages that are no list", "POST", "/v1/chat/completions", `{"model": "scene-composer", "messages": 4}`, []string{"X-Workspace", "wedding-halls"}, 400, "invalid"},
+		{"too many tokens", "POST", "/v1/chat/completions", `{"model": "scene-composer", "messages": [], "max_tokens": 99999999}`, []string{"X-Workspace", "wedding-halls"}, 400, "invalid"},
+		{"a body over the limit", "POST", "/v1/chat/completions", strings.Repeat("x", 5000), []string{"X-Workspace", "wedding-halls"}, 413, "too_large"},
+		{"an unknown service", "GET", "/v1/services/none/x", "", []string{"X-Workspace", "wedding-halls"}, 404, "invalid"},
+		{"a key that is none", "POST", "/v1/services/venue-api/x", "", []string{"X-Workspace", "wedding-halls", "Idempotency-Key", "mine"}, 400, "invalid"},
+		{"a key of an entry that is gone", "POST", "/v1/services/venue-api/x", "", []string{"X-Workspace", "wedding-halls", "Idempotency-Key", "entry-9.aaaaaaaa-aaaa.0/k"}, 502, "outcome_unknown"},
+		{"a key that is too old", "POST", "/v1/services/venue-api/x", "", []string{"X-Workspace", "wedding-halls", "Idempotency-Key", "018f0000-0000-7000-8000-000000000000"}, 410, "expired"},
 		{"an unknown path", "GET", "/v2", "", nil, 404, "invalid"},
 		{"a publication that is none", "POST", "/v1/publications", `{"more": 1}`, nil, 400, "invalid"},
 		{"a publication without an ID", "POST", "/v1/publications", `{"id": "4"}`, nil, 400, "invalid"},
@@ -96,8 +96,8 @@
 	It("refuses a publication from an old revision, and an invalid one", func() {
 		inv := siteInventory()
 		Expect(sit.publish(0, inv).refusal().Type).To(Equal("conflict"))
-		inv.Workspaces["odd"] = inv.Workspaces["club"]
-		delete(inv.Models, "writer")
+		inv.Workspaces["odd"] = inv.Workspaces["wedding-halls"]
+		delete(inv.Models, "scene-composer")
 		rep := sit.publish(1, inv)
 		Expect(rep.status).To(Equal(http.StatusUnprocessableEntity))
 		Expect(rep.refusal().Message).To(ContainSubstring("workspaces"))
@@ -113,14 +113,23 @@
 	It("refuses a request for good that crashed two engines' starts", func() {
 		crash := strings.Replace(chat, "to Gemas", "crash-the-engine", 1) + "}"
 		Eventually(func() string {
-			rep := sit.send(http.MethodPost, "/v1/chat/completions", crash, "X-Workspace", "club")
+			rep := sit.send(http.MethodPost, "/v1/chat/completions", crash, "X-Workspace", "wedding-halls")
 			return rep.refusal().Type
 		}).Should(Equal("condemned"))
 		Eventually(func() int {
-			return sit.send(http.MethodPost, "/v1/chat/completions", chat+"}", "X-Workspace", "club").status
+			return sit.send(http.MethodPost, "/v1/chat/completions", chat+"}", "X-Workspace", "wedding-halls").status
 		}).Should(Equal(http.StatusOK))
 	})
 
+	for _, example := range examples("../docs/CALLING.md") {
+		It("answers the page's "+example.name(), func() {
+			loc := sit.locate()
+			key := strings.NewReplacer("$KEY_PREFIX", loc.KeyPrefix, "$UUID7", uuid.Must(uuid.NewV7()).String())
+			rep := example.run(sit, key)
+			Expect(rep.status).To(Equal(example.want()), rep.body)
+		})
+	}
+
 	It("counts requests for the report on burn", func() {
 		Expect(sit.send("GET", "/v1/burn", "").body).To(ContainSubstring(`"class":"non_idempotent_call"`))
 		Eventually(func() string { return sit.send("GET", "/metrics", "").body }).Should(ContainSubstring("lovagelever_requests"))
--- a/server/site_test.go
+++ b/server/site_test.go
@@ -52,7 +52,7 @@
 	})
 	Expect(engines.Start()).To(Succeed())
 	services := servicefaker.New(servicefaker.Options{
-		Clock: clockwork.NewRealClock(), Inventory: inv, Service: "desk", Control: freeAddress(), WarmAfter: time.Millisecond, ColdLimit: 2, WarmLimit: 8,
+		Clock: clockwork.NewRealClock(), Inventory: inv, Service: "venue-api", Control: freeAddress(), WarmAfter: time.Millisecond, ColdLimit: 2, WarmLimit: 8,
 	})
 	Expect(services.Start()).To(Succeed())
 	set := configurer.Settings{
@@ -97,11 +97,11 @@
 		VMs: map[string]cataloger.VM{
 			"engine-1": {Zone: "east", Domain: "fabric", Address: freeAddress(), Worker: cataloger.WorkerEngine, Accelerators: 4, ChecksFence: true},
 			"engine-2": {Zone: "east", Domain: "fabric", Address: freeAddress(), Worker: cataloger.WorkerEngine, Accelerators: 4},
-			"desk-1":   {Zone: "east", Address: freeAddress(), Worker: cataloger.WorkerService, Service: "desk"},
+			"desk-1":   {Zone: "east", Address: freeAddress(), Worker: cataloger.WorkerService, Service: "venue-api"},
 		},
-		Models:     map[string]cataloger.Model{"writer": {Version: "1", Replicas: 1, VMsPerReplica: 2, AcceleratorsEach: 4, WeightsGigabytes: 1, ColdLimit: 2, WarmLimit: 8}},
-		Services:   map[string]cataloger.Service{"desk": {Idempotent: []string{"GET"}, ColdLimit: 2, WarmLimit: 8}},
-		Workspaces: map[string]cataloger.WorkspaceSpec{"club": {Models: []string{"writer"}, Services: []string{"desk"}}, "other": {}},
+		Models:     map[string]cataloger.Model{"scene-composer": {Version: "1", Replicas: 1, VMsPerReplica: 2, AcceleratorsEach: 4, WeightsGigabytes: 1, ColdLimit: 2, WarmLimit: 8}},
+		Services:   map[string]cataloger.Service{"venue-api": {Idempotent: []string{"GET"}, ColdLimit: 2, WarmLimit: 8}},
+		Workspaces: map[string]cataloger.WorkspaceSpec{"wedding-halls": {Models: []string{"scene-composer"}, Services: []string{"venue-api"}}, "other": {}},
 	}
 }
 
@@ -153,6 +153,6 @@
 		return len(sta.Models) == 1 && sta.Models[0].Serving == 1
 	}).Should(BeTrue())
 	Eventually(func() int {
-		return sit.send(http.MethodGet, "/v1/services/desk/ready", "", "X-Workspace", "club").status
+		return sit.send(http.MethodGet, "/v1/services/venue-api/ready", "", "X-Workspace", "wedding-halls").status
 	}).Should(Equal(http.StatusOK))
 }
