Check at most once over random histories, and mend what they found

Cause: a call with an idempotency key must run at most once, and a refusal that says not run must be true, while entries die, pause, stop, are evicted, and the log is out, loses answers, lands appends late or twice. The test found that a successor could say not_run of a key that had run: a claim pending there hid the adopted outcome; a fold far behind took an adopted key for too old and dropped it; a table adopted before the departure was folded was trusted; and a claim forgotten by the fold before the read-back passed for void.

Change: an adopted outcome replaces a pending claim; a key that was never seen claimable is not forgotten as old; the successor answers not_run only when the fold names it; a key too old at the read-back is expired. Refusal says with ThisSendOnly that not_run is known of this send alone.

Conclusion: while the log is out, not_run of a logged key is true of the send and not of the key; issued keys do not have this gap.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -18,7 +18,7 @@
 	WindowsKept = 4
 )
 
-// OriginKept is for how long an adopted incarnation is answered for.
+// OriginKept bounds for how long an adopted incarnation is answered for.
 const OriginKept = 24 * time.Hour
 
 // Settings of a Claimer; zero fields take their defaults.
@@ -239,22 +239,42 @@
 	if ent == nil {
 		return nil, refuse(KindNotRun, "the table of outcomes is full")
 	}
+	ent.claimable = key.Logged
 	return ent, nil
 }
 
-// elsewhere finds the incarnation that answers for another incarnation's keys.
+// elsewhere answers for another incarnation's keys that the own table lacks.
 func (cla *Claimer) elsewhere(inc string) (step, *Refusal) {
+	holder, found := cla.holder(inc)
+	_, here := cla.origins[inc]
+	switch {
+	case !found || holder == cla.set.Incarnation && !here:
+		return step{}, refuse(KindOutcomeUnknown, "the entry that holds the key is gone")
+	case holder == cla.set.Incarnation:
+		return step{}, refuse(KindNotRun, "the entry that held the key has stopped")
+	default:
+		return step{dec: Decision{Verdict: VerdictForward, Incarnation: holder}}, nil
+	}
+}
+
+// holder follows the successors of an incarnation to the live one, or to this one.
+//
+// That the fold names this one means that it has passed all that the stopped incarnation's fold had.
+func (cla *Claimer) holder(inc string) (string, bool) {
 	for range reducer.MaxDeparted {
-		if cla.mem.Live(inc) && inc != cla.set.Incarnation {
-			return step{dec: Decision{Verdict: VerdictForward, Incarnation: inc}}, nil
+		if cla.mem.Live(inc) {
+			return inc, true
 		}
 		suc, left := cla.mem.Successor(inc)
-		if !left || suc == "" || suc == cla.set.Incarnation {
-			break
+		if !left || suc == "" {
+			return "", false
+		}
+		if suc == cla.set.Incarnation {
+			return suc, true
 		}
 		inc = suc
 	}
-	return step{}, refuse(KindOutcomeUnknown, "the entry that holds the key is gone")
+	return "", false
 }
 
 // prune forgets the outcomes of keys that nobody runs any more.
@@ -266,7 +286,7 @@
 	cla.pruned = now
 	for _, ent := range cla.tab.entries {
 		ended := ent.out.State == StateDone || ent.out.State == StateUnknown
-		if ended && cla.over(ent.key, now) {
+		if ended && cla.over(ent, now) {
 			cla.tab.remove(ent)
 		}
 	}
@@ -277,10 +297,15 @@
 	}
 }
 
-func (cla *Claimer) over(key Key, now time.Time) bool {
-	if key.Logged {
-		return !cla.fol.Claimable(key.IssuedMS)
+// over reports whether nobody runs a key any more; a key that the fold has not seen claimable may still be ahead of it.
+func (cla *Claimer) over(ent *entry, now time.Time) bool {
+	if !ent.key.Logged {
+		ori, here := cla.origins[ent.key.Incarnation]
+		return !here || ent.key.Window <= ori.at(now)-WindowsKept
+	}
+	if cla.fol.Claimable(ent.key.IssuedMS) {
+		ent.claimable = true
+		return false
 	}
-	ori, here := cla.origins[key.Incarnation]
-	return !here || key.Window <= ori.at(now)-WindowsKept
+	return ent.claimable || now.Sub(ent.adopted) > OriginKept
 }
--- a/claimer/handover.go
+++ b/claimer/handover.go
@@ -75,10 +75,14 @@
 }
 
 func (cla *Claimer) adoptOutcome(key Key, out KeyOutcome) {
-	if _, known := cla.tab.entries[key.Text]; known {
+	own, known := cla.tab.entries[key.Text]
+	if known && own.out.State != StateClaiming {
 		return
 	}
-	ent := &entry{key: key, fingerprint: out.Fingerprint, settled: make(chan struct{})}
+	if known {
+		cla.tab.giveUp(own, nil)
+	}
+	ent := &entry{key: key, fingerprint: out.Fingerprint, settled: make(chan struct{}), adopted: cla.clk.Now()}
 	cla.tab.entries[key.Text] = ent
 	cla.tab.finish(ent, out.Outcome)
 }
--- a/claimer/logged.go
+++ b/claimer/logged.go
@@ -19,10 +19,11 @@
 	}
 	fold, claimed := cla.fol.Claim(key.Text)
 	if claimed && fold.Owner != cla.set.Incarnation {
-		return cla.owned(fold.Owner)
+		return cla.elsewhere(fold.Owner)
 	}
 	ent, ref := cla.admit(key, fpr)
 	if ref != nil {
+		ref.ThisSendOnly = !claimed
 		return step{}, ref
 	}
 	if claimed {
@@ -31,15 +32,7 @@
 	return step{claim: ent}, nil
 }
 
-// owned answers for a key of another owner; one that handed its table over here never ran what the table lacks.
-func (cla *Claimer) owned(owner string) (step, *Refusal) {
-	if _, here := cla.origins[owner]; here {
-		return step{}, refuse(KindNotRun, "the entry that claimed the key has stopped")
-	}
-	return cla.elsewhere(owner)
-}
-
-// claim waits until the fold has passed the key's claim; no verdict means that another incarnation owns the key.
+// claim waits until the fold has passed the key's claim; no verdict means that another incarnation owns the key, or that its outcome was adopted.
 func (cla *Claimer) claim(ctx context.Context, ent *entry) (Decision, *Refusal) {
 	bat := cla.join(ent.key)
 	select {
@@ -56,8 +49,12 @@
 func (cla *Claimer) giveUp(ent *entry, reason string) *Refusal {
 	cla.mu.Lock()
 	defer cla.mu.Unlock()
+	if !cla.tab.holds(ent) {
+		return nil
+	}
 	cla.stats.GivenUp++
 	ref := refuse(KindNotRun, reason)
+	ref.ThisSendOnly = true
 	cla.tab.giveUp(ent, ref)
 	return ref
 }
@@ -65,17 +62,23 @@
 func (cla *Claimer) settle(ent *entry) (Decision, *Refusal) {
 	cla.mu.Lock()
 	defer cla.mu.Unlock()
+	if !cla.tab.holds(ent) {
+		return Decision{}, nil
+	}
 	fold, claimed := cla.fol.Claim(ent.key.Text)
 	if claimed && fold.Owner != cla.set.Incarnation {
 		cla.tab.giveUp(ent, nil)
 		return Decision{}, nil
 	}
-	if !claimed || cla.handed {
-		ref := refuse(KindNotRun, "the claim is void")
-		cla.tab.giveUp(ent, ref)
-		return Decision{}, ref
+	if claimed && !cla.handed {
+		return cla.start(ent).dec, nil
 	}
-	return cla.start(ent).dec, nil
+	ref := refuse(KindNotRun, "the claim is void")
+	if !cla.fol.Claimable(ent.key.IssuedMS) {
+		ref = refuse(KindExpired, "the key became too old before its claim was read back")
+	}
+	cla.tab.giveUp(ent, ref)
+	return Decision{}, ref
 }
 
 func (cla *Claimer) join(key Key) *batch {
--- a/claimer/refusal.go
+++ b/claimer/refusal.go
@@ -13,9 +13,13 @@
 )
 
 // Refusal is the error of a call that this incarnation does not run.
+//
+// ThisSendOnly says that KindNotRun is known of this send alone: the fold could
+// not be brought up to date, so an earlier send at another entry may have run.
 type Refusal struct {
-	Kind   Kind
-	Reason string
+	Kind         Kind
+	Reason       string
+	ThisSendOnly bool
 }
 
 // Error gives the kind and the reason.
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -1,5 +1,7 @@
 package claimer
 
+import "time"
+
 const entryOverhead = 512
 
 type entry struct {
@@ -10,6 +12,8 @@
 	runs        int
 	refusal     *Refusal
 	settled     chan struct{}
+	claimable   bool
+	adopted     time.Time
 }
 
 // table keeps the keys that are claimed, running or ended.
@@ -34,6 +38,10 @@
 	return ent
 }
 
+func (tab *table) holds(ent *entry) bool {
+	return tab.entries[ent.key.Text] == ent
+}
+
 func (tab *table) remove(ent *entry) {
 	delete(tab.entries, ent.key.Text)
 	tab.bytes -= ent.size
@@ -41,7 +49,7 @@
 
 // run moves a key to running, which it does at most once.
 func (tab *table) run(ent *entry) {
-	if tab.entries[ent.key.Text] != ent || ent.out.State != StateClaiming || ent.runs != 0 {
+	if !tab.holds(ent) || ent.out.State != StateClaiming || ent.runs != 0 {
 		panic("claimer: a key would run twice")
 	}
 	ent.runs++
