Refuse to adopt a table after the own one was handed over

Cause: an heir that had itself handed over took the table in, and its own heir never learnt of it; the keys then had unknown outcomes for no need.

Ruled out: a key that runs twice; the heir's heir answers outcome_unknown.

Change: Adopt fails with not_run after Handover, so that the stopping entry asks another heir.

Conclusion: a planned stop finds an heir that stays.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -236,6 +236,7 @@
 		tab := old.Handover()
 		_, err := old.Begin(ctx, "e1.i1.0/new", "f")
 		Expect(err).To(refused(KindNotRun))
+		Expect(old.Adopt(tab)).To(refused(KindNotRun))
 
 		sin := &single{claims: map[string]reducer.Claim{logged: {Owner: "i1"}}, live: map[string]bool{"i1": true}, successor: map[string]string{}}
 		clk := clockwork.NewFakeClock()
--- a/claimer/handover.go
+++ b/claimer/handover.go
@@ -45,7 +45,7 @@
 	return tab
 }
 
-// Adopt takes in the table of an incarnation that stopped; it may pass the limits of the own table.
+// Adopt takes in the table of an incarnation that stopped; it may pass the limits of the own table, and fails with a Refusal once the own table was handed over.
 func (cla *Claimer) Adopt(tab Table) error {
 	keys := make([]Key, 0, len(tab.Outcomes))
 	for _, out := range tab.Outcomes {
@@ -57,6 +57,9 @@
 	}
 	cla.mu.Lock()
 	defer cla.mu.Unlock()
+	if cla.handed {
+		return refuse(KindNotRun, "the entry is stopping")
+	}
 	for _, ori := range tab.Origins {
 		cla.adoptOrigin(ori)
 	}
