--- a/claimer/handover.go
+++ b/claimer/handover.go
@@ -45,7 +45,7 @@
 	return tab
 }
 
-// Adopt takes in the table of an incarnation that stopped; it may pass the limits of the own table.
+// Adopt takes in the table of an incarnation that stopped; it may pass the limits of the own table, and fails with a Refusal once the own table was handed over.
 func (cla *Claimer) Adopt(tab Table) error {
 	keys := make([]Key, 0, len(tab.Outcomes))
 	for _, out := range tab.Outcomes {
@@ -57,6 +57,9 @@
 	}
 	cla.mu.Lock()
 	defer cla.mu.Unlock()
+	if cla.handed {
+		return refuse(KindNotRun, "the entry is stopping")
+	}
 	for _, ori := range tab.Origins {
 		cla.adoptOrigin(ori)
 	}
@@ -75,10 +78,14 @@
 }
 
 func (cla *Claimer) adoptOutcome(key Key, out KeyOutcome) {
-	if _, known := cla.tab.entries[key.Text]; known {
+	own, known := cla.tab.entries[key.Text]
+	if known && own.out.State != StateClaiming {
 		return
 	}
-	ent := &entry{key: key, fingerprint: out.Fingerprint, settled: make(chan struct{})}
+	if known {
+		cla.tab.giveUp(own, nil)
+	}
+	ent := &entry{key: key, fingerprint: out.Fingerprint, settled: make(chan struct{}), adopted: cla.clk.Now()}
 	cla.tab.entries[key.Text] = ent
 	cla.tab.finish(ent, out.Outcome)
 }
