--- a/server/build.go
+++ b/server/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lovagelever/lovagelever/admitter"
 	"github.com/lovagelever/lovagelever/appender"
@@ -37,10 +38,10 @@
 
 func (srv *Server) buildControl() {
 	srv.mtr = newMeter()
-	srv.lcl = logcaller.New(srv.set.LogAddress, srv.cli)
+	srv.lcl = logcaller.New(srv.set.LogAddress, srv.ctl)
 	srv.fol = follower.New(follower.Options{
 		Log:    srv.lcl,
-		Peers:  peers{srv: srv},
+		Peers:  anyPeer{peers{srv: srv}},
 		Clock:  srv.clk,
 		Logger: srv.log,
 		OnFold: srv.onFold,
@@ -56,7 +57,7 @@
 	})
 	srv.gos = gossiper.New(gossiper.Options{
 		State:        srv.fol,
-		Messenger:    srv.mes,
+		Peers:        peers{srv: srv},
 		Clock:        srv.clk,
 		Logger:       srv.log,
 		Interval:     srv.set.ProbeInterval,
@@ -80,7 +81,7 @@
 		Standing: srv.standing,
 		Observe:  srv.observe,
 		Appender: srv.app,
-		Orders:   orderer.New(srv.cli),
+		Orders:   orderer.New(srv.ctl),
 		Clock:    srv.clk,
 		Logger:   srv.log,
 	})
@@ -95,15 +96,22 @@
 }
 
 func (srv *Server) buildWatch() {
-	srv.lis = lister.New(srv.set.VMListAddress, srv.cli, srv.clk, srv.log)
+	srv.lis = lister.New(lister.Options{
+		Address: srv.set.VMListAddress,
+		Client:  srv.ctl,
+		Turn:    srv.turn,
+		Clock:   srv.clk,
+		Logger:  srv.log,
+	})
+	srv.leave.Store(&map[string]time.Time{})
 	srv.wat = watcher.New(watcher.Options{
 		View:     srv.view,
-		Leaving:  srv.lis.Leaving,
+		Leaving:  srv.leavesIn,
 		Self:     srv.self,
 		Facts:    srv.gos,
 		Clock:    srv.clk,
 		Interval: srv.set.ProbeInterval,
-		Client:   prober.Options{Client: srv.cli},
+		Client:   prober.Options{Client: srv.ctl},
 		OnReport: func(unit string, pro prober.Probe) { srv.kee.OnReport(unit, pro) },
 		OnProbe:  func(string) {},
 	})
@@ -125,6 +133,7 @@
 		Logger:        srv.log,
 		Interval:      srv.set.ProbeInterval,
 		TakeoverAfter: 2 * srv.set.FreshFor,
+		Spawn:         func(call func()) { go call() },
 	})
 }
 
