Say not run of a key only when no send of it ran

A caller that then takes a new key would have its effect twice. Change: outcome_unknown, with the reason; a replay whose answer was too large to be kept says so instead of showing an empty one. Ruled out: a not_run that holds for one send only; callers read it as true of the call.

--- a/forwarder/outcome.go
+++ b/forwarder/outcome.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"strconv"
+
 	"github.com/juju/errors"
 
 	"github.com/lovagelever/lovagelever/claimer"
@@ -12,6 +14,9 @@
 }
 
 func replayed(out claimer.Outcome) Answer {
+	if out.Truncated {
+		return refused(refuser.OutcomeUnknown("the call ran and was answered with status " + strconv.Itoa(out.Status) + "; its answer was too large to be kept"))
+	}
 	return Answer{Status: out.Status, Header: out.Header, Body: out.Body, Replayed: true}
 }
 
@@ -30,6 +35,11 @@
 	if !own {
 		return refuser.OutcomeUnknown(err.Error())
 	}
+	if ref.ThisSendOnly {
+		unk := refuser.OutcomeUnknown(ref.Reason + ": this send did not run, an earlier send of the key may have")
+		unk.RetryAfter = retryAfter
+		return unk
+	}
 	switch ref.Kind {
 	case claimer.KindNotRun:
 		return refuser.NotRun(ref.Reason, retryAfter)
