Stay with the replacement group that is on its way

No spare stood in its domain, so a whole group was formed elsewhere; while that loaded, spares came free, the straggler's group took one of them, and the new group was trimmed as surplus before it had served. Ruled out: a wider bound of forms, as the second form was waste; the hold for surplus groups that do not serve, which only delays the same. Change: when enough other groups are on their way, a group with a leaving or straggling member waits for them and is not repaired in its domain. Seed 1117 is run each time. Conclusion: one fault, one way of replacing.

--- a/planner/drainer.go
+++ b/planner/drainer.go
@@ -33,6 +33,12 @@
 		rnd.quiesceFor(uni, bad, false, why+", and other groups suffice")
 		return
 	}
+	if rnd.activeGroups(uni.Model, uni) >= rnd.quota(uni.Model) {
+		uni.doomed = true
+		rnd.waits(uni, why+", another group is on its way")
+		rnd.quiesceLate(uni, bad, false, why)
+		return
+	}
 	spares := rnd.spares(uni.Domain, uni.Model, len(bad))
 	if len(spares) < len(bad) {
 		uni.doomed = true
--- a/planner/random_test.go
+++ b/planner/random_test.go
@@ -320,17 +320,21 @@
 	return tri.vie.Chain
 }
 
-func seeds() int {
+// seeds are those that once showed a fault, and the first ones up to LOVAGELEVER_SEEDS.
+func seeds() []uint64 {
 	num, err := strconv.Atoi(os.Getenv("LOVAGELEVER_SEEDS"))
 	if err != nil {
-		return 12
+		num = 12
 	}
-	return num
+	out := []uint64{1117}
+	for seed := range num {
+		out = append(out, uint64(seed+1))
+	}
+	return out
 }
 
 var _ = Describe("Plan under random faults", func() {
-	for num := range seeds() {
-		seed := uint64(num + 1)
+	for _, seed := range seeds() {
 		It(fmt.Sprintf("keeps the invariants with seed %d", seed), func() {
 			fmt.Fprintf(GinkgoWriter, "seed %d\n", seed)
 			tri := newTrial(seed)
