--- a/claimer/logged.go
+++ b/claimer/logged.go
@@ -115,7 +115,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer cla.clk.AfterFunc(cla.set.ReadBackWait, cancel).Stop()
-	rec, err := recorder.New(recorder.KindClaims, cla.set.Incarnation, recorder.Claims{Claims: bat.claims})
+	rec, err := recorder.New(cla.clk.Now(), recorder.KindClaims, cla.set.Incarnation, recorder.Claims{Claims: bat.claims})
 	if err != nil {
 		bat.err = err
 		return
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -80,7 +80,7 @@
 }
 
 func (wor *world) propose(kind recorder.Kind, writer string, body any) {
-	rec, err := recorder.New(kind, writer, body)
+	rec, err := recorder.New(wor.clk.Now(), kind, writer, body)
 	Expect(err).NotTo(HaveOccurred())
 	rec.ID = wor.id()
 	wor.land(rec)
--- a/evictor/evictor.go
+++ b/evictor/evictor.go
@@ -121,7 +121,7 @@
 
 func (evi *Evictor) evict(ctx context.Context, mem reducer.Member) {
 	log := evi.opt.Logger.WithFields(logrus.Fields{"entry": mem.Name, "incarnation": mem.Incarnation})
-	rec, err := recorder.New(recorder.KindEvict, evi.opt.Peers.Self(), recorder.Departure{Incarnation: mem.Incarnation, Reason: "silent"})
+	rec, err := recorder.New(evi.opt.Clock.Now(), recorder.KindEvict, evi.opt.Peers.Self(), recorder.Departure{Incarnation: mem.Incarnation, Reason: "silent"})
 	if err != nil {
 		log.WithError(err).Error("eviction not made")
 		return
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -45,7 +45,7 @@
 }
 
 func (she *shelf) add(kind recorder.Kind, body any) {
-	rec, err := recorder.New(kind, "", body)
+	rec, err := recorder.New(time.Now(), kind, "", body)
 	Expect(err).NotTo(HaveOccurred())
 	she.entries = append(she.entries, recorder.Entry{Offset: int64(len(she.entries)) + 1, At: time.Now(), Record: rec})
 }
--- a/joiner/joiner.go
+++ b/joiner/joiner.go
@@ -163,7 +163,7 @@
 }
 
 func (joi *Joiner) propose(ctx context.Context, kind recorder.Kind, body any) (follower.Judged, error) {
-	rec, err := recorder.New(kind, joi.Member().Incarnation, body)
+	rec, err := recorder.New(joi.opt.Clock.Now(), kind, joi.Member().Incarnation, body)
 	if err != nil {
 		return follower.Judged{}, err
 	}
--- a/keeper/random_test.go
+++ b/keeper/random_test.go
@@ -236,7 +236,7 @@
 	if wor.rnd.IntN(2) == 0 {
 		next.Rules.ZonesOut = []string{zones[wor.rnd.IntN(len(zones))]}
 	}
-	rec, err := recorder.New(recorder.KindPublication, nod.self(), recorder.Publication{BasedOn: vie.Revision, Change: cataloger.Diff(vie.Catalog, next)})
+	rec, err := recorder.New(wor.clk.Now(), recorder.KindPublication, nod.self(), recorder.Publication{BasedOn: vie.Revision, Change: cataloger.Diff(vie.Catalog, next)})
 	Expect(err).NotTo(HaveOccurred())
 	_, _ = nod.Append(ended(), rec)
 	wor.note("publish %v by %s", next.Rules.ZonesOut, nod.name)
@@ -304,7 +304,7 @@
 func (wor *world) retain() {
 	for _, nod := range wor.nodes {
 		if sna, err := nod.fol.Snapshot(); err == nil && nod.standing().MayDecide {
-			rec, _ := recorder.New(recorder.KindSnapshot, nod.self(), sna)
+			rec, _ := recorder.New(wor.clk.Now(), recorder.KindSnapshot, nod.self(), sna)
 			if jud, err := nod.Append(ended(), rec); err == nil && jud.Reason == reducer.Accepted {
 				wor.first = sna.Covers + 1
 				wor.note("retain from %d", wor.first)
@@ -339,7 +339,7 @@
 func (wor *world) begin() {
 	wor.run(8, false)
 	nod := wor.nodes[0]
-	rec, err := recorder.New(recorder.KindPublication, nod.self(), recorder.Publication{Change: cataloger.Diff(cataloger.Catalog{}, catalog())})
+	rec, err := recorder.New(wor.clk.Now(), recorder.KindPublication, nod.self(), recorder.Publication{Change: cataloger.Diff(cataloger.Catalog{}, catalog())})
 	Expect(err).NotTo(HaveOccurred())
 	rec.ID = wor.id()
 	Expect(wor.append(rec).Reason).To(Equal(reducer.Accepted))
--- a/recorder/record.go
+++ b/recorder/record.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"time"
 
@@ -55,17 +56,30 @@
 	Record Record    `json:"record"`
 }
 
-// New makes a record of kind with a fresh ID; writer is an incarnation and may be empty.
-func New(kind Kind, writer string, body any) (Record, error) {
+// New makes a record of kind with a fresh ID of the time now; writer is an incarnation and may be empty.
+func New(now time.Time, kind Kind, writer string, body any) (Record, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return Record{}, errors.Annotate(err, "recorder: encode body")
 	}
-	id, err := uuid.NewV7()
+	id, err := newID(now)
 	if err != nil {
 		return Record{}, errors.Annotate(err, "recorder: make ID")
 	}
-	return Record{ID: id.String(), Kind: kind, Version: Version, Writer: writer, Body: data}, nil
+	return Record{ID: id, Kind: kind, Version: Version, Writer: writer, Body: data}, nil
+}
+
+// newID makes a version 7 UUID: 48 bits of milliseconds, and random bits.
+func newID(now time.Time) (string, error) {
+	uid, err := uuid.NewRandom()
+	if err != nil {
+		return "", err
+	}
+	var millis [8]byte
+	binary.BigEndian.PutUint64(millis[:], uint64(now.UnixMilli()))
+	copy(uid[:6], millis[2:])
+	uid[6] = 0x70 | uid[6]&0x0f
+	return uid.String(), nil
 }
 
 // Decode reads the body of a record as a T; it fails with errors.NotValid.
--- a/reducer/world_test.go
+++ b/reducer/world_test.go
@@ -43,7 +43,7 @@
 }
 
 func (fee *feed) record(kind recorder.Kind, writer string, body any) recorder.Record {
-	rec, err := recorder.New(kind, writer, body)
+	rec, err := recorder.New(fee.now, kind, writer, body)
 	if err != nil {
 		panic(err)
 	}
--- a/server/folded.go
+++ b/server/folded.go
@@ -50,7 +50,7 @@
 // Propose appends a condemnation in the background.
 func (fol folded) Propose(con recorder.Condemn) {
 	go func() {
-		rec, err := recorder.New(recorder.KindCondemn, fol.srv.self(), con)
+		rec, err := recorder.New(fol.srv.clk.Now(), recorder.KindCondemn, fol.srv.self(), con)
 		if err != nil {
 			fol.srv.log.WithError(err).Error("condemnation not made")
 			return
--- a/server/publish.go
+++ b/server/publish.go
@@ -65,7 +65,7 @@
 	if problems := cataloger.Validate(next); len(problems) > 0 {
 		return follower.Judged{}, invalidPublication(problems)
 	}
-	rec, err := recorder.New(recorder.KindPublication, srv.self(), recorder.Publication{BasedOn: pub.BasedOn, Change: cataloger.Diff(vie.Catalog, next)})
+	rec, err := recorder.New(srv.clk.Now(), recorder.KindPublication, srv.self(), recorder.Publication{BasedOn: pub.BasedOn, Change: cataloger.Diff(vie.Catalog, next)})
 	if err != nil {
 		return follower.Judged{}, refuser.Invalid("the publication could not be encoded")
 	}
--- a/snapshotter/snapshotter.go
+++ b/snapshotter/snapshotter.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return errors.Annotate(err, "snapshotter: encode")
 	}
-	rec, err := recorder.New(recorder.KindSnapshot, sna.opt.Self(), body)
+	rec, err := recorder.New(sna.opt.Clock.Now(), recorder.KindSnapshot, sna.opt.Self(), body)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -139,7 +139,7 @@
 
 func (ste *Steerer) propose(ctx context.Context, kind recorder.Kind, group string, body any) {
 	log := ste.opt.Logger.WithFields(logrus.Fields{"kind": kind, "group": group})
-	rec, err := recorder.New(kind, ste.opt.Self(), body)
+	rec, err := recorder.New(ste.opt.Clock.Now(), kind, ste.opt.Self(), body)
 	if err != nil {
 		log.WithError(err).Error("record not made")
 		return
