Let no region's controller replace a group of another region

Cause: a form record with replaces was judged by the new group's region alone, so that one region's controller could drop another's group of the same model. Change: the fold voids it; the test fails without the check.

--- a/reducer/group.go
+++ b/reducer/group.go
@@ -60,6 +60,9 @@
 		return Group{}, ReasonZoneOut
 	}
 	grp.Region = sta.Catalog.Inventory.Zones[grp.Zone].Region
+	if frm.Replaces != "" && sta.Groups[frm.Replaces].Region != grp.Region {
+		return Group{}, ReasonNotController
+	}
 	return grp, Accepted
 }
 
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -68,6 +68,19 @@
 		Expect(fee.apply(late)).To(Equal(reducer.ReasonNotController))
 	})
 
+	It("voids a group that would replace one of another region", func() {
+		next := plant(2, 2, 4, 2)
+		next.Inventory.Zones["zone-1"] = cataloger.Zone{Region: "there"}
+		Expect(fee.publish(next)).To(Equal(reducer.Accepted))
+		here, _ := fee.sta.Controller("here")
+		there, _ := fee.sta.Controller("there")
+		Expect(fee.do(recorder.KindForm, there.Incarnation, form("a", "z1-d0-v0", "z1-d0-v1"))).To(Equal(reducer.Accepted))
+		robbing := form("b", "z0-d0-v0", "z0-d0-v1")
+		robbing.Replaces = "a"
+		Expect(fee.do(recorder.KindForm, here.Incarnation, robbing)).To(Equal(reducer.ReasonNotController))
+		Expect(fee.sta.Groups).To(HaveKey("a"))
+	})
+
 	It("voids a group in a zone that is out", func() {
 		next := fee.sta.Catalog
 		next.Rules.ZonesOut = []string{"zone-0"}
