--- a/prover/deployment_test.go
+++ b/prover/deployment_test.go
@@ -68,6 +68,12 @@
 
 func entryName(num int) string { return fmt.Sprintf("entry-%d", num) }
 
+func entryNumber(name string) int {
+	var num int
+	_, _ = fmt.Sscanf(name, "entry-%d", &num)
+	return num
+}
+
 func linkAddress(num int) string { return fmt.Sprintf("127.30.10.%d:8001", num) }
 
 func domainControl(num int) string { return fmt.Sprintf("127.30.8.%d:7000", num+1) }
--- a/prover/fault_test.go
+++ b/prover/fault_test.go
@@ -207,10 +207,11 @@
 	killEngine     = engineFault("kill", fields{"kill": true}, fields{"revive": true})
 	pauseEngine    = engineFault("pause", fields{"pause": true}, fields{})
 	slowEngine     = engineFault("slow", fields{"slow_factor": 5}, fields{})
-	lateEngine     = engineFault("late answers of", fields{"late_answer_ms": 1500}, fields{})
-	crossEngine    = engineFault("cross answers of", fields{"cross_answers": true}, fields{})
-	truncateEngine = engineFault("truncate", fields{"truncate": true}, fields{})
-	repeatEngine   = engineFault("repeat chunk of", fields{"repeat_chunk": true}, fields{})
+	coldEngine     = busyEngineFault("turn cold", fields{"turn_cold": true}, fields{})
+	lateEngine     = busyEngineFault("late answers of", fields{"late_answer_ms": 1500}, fields{})
+	crossEngine    = busyEngineFault("cross answers of", fields{"cross_answers": true}, fields{})
+	truncateEngine = busyEngineFault("truncate", fields{"truncate": true}, fields{})
+	repeatEngine   = busyEngineFault("repeat chunk of", fields{"repeat_chunk": true}, fields{})
 	killService    = serviceFault("kill", fields{"kill": true}, fields{"revive": true})
 	pauseService   = serviceFault("pause", fields{"pause": true}, fields{})
 	coldService    = serviceFault("turn cold", fields{"turn_cold": true}, fields{})
@@ -225,20 +226,22 @@
 	}
 }
 
-// coldEngine turns an engine cold that runs the requests of its group.
-func coldEngine(dep *deployment, rng *rand.Rand) fault {
-	var busy []string
-	for vm, cnt := range dep.engines() {
-		if cnt.Started > 0 {
-			busy = append(busy, vm)
+// busyEngineFault breaks an engine that runs the requests of its group.
+func busyEngineFault(name string, on, off fields) maker {
+	return func(dep *deployment, rng *rand.Rand) fault {
+		var busy []string
+		for vm, cnt := range dep.engines() {
+			if cnt.Started > 0 {
+				busy = append(busy, vm)
+			}
 		}
+		if len(busy) == 0 {
+			return coldService(dep, rng)
+		}
+		slices.Sort(busy)
+		vm := busy[rng.IntN(len(busy))]
+		return dep.vmFault(domainControl(domainNumber(dep.cat.Inventory.VMs[vm].Domain)), name, vm, on, off)
 	}
-	if len(busy) == 0 {
-		return coldService(dep, rng)
-	}
-	slices.Sort(busy)
-	vm := busy[rng.IntN(len(busy))]
-	return dep.vmFault(domainControl(domainNumber(dep.cat.Inventory.VMs[vm].Domain)), "turn cold", vm, fields{"turn_cold": true}, fields{})
 }
 
 func serviceFault(name string, on, off fields) maker {
--- a/prover/zone_test.go
+++ b/prover/zone_test.go
@@ -19,16 +19,16 @@
 
 const (
 	quietAfter = 5 * time.Second
-	watchFor   = 7 * time.Second
+	watchFor   = 5 * time.Second
 	watchEvery = 250 * time.Millisecond
-	moves      = 3
+	moves      = 4
 	leavesIn   = time.Minute
 )
 
 // companion is a fault that comes with a change of work, begun before it or right after it.
 type companion struct {
 	name   string
-	before func(dep *deployment, rng *rand.Rand) (mend func())
+	before func(dep *deployment, rng *rand.Rand, vms []string) (mend func())
 	after  func(dep *deployment, rng *rand.Rand) (mend func())
 }
 
@@ -38,17 +38,17 @@
 		dep.setFaults(logAddress, fields{"down": true})
 		return func() { dep.setFaults(logAddress, fields{"down": false}) }
 	}},
-	{name: "entries paused over the change", before: func(dep *deployment, rng *rand.Rand) func() {
-		return dep.pauseOver(rng, 2, time.Second)
+	{name: "entries paused over the change", before: func(dep *deployment, rng *rand.Rand, vms []string) func() {
+		return dep.pauseOver(dep.homes(rng, vms, 2), time.Second)
 	}},
-	{name: "entries paused past the limit", before: func(dep *deployment, rng *rand.Rand) func() {
-		return dep.pauseOver(rng, 2, quietAfter+time.Second)
+	{name: "entries paused past the limit", before: func(dep *deployment, rng *rand.Rand, vms []string) func() {
+		return dep.pauseOver(dep.homes(rng, vms, 2), quietAfter+time.Second)
 	}},
-	{name: "an entry cut from the log and all entries", before: func(dep *deployment, rng *rand.Rand) func() {
-		return dep.cutOff(rng)
+	{name: "an entry cut from the log and all entries", before: func(dep *deployment, rng *rand.Rand, vms []string) func() {
+		return dep.cutOff(dep.homes(rng, vms, 1)[0])
 	}},
-	{name: "log out right after and an entry paused", before: func(dep *deployment, rng *rand.Rand) func() {
-		return dep.pauseOver(rng, 1, quietAfter+time.Second)
+	{name: "log out right after and an entry paused", before: func(dep *deployment, rng *rand.Rand, vms []string) func() {
+		return dep.pauseOver(dep.homes(rng, vms, 1), quietAfter+time.Second)
 	}, after: func(dep *deployment, _ *rand.Rand) func() {
 		dep.setFaults(logAddress, fields{"down": true})
 		return func() { dep.setFaults(logAddress, fields{"down": false}) }
@@ -56,27 +56,47 @@
 }
 
 // pauseOver stops entries and lets them go on after a time, whatever happens meanwhile.
-func (dep *deployment) pauseOver(rng *rand.Rand, count int, limit time.Duration) func() {
-	nums := rng.Perm(entryCount)[:count]
-	for _, idx := range nums {
-		dep.upsetEntry(idx + 1)
-		dep.entry(idx + 1).signal(syscall.SIGSTOP)
+func (dep *deployment) pauseOver(nums []int, limit time.Duration) func() {
+	for _, num := range nums {
+		dep.upsetEntry(num)
+		dep.entry(num).signal(syscall.SIGSTOP)
 	}
 	report("paused %v for %s", nums, limit)
 	gone := make(chan struct{})
 	go func() {
 		defer close(gone)
 		time.Sleep(limit)
-		for _, idx := range nums {
-			dep.entry(idx + 1).signal(syscall.SIGCONT)
-			dep.settleEntry(idx + 1)
+		for _, num := range nums {
+			dep.entry(num).signal(syscall.SIGCONT)
+			dep.settleEntry(num)
 		}
 	}()
 	return func() { <-gone }
 }
 
-func (dep *deployment) cutOff(rng *rand.Rand) func() {
-	num := 1 + rng.IntN(entryCount)
+// homes draws entries, those first that are home of a group with one of the VMs.
+func (dep *deployment) homes(rng *rand.Rand, vms []string, count int) []int {
+	sta, err := dep.status(1)
+	Expect(err).NotTo(HaveOccurred())
+	var out []int
+	add := func(num int) {
+		if num > 0 && !slices.Contains(out, num) {
+			out = append(out, num)
+		}
+	}
+	for _, grp := range sta.Groups {
+		if slices.ContainsFunc(grp.VMs, func(vm string) bool { return slices.Contains(vms, vm) }) {
+			add(entryNumber(grp.Home))
+		}
+	}
+	for _, idx := range rng.Perm(entryCount) {
+		add(idx + 1)
+	}
+	return out[:count]
+}
+
+// cutOff cuts an entry from the log and from all entries; backend servers and callers still reach it.
+func (dep *deployment) cutOff(num int) func() {
 	turn := func(by int) {
 		for oth := 1; oth <= entryCount; oth++ {
 			if oth != num {
@@ -95,10 +115,10 @@
 }
 
 // around runs a change with its companion and returns what mends the companion's faults.
-func (com companion) around(dep *deployment, rng *rand.Rand, change func()) (mend func()) {
+func (com companion) around(dep *deployment, rng *rand.Rand, vms []string, change func()) (mend func()) {
 	var mends []func()
 	if com.before != nil {
-		mends = append(mends, com.before(dep, rng))
+		mends = append(mends, com.before(dep, rng, vms))
 	}
 	change()
 	if com.after != nil {
@@ -146,12 +166,12 @@
 		reg := &register{dep: dep, tly: tly}
 		stops := dep.workload(rng, tly, led)
 		order := rng.Perm(len(companions))
-		for num := range moves {
-			com := companions[order[num%len(order)]]
+		for _, idx := range order {
+			com := companions[idx]
 			zone := zones[rng.IntN(len(zones))]
 			report("zone %s out, %s", zone, com.name)
 			var changed time.Time
-			mend := com.around(dep, rng, func() { changed = reg.setZonesOut(rng, []string{zone}) })
+			mend := com.around(dep, rng, dep.vmsOf(zone), func() { changed = reg.setZonesOut(rng, []string{zone}) })
 			dep.watchQuiet(tly, "zone "+zone+" out with "+com.name, changed, dep.vmsOf(zone))
 			mend()
 			reg.setZonesOut(rng, []string{})
@@ -188,7 +208,7 @@
 		vm := pick(dep, rng)
 		report("%s leaves, %s", vm, com.name)
 		var changed time.Time
-		mend := com.around(dep, rng, func() {
+		mend := com.around(dep, rng, []string{vm}, func() {
 			dep.list(vm, fields{"state": "leaving", "leaves_in_ms": leavesIn.Milliseconds()})
 			changed = time.Now().Add(listLag)
 			time.Sleep(2 * listLag)
