--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -103,6 +103,24 @@
 		Expect((<-out).err).NotTo(HaveOccurred())
 	})
 
+	It("takes over a unit of the same fence and term only", func() {
+		fill()
+		out := later(admitter.Request{ID: "w"})
+		han, err := adm.HandOver("u", 9)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(refuser.From((<-out).err).Type).To(Equal(refuser.TypeNotRun))
+		nex := cfg
+		nex.Untouched = false
+		for _, tst := range []struct{ fence, term int64 }{{7, 8}, {8, 9}, {7, 9}} {
+			suc := admitter.New(admitter.Options{Clock: clk})
+			nex.Fence, nex.Term = tst.fence, tst.term
+			suc.Update(nex)
+			Expect(suc.TakeOver(han) == nil).To(Equal(tst.fence == 7 && tst.term == 9))
+			sta, _ := suc.Status("u")
+			Expect(sta.Foreign).To(Equal(map[bool]int{true: 2}[tst.fence == 7 && tst.term == 9]))
+		}
+	})
+
 	It("runs one suspect request at a time", func() {
 		tic, err := admit(admitter.Request{ID: "s1", Suspect: true})
 		Expect(err).NotTo(HaveOccurred())
@@ -113,6 +131,20 @@
 		Expect((<-out).err).NotTo(HaveOccurred())
 	})
 
+	It("sends suspect requests elsewhere while a lost one may run", func() {
+		_, err := admit(admitter.Request{ID: "s1", Suspect: true})
+		Expect(err).NotTo(HaveOccurred())
+		out := later(admitter.Request{ID: "s2", Suspect: true})
+		adm.Forget("h-s1")
+		Expect(refuser.From((<-out).err).Type).To(Equal(refuser.TypeNotRun))
+		_, err = admit(admitter.Request{ID: "s3", Suspect: true})
+		Expect(refuser.From(err).Type).To(Equal(refuser.TypeNotRun))
+		clk.Advance(3 * time.Second)
+		adm.Report("u", limiter.Report{At: clk.Now()})
+		_, err = admit(admitter.Request{ID: "s4", Suspect: true})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("refuses a second request with the ID of one that has a ticket", func() {
 		fill()
 		_, err := admit(admitter.Request{ID: "r0"})
--- a/limiter/mode.go
+++ b/limiter/mode.go
@@ -20,7 +20,7 @@
 	Sole
 )
 
-// SetMode changes the mode; a wider mode takes effect with the first report that covers everything which another home may have started before. A home that never was sole admits nothing when it becomes uncertain.
+// SetMode changes the mode; a wider mode takes effect with the first report that covers everything which another home may have started before, and a home that never was sole admits nothing when it becomes uncertain.
 func (lim *Limiter) SetMode(mod Mode) {
 	if mod == lim.asked {
 		return
@@ -39,7 +39,7 @@
 	}
 }
 
-// share is the part of the cold limit that this home may fill by itself.
+// share is the part of the cold limit that a home which is not sole may fill by itself.
 func (lim *Limiter) share() int {
 	half := lim.opt.ColdLimit / 2
 	switch lim.mode {
@@ -47,8 +47,6 @@
 		return half
 	case UncertainNew:
 		return lim.opt.ColdLimit - half
-	case Sole:
-		return lim.Limit()
 	default:
 		return 0
 	}
