--- a/prover/zone_test.go
+++ b/prover/zone_test.go
@@ -44,8 +44,8 @@
 	{name: "entries paused past the limit", before: func(dep *deployment, rng *rand.Rand, vms []string) func() {
 		return dep.pauseOver(dep.homes(rng, vms, 2), quietAfter+time.Second)
 	}},
-	{name: "an entry cut from the log and all entries", before: func(dep *deployment, rng *rand.Rand, vms []string) func() {
-		return dep.cutOff(dep.homes(rng, vms, 1)[0])
+	{name: "three entries cut from the log and all entries", before: func(dep *deployment, rng *rand.Rand, vms []string) func() {
+		return dep.cutOff(dep.homes(rng, vms, 3))
 	}},
 	{name: "log out right after and an entry paused", before: func(dep *deployment, rng *rand.Rand, vms []string) func() {
 		return dep.pauseOver(dep.homes(rng, vms, 1), quietAfter+time.Second)
@@ -95,9 +95,10 @@
 	return out[:count]
 }
 
-// cutOff cuts an entry from the log and from all entries; backend servers and callers still reach it.
-func (dep *deployment) cutOff(num int) func() {
-	turn := func(by int) {
+// cutOff cuts entries from the log and from all entries; backend servers and callers still reach them.
+func (dep *deployment) cutOff(nums []int) func() {
+	turn := func(num, by int) {
+		dep.cutSource(logAddress, entryIP(num), by > 0)
 		for oth := 1; oth <= entryCount; oth++ {
 			if oth != num {
 				dep.ntw.cut(entryIP(num), entryIP(oth), by)
@@ -105,12 +106,14 @@
 			}
 		}
 	}
-	report("cut off %s", entryName(num))
-	turn(1)
-	dep.cutSource(logAddress, entryIP(num), true)
+	report("cut off %v", nums)
+	for _, num := range nums {
+		turn(num, 1)
+	}
 	return func() {
-		turn(-1)
-		dep.cutSource(logAddress, entryIP(num), false)
+		for _, num := range nums {
+			turn(num, -1)
+		}
 	}
 }
 
