--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -19,7 +19,7 @@
 	"github.com/lovagelever/lovagelever/watcher"
 )
 
-const roundEvery = 250 * time.Millisecond
+const roundEvery = 500 * time.Millisecond
 
 // Facts passes facts between entries.
 type Facts interface {
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -21,7 +21,7 @@
 
 const (
 	slot        = 2 * time.Second
-	checkEvery  = 250 * time.Millisecond
+	checkEvery  = 500 * time.Millisecond
 	readTimeout = 2 * time.Second
 )
 
--- a/server/tell.go
+++ b/server/tell.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	tellEvery      = 250 * time.Millisecond
+	tellEvery      = 500 * time.Millisecond
 	subjectEntry   = "entry"
 	subjectCrash   = "crash/"
 	subjectControl = "control"
