Let nothing of a completion outlive its deadline

Cause: only the stream was bound by the call's deadline. The pause before a retry, the check of the engine and the ticket for the next attempt went on after it, and after the caller had left. Ruled out: cutting the check of the engine short and reading that as a crash; a check that the call's end cuts proves nothing. Change: one context with the deadline for the whole call; the pause ends with it. Conclusion: callers are answered by their deadline.

--- a/completer/completer.go
+++ b/completer/completer.go
@@ -115,6 +115,8 @@
 
 // Complete runs a call and passes its tokens to the sink, each once and in order; it fails with a refuser.Refusal.
 func (com *Completer) Complete(ctx context.Context, cal Call, sink streamer.Sink) (streamer.Result, error) {
+	ctx, stop := context.WithDeadline(ctx, cal.Deadline)
+	defer stop()
 	one := &run{
 		com:   com,
 		cal:   cal,
@@ -225,7 +227,7 @@
 	}
 	begun := opt.Clock.Now()
 	before := one.sink.tokens
-	streaming, stop := context.WithDeadline(ctx, one.cal.Deadline)
+	streaming, stop := context.WithCancel(ctx)
 	defer stop()
 	one.sink.begin()
 	go one.sink.watch(streaming, stop)
@@ -257,7 +259,7 @@
 	one.started++
 	one.tried[hel.Unit] = true
 	gone := ctx.Err() != nil
-	crashed := !gone && one.crashed(hel, address)
+	crashed := !gone && one.crashed(ctx, hel, address)
 	out.Broken = crashed
 	out.MayRun = !crashed
 	opt.Tickets.Give(hel, out)
@@ -265,17 +267,27 @@
 		opt.Breaker.Failure(hel.Unit)
 	}
 	opt.Logger.WithError(err).WithFields(logrus.Fields{"request_id": one.cal.RequestID, "group": hel.Unit, "tokens": one.sink.tokens, "crashed": crashed}).Info("stream broken")
-	if gone || !opt.Clock.Now().Before(one.cal.Deadline) || one.started >= maxStarts || !opt.Budget.Allow() {
+	if gone || one.started >= maxStarts || !opt.Budget.Allow() || !one.pause(ctx) {
 		return streamer.Result{}, true, one.final(err.Error())
 	}
-	opt.Clock.Sleep(opt.Budget.Backoff(one.started))
 	return streamer.Result{}, false, nil
 }
 
-// crashed tells a unit that died under the request from a stream that merely broke.
-func (one *run) crashed(hel ticketer.Held, address string) bool {
+// pause waits before the next attempt and reports whether the call still goes on.
+func (one *run) pause(ctx context.Context) bool {
+	opt := one.com.opt
+	select {
+	case <-ctx.Done():
+		return false
+	case <-opt.Clock.After(opt.Budget.Backoff(one.started)):
+		return ctx.Err() == nil
+	}
+}
+
+// crashed tells a unit that died under the request from a stream that merely broke; a check that the call's end cuts short proves nothing.
+func (one *run) crashed(call context.Context, hel ticketer.Held, address string) bool {
 	opt := one.com.opt
-	ctx, stop := context.WithTimeout(context.Background(), checkTimeout)
+	ctx, stop := context.WithTimeout(call, checkTimeout)
 	defer stop()
 	vm := ""
 	if grp := opt.View().Groups[hel.Unit]; len(grp.VMs) > 0 {
@@ -285,6 +297,9 @@
 	if err == nil && sta.Started == hel.Started && sta.Group == hel.Unit && sta.Fence == hel.Fence {
 		return false
 	}
+	if call.Err() != nil {
+		return false
+	}
 	opt.Quarantine.Crashed(one.fpr, one.cal.Workspace, hel.Unit, quarantiner.CrashID(hel.Unit, hel.Fence, hel.Started))
 	return true
 }
