End a completion when its caller takes no more tokens

Cause: an error of the caller's connection counted as a broken stream while the request's context was still live: the unit was checked and blamed, and the completion was run again elsewhere for nobody. Ruled out: the context alone; it ends later than the failed write. Change: a sink that fails ends the call; the unit is not blamed. Conclusion: a caller that left costs one attempt.

--- a/completer/completer.go
+++ b/completer/completer.go
@@ -258,7 +258,7 @@
 	}
 	one.started++
 	one.tried[hel.Unit] = true
-	gone := ctx.Err() != nil
+	gone := ctx.Err() != nil || one.sink.left
 	crashed := !gone && one.crashed(ctx, hel, address)
 	out.Broken = crashed
 	out.MayRun = !crashed
--- a/completer/counter.go
+++ b/completer/counter.go
@@ -11,11 +11,12 @@
 	"github.com/lovagelever/lovagelever/streamer"
 )
 
-// counter passes tokens on and notes when they came.
+// counter passes tokens on and notes when they came; left says that the caller takes no more.
 type counter struct {
 	sink   streamer.Sink
 	clk    clockwork.Clock
 	tokens int
+	left   bool
 
 	mtx   sync.Mutex
 	first time.Time
@@ -32,6 +33,7 @@
 	cou.last = now
 	cou.mtx.Unlock()
 	if err := cou.sink.Token(index, content); err != nil {
+		cou.left = true
 		return err
 	}
 	cou.tokens = index + 1
