Do not count a slow caller as a stalled engine

Cause: the time that the caller's connection took for a token counted as silence of the engine, which was then cut, blamed and replaced. Ruled out: a longer limit; the caller's time has none but the deadline. Change: the watch rests while a token is being passed on. Conclusion: the circuit of a healthy unit stays closed.

--- a/completer/counter.go
+++ b/completer/counter.go
@@ -21,6 +21,8 @@
 	mtx   sync.Mutex
 	first time.Time
 	last  time.Time
+	heard time.Time
+	busy  bool
 }
 
 // Token passes one token on.
@@ -30,9 +32,13 @@
 	if cou.first.IsZero() {
 		cou.first = now
 	}
-	cou.last = now
+	cou.last, cou.busy = now, true
 	cou.mtx.Unlock()
-	if err := cou.sink.Token(index, content); err != nil {
+	err := cou.sink.Token(index, content)
+	cou.mtx.Lock()
+	cou.heard, cou.busy = cou.clk.Now(), false
+	cou.mtx.Unlock()
+	if err != nil {
 		cou.left = true
 		return err
 	}
@@ -44,10 +50,10 @@
 func (cou *counter) begin() {
 	cou.mtx.Lock()
 	defer cou.mtx.Unlock()
-	cou.first, cou.last = time.Time{}, cou.clk.Now()
+	cou.first, cou.heard = time.Time{}, cou.clk.Now()
 }
 
-// watch ends a stream that stalls.
+// watch ends a stream that stalls; the time that the caller takes for a token does not count.
 func (cou *counter) watch(ctx context.Context, stop context.CancelFunc) {
 	for {
 		select {
@@ -56,7 +62,7 @@
 		case <-cou.clk.After(stallAfter / 4):
 		}
 		cou.mtx.Lock()
-		stalled := cou.clk.Since(cou.last) > stallAfter
+		stalled := !cou.busy && cou.clk.Since(cou.heard) > stallAfter
 		cou.mtx.Unlock()
 		if stalled {
 			stop()
