Return the last refusal in a defined order

Cause: a function that sets the last refusal and a read of it stood in one return statement, whose order the language leaves open. Change: the function returns the refusal itself. Conclusion: the answer no longer rests on the compiler's order.

--- a/completer/completer.go
+++ b/completer/completer.go
@@ -143,7 +143,7 @@
 	}
 	hel, err := one.com.opt.Tickets.Take(ctx, one.request(unit))
 	if err != nil {
-		return streamer.Result{}, one.refusedBy(ctx, unit, err), one.last
+		return one.refusedBy(ctx, unit, err)
 	}
 	return one.stream(ctx, hel)
 }
@@ -171,16 +171,15 @@
 	}
 }
 
-// refusedBy notes a home's refusal and reports whether it is the last word.
-func (one *run) refusedBy(ctx context.Context, unit string, err error) bool {
+// refusedBy notes that a unit was refused; done says that this is the last word.
+func (one *run) refusedBy(ctx context.Context, unit string, err error) (streamer.Result, bool, error) {
 	one.tried[unit] = true
 	one.refused++
 	one.last = refuser.From(err)
 	if ctx.Err() != nil || one.refused >= maxRefused || one.untried() == 0 {
-		one.last = one.final(one.last.Message)
-		return true
+		return streamer.Result{}, true, one.final(one.last.Message)
 	}
-	return false
+	return streamer.Result{}, false, nil
 }
 
 func (one *run) untried() int {
@@ -214,7 +213,7 @@
 	grp := vie.Groups[hel.Unit]
 	if len(grp.VMs) == 0 || !opt.Clock.Now().Before(hel.Until) {
 		opt.Tickets.Give(hel, limiter.Outcome{Undispatched: true})
-		return streamer.Result{}, one.refusedBy(ctx, hel.Unit, refuser.NotRun("the ticket was too old", retryAfter)), one.last
+		return one.refusedBy(ctx, hel.Unit, refuser.NotRun("the ticket was too old", retryAfter))
 	}
 	cal := streamer.Call{
 		Address:    vie.Catalog.Inventory.VMs[grp.VMs[0]].Address,
@@ -254,7 +253,7 @@
 		out.Undispatched = !out.Refused
 		opt.Tickets.Give(hel, out)
 		opt.Breaker.Failure(hel.Unit)
-		return streamer.Result{}, one.refusedBy(ctx, hel.Unit, refuser.NotRun("the engine refused: "+string(not.Reason), retryAfter)), one.last
+		return one.refusedBy(ctx, hel.Unit, refuser.NotRun("the engine refused: "+string(not.Reason), retryAfter))
 	}
 	one.started++
 	one.tried[hel.Unit] = true
