--- /dev/null
+++ b/completer/suite_test.go
@@ -0,0 +1,16 @@
+package completer
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var suite *testing.T
+
+func TestCompleter(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "completer")
+}
