Let the forwarder and the ticketer call other entries through small interfaces

Change: forwarder.Entries and ticketer.Homes take the place of the messenger; the server carries them out by the same calls as before. Behaviour is the same.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,7 +16,6 @@
 	"github.com/lovagelever/lovagelever/claimer"
 	"github.com/lovagelever/lovagelever/invoker"
 	"github.com/lovagelever/lovagelever/limiter"
-	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/reducer"
 	"github.com/lovagelever/lovagelever/refuser"
 	"github.com/lovagelever/lovagelever/ticketer"
@@ -68,6 +67,11 @@
 	Pick(req balancer.Request, cands []balancer.Candidate) (balancer.Candidate, bool)
 }
 
+// Entries passes a call on to the entry at an address; an error leaves it open whether the call ran there.
+type Entries interface {
+	Forward(ctx context.Context, address string, cal Call) (Answer, error)
+}
+
 // Options are what a forwarder needs; Candidates lists the VMs of a service that serve.
 type Options struct {
 	View       func() *reducer.View
@@ -76,7 +80,7 @@
 	Tickets    Tickets
 	Services   Services
 	Balancer   Balancer
-	Messenger  *messenger.Messenger
+	Entries    Entries
 	Clock      clockwork.Clock
 	Queue      time.Duration
 	Zone       string
@@ -146,7 +150,7 @@
 		return refused(refuser.OutcomeUnknown("the entry that holds the key is gone"))
 	}
 	cal.Hops++
-	ans, err := messenger.Call[Call, Answer](ctx, fwd.opt.Messenger, mem.RPCAddress, "Forward", cal)
+	ans, err := fwd.opt.Entries.Forward(ctx, mem.RPCAddress, cal)
 	if err != nil {
 		ref := refuser.OutcomeUnknown("entry " + mem.Name + ", which holds the key, does not answer")
 		ref.RetryAfter = retryAfter
--- a/server/build.go
+++ b/server/build.go
@@ -143,11 +143,11 @@
 	srv.cla.Store(srv.newClaimer())
 	srv.qua = quarantiner.New(quarantiner.Settings{}, srv.clk, folded{srv: srv}, folded{srv: srv})
 	srv.tic = ticketer.New(ticketer.Options{
-		View:      srv.view,
-		Self:      srv.self,
-		Home:      srv.kee,
-		Messenger: srv.mes,
-		Clock:     srv.clk,
+		View:  srv.view,
+		Self:  srv.self,
+		Home:  srv.kee,
+		Homes: remote{srv: srv},
+		Clock: srv.clk,
 	})
 	bre := breaker.New(breaker.Options{Clock: srv.clk})
 	bal := balancer.New(bre, seedOf(srv.set.Name))
@@ -173,7 +173,7 @@
 		Tickets:    srv.tic,
 		Services:   invoker.New(srv.dia, 0),
 		Balancer:   bal,
-		Messenger:  srv.mes,
+		Entries:    remote{srv: srv},
 		Clock:      srv.clk,
 		Queue:      srv.set.QueueTimeout,
 		Zone:       srv.set.Zone,
--- a/ticketer/ticketer.go
+++ b/ticketer/ticketer.go
@@ -30,6 +30,13 @@
 	Withdraw(unit, requestID string)
 }
 
+// Homes calls the homes at other entries; an error other than messenger.ErrNotSent leaves it open whether the call was carried out.
+type Homes interface {
+	Admit(ctx context.Context, address string, req admitter.Request) (keeper.Admission, error)
+	Release(ctx context.Context, address string, req ReleaseRequest) error
+	Withdraw(ctx context.Context, address string, req WithdrawRequest) error
+}
+
 // ReleaseRequest gives a ticket back to its home.
 type ReleaseRequest struct {
 	TicketID string
@@ -54,11 +61,11 @@
 
 // Options are what a ticketer needs.
 type Options struct {
-	View      func() *reducer.View
-	Self      func() string
-	Home      Home
-	Messenger *messenger.Messenger
-	Clock     clockwork.Clock
+	View  func() *reducer.View
+	Self  func() string
+	Home  Home
+	Homes Homes
+	Clock clockwork.Clock
 }
 
 // Ticketer gets tickets for one entry.
@@ -102,7 +109,7 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, req.Within+answerSlack)
 	defer stop()
-	adm, err := messenger.Call[admitter.Request, keeper.Admission](ctx, tic.opt.Messenger, home.RPCAddress, "Admit", req)
+	adm, err := tic.opt.Homes.Admit(ctx, home.RPCAddress, req)
 	if err != nil && !errors.Is(err, messenger.ErrNotSent) {
 		go tic.withdraw(home, req)
 	}
@@ -112,9 +119,7 @@
 // withdraw takes back a ticket whose answer was lost.
 func (tic *Ticketer) withdraw(home reducer.Member, req admitter.Request) {
 	tic.insist(home, func(ctx context.Context) error {
-		wit := WithdrawRequest{Unit: req.Unit, RequestID: req.ID}
-		_, err := messenger.Call[WithdrawRequest, bool](ctx, tic.opt.Messenger, home.RPCAddress, "Withdraw", wit)
-		return err
+		return tic.opt.Homes.Withdraw(ctx, home.RPCAddress, WithdrawRequest{Unit: req.Unit, RequestID: req.ID})
 	})
 }
 
@@ -125,9 +130,7 @@
 		return
 	}
 	go tic.insist(hel.home, func(ctx context.Context) error {
-		rel := ReleaseRequest{TicketID: hel.ticketID, Outcome: out}
-		_, err := messenger.Call[ReleaseRequest, bool](ctx, tic.opt.Messenger, hel.home.RPCAddress, "Release", rel)
-		return err
+		return tic.opt.Homes.Release(ctx, hel.home.RPCAddress, ReleaseRequest{TicketID: hel.ticketID, Outcome: out})
 	})
 }
 
