--- a/configurer/option.go
+++ b/configurer/option.go
@@ -35,6 +35,7 @@
 		{"queue_timeout", "5s", false, duration(func(set *Settings) *time.Duration { return &set.QueueTimeout }), "longest wait of a request before it runs"},
 		{"stop_timeout", "90s", false, duration(func(set *Settings) *time.Duration { return &set.StopTimeout }), "longest time for a graceful shutdown"},
 		{"snapshot_every_records", "1000", false, count(func(set *Settings) *int { return &set.SnapshotEveryRecords }), "records between two snapshots in the log"},
+		{"snapshot_within", "1h", false, duration(func(set *Settings) *time.Duration { return &set.SnapshotWithin }), "longest time between two snapshots in the log; well below the log's retention"},
 		{"max_body_bytes", "1048576", false, count(func(set *Settings) *int { return &set.MaxBodyBytes }), "largest body of a request"},
 		{"outcome_window", "5m", false, duration(func(set *Settings) *time.Duration { return &set.OutcomeWindow }), "how long the outcome of an idempotency key is kept"},
 		{"policy", PolicySpareFirst, false, text(func(set *Settings) *string { return &set.Policy }, oneOf(PolicySpareFirst, PolicyReformElsewhere)), "how a replica group that lost a member comes back; reform_elsewhere is for comparison"},
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -35,6 +35,7 @@
 	QueueTimeout         time.Duration
 	StopTimeout          time.Duration
 	SnapshotEveryRecords int
+	SnapshotWithin       time.Duration
 	MaxBodyBytes         int
 	OutcomeWindow        time.Duration
 	Policy               string
--- a/server/build.go
+++ b/server/build.go
@@ -94,6 +94,7 @@
 		Clock:    srv.clk,
 		Logger:   srv.log,
 		Every:    int64(srv.set.SnapshotEveryRecords),
+		Within:   srv.set.SnapshotWithin,
 	})
 }
 
--- a/server/site_test.go
+++ b/server/site_test.go
@@ -60,7 +60,7 @@
 		LogAddress: address(platform[0]), VMListAddress: address(platform[1]), WeightStoreAddress: address(platform[2]),
 		LogLevel: "error", ProbeInterval: 100 * time.Millisecond, FreshFor: 3 * time.Second, SuspectAfter: 3 * time.Second,
 		LocateValidFor: 10 * time.Millisecond, RequestTimeout: 20 * time.Second, QueueTimeout: 10 * time.Second,
-		StopTimeout: 20 * time.Second, SnapshotEveryRecords: 1000, MaxBodyBytes: 4096, OutcomeWindow: 5 * time.Minute,
+		StopTimeout: 20 * time.Second, SnapshotEveryRecords: 1000, SnapshotWithin: time.Hour, MaxBodyBytes: 4096, OutcomeWindow: 5 * time.Minute,
 	}
 	set.AdvertiseAddress, set.AdvertiseRPCAddress = set.Address, set.RPCAddress
 	srv, err := New(set)
--- a/snapshotter/snapshotter.go
+++ b/snapshotter/snapshotter.go
@@ -29,7 +29,7 @@
 	Append(ctx context.Context, rec recorder.Record) (follower.Judged, error)
 }
 
-// Options are what a snapshotter needs; Every is the number of records between two snapshots.
+// Options are what a snapshotter needs; Every is the number of records between two snapshots, and Within the longest time, since the log forgets by age too.
 type Options struct {
 	State    State
 	Self     func() string
@@ -37,16 +37,19 @@
 	Clock    clockwork.Clock
 	Logger   logrus.FieldLogger
 	Every    int64
+	Within   time.Duration
 }
 
 // Snapshotter appends the snapshots while the fold assigns that to this entry.
 type Snapshotter struct {
-	opt Options
+	opt     Options
+	covered int64
+	since   time.Time
 }
 
 // New returns a snapshotter.
 func New(opt Options) *Snapshotter {
-	return &Snapshotter{opt: opt}
+	return &Snapshotter{opt: opt, since: opt.Clock.Now()}
 }
 
 // Run checks until the context ends whether a snapshot is due.
@@ -62,10 +65,19 @@
 	}
 }
 
+// due reports whether the newest snapshot is too many records or too long ago.
+func (sna *Snapshotter) due(vie *reducer.View) bool {
+	now := sna.opt.Clock.Now()
+	if vie.Covered != sna.covered {
+		sna.covered, sna.since = vie.Covered, now
+	}
+	return vie.Offset-vie.Covered >= sna.opt.Every || vie.Offset > 0 && now.Sub(sna.since) >= sna.opt.Within
+}
+
 // Check appends a snapshot when it is due and this entry's duty.
 func (sna *Snapshotter) Check(ctx context.Context) error {
 	vie := sna.opt.State.View()
-	if vie.Snapshots.Incarnation != sna.opt.Self() || vie.Offset-vie.Covered < sna.opt.Every {
+	if !sna.due(vie) || vie.Snapshots.Incarnation != sna.opt.Self() {
 		return nil
 	}
 	body, err := sna.opt.State.Snapshot()
