Let no region that is cut off go on by a lucky sample

Cause: above 16 entries an entry exchanges with 9 peers; with a third of all members in its region, 5 or more of the 9 lie there for 14 in 100 entries (binomial), which would go on without the log while the others publish. Ruled out: asking for 8 of 9 peers; still a chance, and one dead peer would weigh too much.

--- a/freshener/freshener.go
+++ b/freshener/freshener.go
@@ -24,9 +24,10 @@
 	Founded() (string, bool)
 }
 
-// Peers tells how many peers were heard since a time.
+// Peers tells how many peers, and of how many regions, were heard since a time.
 type Peers interface {
 	Contact(since time.Time) (heard, peers int)
+	Regions(since time.Time) (heard, all int)
 }
 
 // Freshener judges the standing of one entry.
@@ -56,7 +57,8 @@
 		return sta
 	}
 	sta.LogAge = now.Sub(fre.log.Contact())
-	most := 2*(sta.PeersHeard+1) > sta.PeersInAll+1
+	regions, all := fre.peers.Regions(now.Add(-fre.limit))
+	most := 2*(sta.PeersHeard+1) > sta.PeersInAll+1 && 2*regions > all
 	sta.Certain = sta.LogAge <= fre.limit
 	sta.MayDecide = sta.LogAge <= fre.limit
 	sta.MayPublish = sta.MayDecide && most
