Bound the wait of a request apart from its end

Cause: the bound on a request's wait in the queue was taken for the deadline of the whole request. Once a unit's pace was known, every request whose tokens took longer than the queue may take (5 s) was refused as not run, on an idle unit too. Found by an example for embedding, which asked with a bound of 50 ms after a request of 50 ms. Change: StartBy bounds the wait, Deadline the end, each optional; requests for models set the first only, because max_tokens is no estimate of the answer. Before: the example was refused; after: it gets its place, and a test asks for 100,000 tokens with a wait that is long enough and with one that is not.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -48,7 +48,7 @@
 	Clock       clockwork.Clock
 }
 
-// Request asks for a place on a unit; ID is unique for each attempt, Holder is the incarnation of the entry that asks, and Within is the time left before the deadline, zero for none.
+// Request asks for a place on a unit; ID is unique for each attempt, Holder is the incarnation of the entry that asks, Within bounds its wait and Finish the time until its end, zero for no bound.
 type Request struct {
 	ID        string
 	Holder    string
@@ -59,6 +59,7 @@
 	Weight    int
 	Cost      float64
 	Within    time.Duration
+	Finish    time.Duration
 	// Suspect says that the request ran on a unit that crashed.
 	Suspect bool
 }
@@ -227,7 +228,7 @@
 			uni.limiter.Release(per, limiter.Outcome{Undispatched: true})
 			return
 		}
-		if !itm.Deadline.IsZero() && !itm.Deadline.After(adm.opt.Clock.Now()) {
+		if !itm.StartBy.IsZero() && !itm.StartBy.After(adm.opt.Clock.Now()) {
 			uni.limiter.Release(per, limiter.Outcome{Undispatched: true})
 			uni.refuse(itm.ID, refuser.NotRun("the deadline passed in the queue", refuser.DefaultRetryAfter))
 			continue
--- a/admitter/unit.go
+++ b/admitter/unit.go
@@ -123,7 +123,10 @@
 	req := wai.req
 	itm := queuer.Item{ID: req.ID, Workspace: req.Workspace, Priority: req.Priority, Weight: req.Weight, Cost: req.Cost}
 	if req.Within > 0 {
-		itm.Deadline = now.Add(req.Within)
+		itm.StartBy = now.Add(req.Within)
+	}
+	if req.Finish > 0 {
+		itm.Deadline = now.Add(req.Finish)
 	}
 	if req.Suspect {
 		itm.Lane = suspectLane
--- /dev/null
+++ b/burner/example_test.go
@@ -0,0 +1,21 @@
+package burner_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lovagelever/lovagelever/burner"
+	"github.com/lovagelever/lovagelever/cataloger"
+)
+
+// A late first token uses up the objective's budget as a refusal does.
+func ExampleBurner() {
+	bur := burner.New(clockwork.NewFakeClock())
+	objective := cataloger.Objective{Target: 0.95, FirstTokenIn: cataloger.Duration(490 * time.Millisecond)}
+	bur.Add("wards", "model", objective, burner.Result{Whole: true, FirstToken: 120 * time.Millisecond})
+	bur.Add("wards", "model", objective, burner.Result{Whole: true, FirstToken: 800 * time.Millisecond})
+	fmt.Printf("%+v\n", bur.Lines()[0].Windows["5m0s"])
+	// Output: {Good:1 Total:2}
+}
--- a/queuer/pace.go
+++ b/queuer/pace.go
@@ -71,20 +71,28 @@
 	return higher + min(same, fair)
 }
 
-// checkTime refuses what cannot finish before its deadline.
+// checkTime refuses what cannot start or finish in time.
 func (que *Queue) checkTime(itm Item) error {
-	if itm.Deadline.IsZero() {
-		return nil
-	}
-	left := itm.Deadline.Sub(que.opt.Clock.Now())
-	if left <= 0 {
+	now := que.opt.Clock.Now()
+	if passed(itm.StartBy, now) || passed(itm.Deadline, now) {
 		return refuser.NotRun("the deadline has passed", 0)
 	}
 	wait, known := que.Wait(itm)
-	if !known || wait+seconds(itm.Cost/que.pace.speed) <= left {
+	if !known {
 		return nil
 	}
-	return refuser.NotRun("the request cannot finish before its deadline", que.RetryAfter(itm))
+	if passed(itm.StartBy, now.Add(wait)) {
+		return refuser.NotRun("the request would wait too long", que.RetryAfter(itm))
+	}
+	if passed(itm.Deadline, now.Add(wait+seconds(itm.Cost/que.pace.speed)-1)) {
+		return refuser.NotRun("the request cannot finish before its deadline", que.RetryAfter(itm))
+	}
+	return nil
+}
+
+// passed reports whether a bound that is set lies at or before a time.
+func passed(bound, now time.Time) bool {
+	return !bound.IsZero() && !bound.After(now)
 }
 
 func seconds(val float64) time.Duration {
--- a/queuer/queue.go
+++ b/queuer/queue.go
@@ -24,7 +24,7 @@
 	Clock             clockwork.Clock
 }
 
-// Item is a request that waits; Cost is its expected tokens, and a zero Deadline is none.
+// Item is a request that waits; Cost is its expected tokens. StartBy bounds its wait and Deadline its end; a zero time is no bound.
 type Item struct {
 	ID        string
 	Workspace string
@@ -32,6 +32,7 @@
 	Priority  int
 	Weight    int
 	Cost      float64
+	StartBy   time.Time
 	Deadline  time.Time
 }
 
--- a/queuer/queue_test.go
+++ b/queuer/queue_test.go
@@ -208,6 +208,19 @@
 		Expect(evicted.ID).To(Equal("large9"))
 	})
 
+	It("refuses what would wait too long, however long it may run", func() {
+		que := queuer.New(queuer.Options{Clock: clk})
+		flood(que, "a", 10)
+		que.Served(100, time.Second)
+		que.SetSlots(2)
+		push := func(id string, startIn time.Duration) error {
+			_, err := que.Push(queuer.Item{ID: id, Workspace: "a", Cost: 100_000, StartBy: clk.Now().Add(startIn)})
+			return err
+		}
+		Expect(push("short", 4*time.Second)).To(HaveOccurred())
+		Expect(push("long", 6*time.Second)).NotTo(HaveOccurred())
+	})
+
 	early := []struct {
 		name     string
 		deadline time.Duration
