Bound a call to an entry that reads nothing by its context

Cause: net/rpc writes a request before it returns; with a paused entry and full buffers that write waited without end, and all calls to the entry behind it. Ruled out: a goroutine for each write; they would pile up while the entry is paused. Change: when the context ends during the write, the connection is dropped. Conclusion: a paused entry holds no caller past its deadline.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -36,13 +36,17 @@
 }
 
 // Call calls a method of the entry at the address IP:PORT; it fails with ErrNotSent, ErrUnreachable or the method's own error.
+//
+// A connection that does not take the request before the context ends is dropped.
 func Call[Req, Res any](ctx context.Context, mes *Messenger, address, method string, req Req) (Res, error) {
 	var res Res
 	cli, err := mes.client(ctx, address)
 	if err != nil {
 		return res, errors.WithType(errors.Annotate(err, string(ErrNotSent)), ErrNotSent)
 	}
+	stop := context.AfterFunc(ctx, func() { mes.drop(address, cli) })
 	done := cli.Go("Entry."+method, &req, &res, make(chan *rpc.Call, 1)).Done
+	stop()
 	select {
 	case <-ctx.Done():
 		return *new(Res), errors.WithType(errors.Annotate(ctx.Err(), string(ErrUnreachable)), ErrUnreachable)
--- /dev/null
+++ b/messenger/messenger_test.go
@@ -0,0 +1,128 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/counter"
+)
+
+func TestMessenger(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "messenger")
+}
+
+// callee answers, fails, or hangs until it is released.
+type callee struct {
+	started chan struct{}
+	release chan struct{}
+}
+
+func (cal *callee) Echo(req string, ans *string) error {
+	*ans = req
+	return nil
+}
+
+func (cal *callee) Refuse(string, *string) error {
+	return errors.Forbiddenf("call")
+}
+
+func (cal *callee) Hang(string, *string) error {
+	cal.started <- struct{}{}
+	<-cal.release
+	return nil
+}
+
+var _ = Describe("a call", func() {
+	var lis *Listener
+	var cal *callee
+	var mes *Messenger
+
+	BeforeEach(func() {
+		var err error
+		cal = &callee{started: make(chan struct{}, 1), release: make(chan struct{})}
+		lis, err = Listen("127.0.0.1:0", cal, &counter.Counter{})
+		Expect(err).NotTo(HaveOccurred())
+		mes = New(net.IPv4(127, 0, 0, 1), &counter.Counter{})
+		DeferCleanup(func() {
+			close(cal.release)
+			mes.Close()
+			lis.Close()
+		})
+	})
+
+	cases := []struct {
+		name   string
+		method string
+		before func(stop context.CancelFunc)
+		during func(stop context.CancelFunc)
+		want   error
+		own    bool
+	}{
+		{name: "is answered", method: "Echo"},
+		{name: "gives the method's own error", method: "Refuse", own: true},
+		{name: "is not sent where nobody listens", method: "Echo", before: func(context.CancelFunc) { lis.Close() }, want: ErrNotSent},
+		{name: "is not sent after its context ended", method: "Echo", before: func(stop context.CancelFunc) { stop() }, want: ErrNotSent},
+		{name: "ends with its context", method: "Hang", during: func(stop context.CancelFunc) { stop() }, want: ErrUnreachable},
+		{name: "ends with its connection", method: "Hang", during: func(context.CancelFunc) { lis.Close() }, want: ErrUnreachable},
+		{name: "ends when the connection is forgotten", method: "Hang", during: func(context.CancelFunc) { mes.Forget(lis.Address()) }, want: ErrUnreachable},
+	}
+	for _, cas := range cases {
+		It(cas.name, func() {
+			ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+			defer stop()
+			if cas.before != nil {
+				cas.before(stop)
+			}
+			if cas.during != nil {
+				go func() {
+					<-cal.started
+					cas.during(stop)
+				}()
+			}
+			begun := time.Now()
+			ans, err := Call[string, string](ctx, mes, lis.Address(), cas.method, "hello")
+			Expect(time.Since(begun)).To(BeNumerically("<", 5*time.Second))
+			_, own := errors.AsType[rpc.ServerError](err)
+			Expect(own).To(Equal(cas.own))
+			for _, typ := range []error{ErrNotSent, ErrUnreachable} {
+				Expect(errors.Is(err, typ)).To(Equal(typ == cas.want), "%v: %v", typ, err)
+			}
+			if cas.want == nil && !cas.own {
+				Expect(ans).To(Equal("hello"))
+			}
+		})
+	}
+
+	It("dials anew after a connection was lost", func() {
+		_, err := Call[string, string](context.Background(), mes, lis.Address(), "Echo", "one")
+		Expect(err).NotTo(HaveOccurred())
+		mes.Forget(lis.Address())
+		ans, err := Call[string, string](context.Background(), mes, lis.Address(), "Echo", "two")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ans).To(Equal("two"))
+	})
+
+	It("ends with its context when the entry reads nothing", func() {
+		deaf, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = deaf.Close() }()
+		ctx, stop := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer stop()
+		done := make(chan error, 1)
+		go func() {
+			_, err := Call[[]byte, string](ctx, mes, deaf.Addr().String(), "Echo", make([]byte, 16<<20))
+			done <- err
+		}()
+		var got error
+		Eventually(done, 5*time.Second).Should(Receive(&got))
+		Expect(errors.Is(got, ErrUnreachable)).To(BeTrue(), "%v", got)
+	})
+})
