--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -93,7 +93,7 @@
 			_, own := errors.AsType[rpc.ServerError](err)
 			Expect(own).To(Equal(cas.own))
 			for _, typ := range []error{ErrNotSent, ErrUnreachable} {
-				Expect(errors.Is(err, typ)).To(Equal(typ == cas.want), "%v: %v", typ, err)
+				Expect(errors.Is(err, typ)).To(Equal(errors.Is(cas.want, typ)), "%v: %v", typ, err)
 			}
 			if cas.want == nil && !cas.own {
 				Expect(ans).To(Equal("hello"))
