Let spares load weights before they are needed

Ruled out: a shorter grace alone; a member that pauses for two seconds would be replaced at the cost of a transfer. Change: a spare of the domain loads the weights at the first sign, and the grace ends after 1.5 s once it holds them; and while nothing else is to be done idle spares load the weights that most groups of their domain serve. Not yet: the same with real processes.

--- a/planner/bench_test.go
+++ b/planner/bench_test.go
@@ -52,6 +52,9 @@
 	wor.pla.Options.ReformElsewhere = elsewhere
 	wor.until(600, func() bool { return len(wor.serving("scene")) == 6 })
 	rng := rand.New(rand.NewPCG(seed, 3))
+	for range idle {
+		wor.tick()
+	}
 	groups := wor.serving("scene")
 	vms := wor.vie.Groups[groups[rng.IntN(len(groups))]].VMs
 	wor.engines[vms[rng.IntN(len(vms))]].die(wor.clk.Now())
@@ -60,6 +63,9 @@
 	return wor.clk.Now().Sub(since)
 }
 
+// idle is how many seconds pass before the fault, in which spares may load weights ahead.
+const idle = 60
+
 func BenchmarkDowntime(b *testing.B) {
 	const seeds = 20
 	var spare, elsewhere time.Duration
--- a/planner/drainer.go
+++ b/planner/drainer.go
@@ -15,7 +15,7 @@
 }
 
 func (uni *unit) settled() bool {
-	return uni.repairable() && len(uni.lost) == 0 && !uni.unsettled
+	return uni.repairable() && len(uni.lost) == 0 && !uni.unsettled()
 }
 
 func (rnd *round) leaving(uni *unit) bool {
--- a/planner/options.go
+++ b/planner/options.go
@@ -5,6 +5,7 @@
 // Options are the limits of the decisions; Defaults gives the usual ones.
 type Options struct {
 	Grace           time.Duration // Grace is how long a member is dead before it is replaced.
+	StagedGrace     time.Duration // StagedGrace is the same once spares hold the weights.
 	PendingFor      time.Duration // PendingFor is how long a proposed record is awaited in the fold.
 	OrderBackoff    time.Duration // OrderBackoff is the wait after the first order; it doubles up to OrderBackoffMax.
 	OrderBackoffMax time.Duration
@@ -27,6 +28,7 @@
 func Defaults() Options {
 	return Options{
 		Grace:           3 * time.Second,
+		StagedGrace:     1500 * time.Millisecond,
 		PendingFor:      10 * time.Second,
 		OrderBackoff:    2 * time.Second,
 		OrderBackoffMax: 30 * time.Second,
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -25,6 +25,7 @@
 	mem.forget(rnd)
 	rnd.survey()
 	rnd.finish()
+	rnd.stageAhead()
 	rnd.repair()
 	rnd.drain()
 	rnd.replaceStragglers()
@@ -32,5 +33,6 @@
 	rnd.roll()
 	rnd.trim()
 	rnd.order()
+	rnd.preload()
 	return rnd.actions
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -49,6 +49,19 @@
 		},
 		seconds: 60, forms: 0, serving: 2,
 	},
+	{
+		what: "an idle spare loads the weights that its domain may need", zones: 2, domains: 1, vms: 5,
+		models: map[string]cataloger.Model{"scene": model(2, 4, 40)},
+		change: func(*world) {},
+		check: func(wor *world) {
+			for name, eng := range wor.engines {
+				if wor.vie.Owners[name] == "" {
+					Expect(eng.model).To(Equal("scene"), name)
+				}
+			}
+		},
+		seconds: 30, forms: 0, serving: 2, always: 2,
+	},
 	{
 		what: "a lost member is replaced by a spare of the domain", zones: 2, domains: 1, vms: 5,
 		models:  map[string]cataloger.Model{"scene": model(2, 4, 40)},
--- a/planner/repairer.go
+++ b/planner/repairer.go
@@ -25,10 +25,14 @@
 		rnd.proposeRetire(uni, why+", and other groups suffice")
 		return
 	}
-	if uni.unsettled {
+	if uni.unsettled() {
 		rnd.waits(uni, why+", and another member is in doubt")
 		return
 	}
+	if uni.staging {
+		rnd.waits(uni, why+", a spare loads the weights")
+		return
+	}
 	if !rnd.queueRoom(aheadForRepair) {
 		rnd.waits(uni, why+", the weight store is busy")
 		return
--- a/planner/unit.go
+++ b/planner/unit.go
@@ -8,7 +8,9 @@
 	zoneOut   bool
 	dark      bool
 	serving   bool
-	unsettled bool
+	unknown   bool
+	staging   bool
+	doubted   []string
 	lost      []string
 	bad       []string
 	pending   bool
@@ -31,8 +33,10 @@
 		switch {
 		case rnd.lost(name):
 			uni.lost = append(uni.lost, name)
+		case obs.Health == HealthDead:
+			uni.doubted = append(uni.doubted, name)
 		case obs.Health != HealthLive:
-			uni.unsettled = true
+			uni.unknown = true
 		case rnd.straying(name):
 			uni.bad = append(uni.bad, name)
 		}
@@ -44,6 +48,11 @@
 	return uni
 }
 
+// unsettled reports that a member is in doubt.
+func (uni *unit) unsettled() bool {
+	return uni.unknown || len(uni.doubted) > 0
+}
+
 func (obs Observation) shows(grp reducer.Group) bool {
 	return obs.Group == grp.Name && obs.Fence == grp.Fence
 }
