--- a/prover/member_test.go
+++ b/prover/member_test.go
@@ -11,7 +11,7 @@
 	It("never serves with a member missing", func() {
 		rng, tly, led := newRandom(), newTally(), newLedger()
 		dep := newDeployment(options{})
-		soak(dep, rng, tly, led, entryFaults, engineFaults, engineFaults, logFaults)
+		soak(dep, rng, tly, led, entryFaults, logFaults, engineFaults, engineFaults, engineFaults, engineFaults)
 		dep.expectComplete()
 		Expect(tly.violations).To(BeEmpty())
 	})
