Decide once whether a call may be repeated

Cause: the list of idempotent methods was looked up again after each attempt; a call that began as one that may not be repeated ran again when a publication added its method meanwhile. Ruled out: the claimer; it was not asked a second time. Change: the list is read when the call begins. Before/after: a call whose answer was lost, with its method added during it: 3 sends before, 1 after. Conclusion: a publication changes calls that begin after it.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -100,8 +100,9 @@
 func (fwd *Forwarder) Forward(ctx context.Context, cal Call) Answer {
 	ctx, stop := context.WithTimeout(ctx, cal.Within)
 	defer stop()
-	if fwd.idempotent(cal) || cal.Key == "" {
-		return fwd.run(ctx, cal)
+	repeatable := fwd.idempotent(cal)
+	if repeatable || cal.Key == "" {
+		return fwd.run(ctx, cal, repeatable)
 	}
 	cla := fwd.opt.Claimer()
 	dec, err := cla.Begin(ctx, cal.Key, fingerprint(cal))
@@ -137,7 +138,7 @@
 			cla.Finish(cal.Key, claimer.Outcome{State: claimer.StateUnknown})
 		}
 	}()
-	ans := fwd.run(ctx, cal)
+	ans := fwd.run(ctx, cal, false)
 	finished = true
 	cla.Finish(cal.Key, outcomeOf(ans))
 	return ans
@@ -159,8 +160,8 @@
 	return ans
 }
 
-// run sends the call to one backend server after the other, as long as none may have run it or the call is idempotent.
-func (fwd *Forwarder) run(ctx context.Context, cal Call) Answer {
+// run sends the call to one backend server after the other, as long as none may have run it or the call is repeatable.
+func (fwd *Forwarder) run(ctx context.Context, cal Call, repeatable bool) Answer {
 	tried := map[string]bool{}
 	last := refuser.NotRun("no backend server of service "+cal.Service+" serves now", retryAfter)
 	starts := 0
@@ -171,14 +172,14 @@
 			break
 		}
 		tried[can.Unit] = true
-		res, err := fwd.send(ctx, cal, can.Unit, try)
+		res, err := fwd.send(ctx, cal, can.Unit, try, repeatable)
 		if err == nil {
 			return Answer{Status: res.Status, Header: res.Header, Body: res.Body}
 		}
 		last = refuser.From(err)
 		if last.Type != refuser.TypeNotRun {
 			starts++
-			if !fwd.idempotent(cal) || starts >= maxStarts {
+			if !repeatable || starts >= maxStarts {
 				return refused(last)
 			}
 		}
@@ -190,7 +191,7 @@
 	return refused(last)
 }
 
-func (fwd *Forwarder) send(ctx context.Context, cal Call, unit string, try int) (invoker.Response, error) {
+func (fwd *Forwarder) send(ctx context.Context, cal Call, unit string, try int, repeatable bool) (invoker.Response, error) {
 	vie := fwd.opt.View()
 	rul := vie.Catalog.Rules.Workspaces[cal.Workspace]
 	hel, err := fwd.opt.Tickets.Take(ctx, admitter.Request{
@@ -216,7 +217,7 @@
 		Header:     cal.Header,
 		Body:       cal.Body,
 		RequestID:  cal.RequestID,
-		Repeatable: fwd.idempotent(cal),
+		Repeatable: repeatable,
 	})
 	if err == nil {
 		fwd.opt.Tickets.Give(hel, limiter.Outcome{})
