Give a group with a leaving VM no new work

Ruled out: quiescing at once in the log; the fold has no way to say that the VM stays after all. Change: the home of the group takes no new work while a member is leaving, as it does for a service's VM.

--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -94,7 +94,7 @@
 }
 
 func (wor *world) propose(kind recorder.Kind, writer string, body any) {
-	rec, err := recorder.New(kind, writer, body)
+	rec, err := recorder.New(time.Now(), kind, writer, body)
 	Expect(err).NotTo(HaveOccurred())
 	wor.land(rec)
 }
--- a/freshener/freshener_test.go
+++ b/freshener/freshener_test.go
@@ -27,6 +27,8 @@
 // peers lists the times at which each peer was heard.
 type peers []time.Time
 
+func (pee peers) Regions(time.Time) (heard, all int) { return 1, 1 }
+
 func (pee peers) Contact(since time.Time) (heard, all int) {
 	for _, at := range pee {
 		if !at.Before(since) {
@@ -71,4 +73,14 @@
 			Expect(got).To(Equal(cas.want))
 		})
 	}
+
+	It("does not go on without the log by peers of one region of three", func() {
+		got := New(log{at: clk.Now().Add(-old), founded: true}, oneRegion{ago(now, now, now)}, clk, limit).Judge()
+		Expect(got.Fresh).To(BeFalse())
+	})
 })
+
+// oneRegion hears its peers of one region of three only.
+type oneRegion struct{ peers }
+
+func (one oneRegion) Regions(time.Time) (heard, all int) { return 1, 3 }
--- a/watcher/stage.go
+++ b/watcher/stage.go
@@ -33,6 +33,11 @@
 	case vie.Catalog.Rules.ZoneOut(grp.Zone):
 		return StageZoneOut, "availability zone " + grp.Zone + " is out"
 	}
+	for _, vm := range grp.VMs {
+		if _, leaving := wat.opt.Leaving(vm); leaving {
+			return StageQuiesced, "VM " + vm + " is leaving"
+		}
+	}
 	now := wat.opt.Clock.Now()
 	for _, vm := range grp.VMs {
 		pro, known := wat.pro.Get(vm)
--- a/watcher/stage_test.go
+++ b/watcher/stage_test.go
@@ -34,4 +34,19 @@
 			Expect(stage).To(Equal(cas.stage))
 		})
 	}
+
+	It("of a group with a leaving VM is quiesced, and otherwise waits for probes", func() {
+		leaving := false
+		wat := watcher.New(watcher.Options{
+			Leaving: func(vm string) (time.Duration, bool) { return time.Minute, leaving && vm == "b" },
+			Clock:   clockwork.NewFakeClock(),
+		})
+		vie := reducer.NewState().View()
+		vie.Groups = map[string]reducer.Group{"g": {Name: "g", VMs: []string{"a", "b"}}}
+		stage, _ := wat.Stage(vie, "g")
+		Expect(stage).To(Equal(watcher.StageLoading))
+		leaving = true
+		stage, _ = wat.Stage(vie, "g")
+		Expect(stage).To(Equal(watcher.StageQuiesced))
+	})
 })
