--- a/server/build.go
+++ b/server/build.go
@@ -6,7 +6,6 @@
 
 	"github.com/lovagelever/lovagelever/admitter"
 	"github.com/lovagelever/lovagelever/appender"
-	"github.com/lovagelever/lovagelever/balancer"
 	"github.com/lovagelever/lovagelever/breaker"
 	"github.com/lovagelever/lovagelever/burner"
 	"github.com/lovagelever/lovagelever/claimer"
@@ -86,6 +85,7 @@
 		Orders:   orderer.New(srv.ctl),
 		Clock:    srv.clk,
 		Logger:   srv.log,
+		Planner:  srv.newPlanner,
 	})
 	srv.sna = snapshotter.New(snapshotter.Options{
 		State:    srv.fol,
@@ -94,6 +94,7 @@
 		Clock:    srv.clk,
 		Logger:   srv.log,
 		Every:    int64(srv.set.SnapshotEveryRecords),
+		Within:   srv.set.SnapshotWithin,
 	})
 }
 
@@ -120,6 +121,7 @@
 	srv.adm = admitter.New(admitter.Options{
 		Incarnation: srv.self(),
 		Queue:       queuer.Options{},
+		NewLimiter:  limiterOf(srv.set.Limits),
 		Clock:       srv.clk,
 	})
 	srv.kee = keeper.New(keeper.Options{
@@ -143,14 +145,14 @@
 	srv.cla.Store(srv.newClaimer())
 	srv.qua = quarantiner.New(quarantiner.Settings{}, srv.clk, folded{srv: srv}, folded{srv: srv})
 	srv.tic = ticketer.New(ticketer.Options{
-		View:      srv.view,
-		Self:      srv.self,
-		Home:      srv.kee,
-		Messenger: srv.mes,
-		Clock:     srv.clk,
+		View:  srv.view,
+		Self:  srv.self,
+		Home:  srv.kee,
+		Homes: remote{srv: srv},
+		Clock: srv.clk,
 	})
 	bre := breaker.New(breaker.Options{Clock: srv.clk})
-	bal := balancer.New(bre, seedOf(srv.set.Name))
+	bal := srv.newBalancer(bre)
 	srv.com = completer.New(completer.Options{
 		View:       srv.view,
 		Candidates: srv.groupsOf,
@@ -173,7 +175,7 @@
 		Tickets:    srv.tic,
 		Services:   invoker.New(srv.dia, 0),
 		Balancer:   bal,
-		Messenger:  srv.mes,
+		Entries:    remote{srv: srv},
 		Clock:      srv.clk,
 		Queue:      srv.set.QueueTimeout,
 		Zone:       srv.set.Zone,
