Work out the hold of a pull once, not for each member

Cause: the check for silent members took the fingers anew for each of them: 65 us a pull at 14 entries. Now 9 us (go test ./gossiper -run XXX -bench Pull).

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -341,8 +341,9 @@
 		return true, nil
 	}
 	var out []string
+	silent := unseenAfter * gos.holdTime()
 	for _, inc := range slices.Sorted(maps.Keys(members)) {
-		if inc != gos.Self() && now.Sub(gos.Heard(inc)) > unseenAfter*gos.holdTime() {
+		if inc != gos.Self() && now.Sub(gos.Heard(inc)) > silent {
 			out = append(out, inc)
 		}
 	}
