--- a/gossiper/exchange_test.go
+++ b/gossiper/exchange_test.go
@@ -119,7 +119,7 @@
 		cir.only(late)
 		asker.Round(context.Background())
 		asker.Round(context.Background())
-		path := reach(cir, early, late)
+		path := wayTo(cir, early, late)
 		for at := len(path) - 2; at >= 0; at-- {
 			cir.entries[path[at]].Round(context.Background())
 		}
@@ -170,7 +170,7 @@
 		}
 		fill(two)
 		fill(one)
-		path := reach(cir, one, two)
+		path := wayTo(cir, one, two)
 		for range 3 {
 			for at := len(path) - 2; at >= 0; at-- {
 				cir.entries[path[at]].Round(context.Background())
@@ -208,8 +208,8 @@
 	})
 })
 
-// reach is a way over fingers from the entry that is to learn to the one that knows, beginning with the one that learns.
-func reach(cir *circle, knows, learns string) []string {
+// wayTo is a way over fingers from the entry that is to learn to the one that knows, beginning with the one that learns.
+func wayTo(cir *circle, knows, learns string) []string {
 	ways := [][]string{{learns}}
 	for len(ways) > 0 {
 		way := ways[0]
