--- a/follower/base.go
+++ b/follower/base.go
@@ -78,6 +78,7 @@
 	}
 	fol.mtx.Lock()
 	defer fol.mtx.Unlock()
+	fol.begins = first
 	if fol.scanned < first-1 {
 		fol.founded = false
 		fol.search = nil
@@ -87,7 +88,7 @@
 	return nil
 }
 
-// Adopt takes a peer's state when it is ahead; it fails with errors.NotValid.
+// Adopt takes a peer's state when it is ahead and the log goes on from it; it fails with errors.NotValid.
 func (fol *Follower) Adopt(sna recorder.Snapshot) error {
 	sta, err := reducer.DecodeState(sna)
 	if err != nil {
@@ -98,6 +99,9 @@
 	if sta.Offset < fol.state.Offset || fol.founded && sta.Offset == fol.state.Offset {
 		return nil
 	}
+	if sta.Offset < fol.begins-1 {
+		return nil
+	}
 	fol.state = sta
 	fol.tail = nil
 	fol.search = nil
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -75,6 +75,7 @@
 	changed chan struct{}
 	search  []recorder.Entry
 	scanned int64
+	begins  int64
 }
 
 // New returns a follower that has folded nothing.
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -165,6 +165,21 @@
 		Expect(fol.View().Offset).To(Equal(int64(20)))
 	})
 
+	It("is not kept from a snapshot in the log by a peer's state from before the gap", func() {
+		she.fill(10)
+		old := she.snapshot()
+		she.fill(30)
+		sna := she.snapshot()
+		she.add(recorder.KindSnapshot, sna)
+		she.first = 35
+		fol := follow(peer{sna: &old})
+		for range 4 {
+			steps(fol, 1)
+			Expect(fol.Adopt(old)).To(Succeed())
+		}
+		Expect(fol.View().Chain).To(Equal(she.state().Chain))
+	})
+
 	It("takes a peer's state while the log is out, and is in no contact with the log by that", func() {
 		she.fill(12)
 		sna := she.snapshot()
--- a/keeper/random_test.go
+++ b/keeper/random_test.go
@@ -371,7 +371,9 @@
 			granted := wor.granted
 			wor.run(quietSteps, false)
 			Expect(wor.granted).To(BeNumerically(">", granted), "work goes on once all is well: %s", wor.describe())
+			Expect(wor.judge.Offset).To(Equal(int64(len(wor.log))))
 			for _, nod := range wor.nodes {
+				GinkgoWriter.Printf("%s at offset %d of %d\n", nod.name, nod.fol.View().Offset, wor.judge.Offset)
 				Expect(nod.fol.View().Chain).To(Equal(wor.judge.Chain), nod.name)
 				Expect(nod.joi.Joined()).To(BeTrue(), nod.name)
 			}
--- a/snapshotter/snapshotter.go
+++ b/snapshotter/snapshotter.go
@@ -29,7 +29,7 @@
 	Append(ctx context.Context, rec recorder.Record) (follower.Judged, error)
 }
 
-// Options are what a snapshotter needs; Every is the number of records between two snapshots, and Within the longest time, since the log forgets by age too.
+// Options are what a snapshotter needs; Every is the number of records between two snapshots, and Within the longest time, since the log forgets by age too; zero is no bound.
 type Options struct {
 	State    State
 	Self     func() string
@@ -71,7 +71,8 @@
 	if vie.Covered != sna.covered {
 		sna.covered, sna.since = vie.Covered, now
 	}
-	return vie.Offset-vie.Covered >= sna.opt.Every || vie.Offset > 0 && now.Sub(sna.since) >= sna.opt.Within
+	late := sna.opt.Within > 0 && now.Sub(sna.since) >= sna.opt.Within
+	return vie.Offset-vie.Covered >= sna.opt.Every || vie.Offset > 0 && late
 }
 
 // Check appends a snapshot when it is due and this entry's duty.
--- a/snapshotter/snapshotter_test.go
+++ b/snapshotter/snapshotter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
@@ -73,4 +74,19 @@
 			}
 		})
 	}
+
+	It("is appended in time, however few records came", func() {
+		fol := &folded{}
+		fol.view.Snapshots.Incarnation = "own"
+		fol.view.Offset, fol.view.Covered = 11, 10
+		clk := clockwork.NewFakeClock()
+		sna := New(Options{State: fol, Self: func() string { return "own" }, Appender: fol, Clock: clk, Logger: logrus.New(), Every: 100, Within: time.Hour})
+		Expect(sna.Check(context.Background())).To(Succeed())
+		clk.Advance(59 * time.Minute)
+		Expect(sna.Check(context.Background())).To(Succeed())
+		Expect(fol.appended).To(BeEmpty())
+		clk.Advance(time.Minute)
+		Expect(sna.Check(context.Background())).To(Succeed())
+		Expect(fol.appended).To(HaveLen(1))
+	})
 })
