Count the wait for a key within the limit of its call

Cause: the limit of a call began anew when its claim had been read back, and again at the entry that it was passed on to. Ruled out: the caller's own context; a call of a key goes on without it. Change: one end for the whole call; what is left of it is passed on. Before/after: a call with 5 s whose claim took 1 s could run until 6 s after it came, here and at the other entry; after the change until 5 s. Conclusion: a request's limit holds as documented.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -98,7 +98,8 @@
 
 // Forward runs a call, or has the entry that holds its key run it.
 func (fwd *Forwarder) Forward(ctx context.Context, cal Call) Answer {
-	ctx, stop := context.WithTimeout(ctx, cal.Within)
+	end := fwd.opt.Clock.Now().Add(cal.Within)
+	ctx, stop := context.WithDeadline(ctx, end)
 	defer stop()
 	repeatable := fwd.idempotent(cal)
 	if repeatable || cal.Key == "" {
@@ -109,6 +110,7 @@
 	if err != nil {
 		return refused(refusalOf(err))
 	}
+	cal.Within = end.Sub(fwd.opt.Clock.Now())
 	switch dec.Verdict {
 	case claimer.VerdictReplay:
 		return replayed(dec.Outcome)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	. "github.com/onsi/ginkgo/v2"
@@ -16,6 +17,7 @@
 	"github.com/lovagelever/lovagelever/cataloger"
 	"github.com/lovagelever/lovagelever/invoker"
 	"github.com/lovagelever/lovagelever/limiter"
+	"github.com/lovagelever/lovagelever/recorder"
 	"github.com/lovagelever/lovagelever/reducer"
 	"github.com/lovagelever/lovagelever/refuser"
 	"github.com/lovagelever/lovagelever/ticketer"
@@ -73,3 +75,54 @@
 }
 
 func (sur sure) Give(ticketer.Held, limiter.Outcome) {}
+
+// timed is a service that notes until when a call may run.
+type timed struct{ until time.Time }
+
+func (tim *timed) Invoke(ctx context.Context, _ invoker.Call) (invoker.Response, error) {
+	tim.until, _ = ctx.Deadline()
+	return invoker.Response{Status: 200}, nil
+}
+
+// Forward notes until when the other entry may run the call.
+func (tim *timed) Forward(_ context.Context, _ string, cal Call) (Answer, error) {
+	tim.until = time.Now().Add(cal.Within)
+	return Answer{}, nil
+}
+
+var _ = Describe("the limit of a call", func() {
+	cases := []struct {
+		name  string
+		owner int
+	}{
+		{"includes the wait for its claim", 0},
+		{"includes the wait before it is passed on", 1},
+	}
+	for _, cas := range cases {
+		It(cas.name, func() {
+			synctest.Test(suite, func(*testing.T) {
+				defer GinkgoRecover()
+				wor := newWorld(0)
+				nod, tim := wor.entries[0], &timed{}
+				fwd := New(Options{
+					View: nod.view, Candidates: candidates, Claimer: nod.claimer, Tickets: sure{nod}, Services: tim, Entries: tim,
+					Balancer: balancer.New(nil, 1), Clock: clockwork.NewRealClock(), Queue: time.Second,
+				})
+				key := uuid.Must(uuid.NewV7()).String()
+				if cas.owner > 0 {
+					wor.propose(recorder.KindClaims, wor.entries[cas.owner].inc, recorder.Claims{Claims: []recorder.Claim{{Key: key, IssuedMS: time.Now().UnixMilli()}}})
+				}
+				time.AfterFunc(time.Second, func() {
+					wor.mtx.Lock()
+					defer wor.mtx.Unlock()
+					nod.fold(wor.log)
+				})
+				begun := time.Now()
+				ans := fwd.Forward(context.Background(), Call{RequestID: "one", Service: "desk", Method: "POST", Key: key, Within: 5 * time.Second})
+				Expect(ans.Refusal).To(BeNil())
+				Expect(time.Since(begun)).To(Equal(time.Second))
+				Expect(tim.until).To(Equal(begun.Add(5 * time.Second)))
+			})
+		})
+	}
+})
