--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -2,6 +2,16 @@
 
 import "time"
 
+// Values of policy, balancer and limits; the second of each is a baseline to compare with.
+const (
+	PolicySpareFirst      = "spare_first"
+	PolicyReformElsewhere = "reform_elsewhere"
+	BalancerAffinity      = "affinity"
+	BalancerRoundRobin    = "round_robin"
+	LimitsHome            = "home"
+	LimitsNone            = "none"
+)
+
 // Settings is what one entry is told at its start; addresses are IP:PORT.
 type Settings struct {
 	Name                 string
@@ -25,6 +35,10 @@
 	QueueTimeout         time.Duration
 	StopTimeout          time.Duration
 	SnapshotEveryRecords int
+	SnapshotWithin       time.Duration
 	MaxBodyBytes         int
 	OutcomeWindow        time.Duration
+	Policy               string
+	Balancer             string
+	Limits               string
 }
