Prove that a group serves only while every member reports its group and fence

Cause: the process-level proof of members did not fail with the entries' check off, because the engines check too. Change: a table of reports, one for each way in which a member can be missing. Also: a publication made from a revision that the asked entry has not folded is told not_run, not conflict; a hook of the prober that nobody used is gone.

--- a/prober/prober.go
+++ b/prober/prober.go
@@ -54,7 +54,6 @@
 	Clock    clockwork.Clock
 	Interval time.Duration
 	Targets  func() []Target
-	Before   func(vm string)
 	OnProbe  func(vm string, pro Probe)
 }
 
@@ -121,7 +120,6 @@
 
 func (pro *Prober) probe(ctx context.Context, tar Target) {
 	asked := pro.opt.Clock.Now()
-	pro.opt.Before(tar.VM)
 	sta, err := pro.ask(ctx, tar)
 	pro.mtx.Lock()
 	delete(pro.busy, tar.VM)
--- a/server/build.go
+++ b/server/build.go
@@ -116,7 +116,6 @@
 		Interval: srv.set.ProbeInterval,
 		Client:   prober.Options{Client: srv.ctl},
 		OnReport: func(unit string, pro prober.Probe) { srv.kee.OnReport(unit, pro) },
-		OnProbe:  func(string) {},
 	})
 	srv.adm = admitter.New(admitter.Options{
 		Incarnation: srv.self(),
--- a/server/publish.go
+++ b/server/publish.go
@@ -52,7 +52,10 @@
 // propose appends the difference to the revision that the publication was made from.
 func (srv *Server) propose(ctx context.Context, pub requester.Publication) (follower.Judged, error) {
 	vie := srv.catchUp(ctx, pub.BasedOn)
-	if vie.Revision != pub.BasedOn {
+	if vie.Revision < pub.BasedOn {
+		return follower.Judged{}, refuser.NotRun("this entry has not folded the revision that the publication was made from", closedRetry)
+	}
+	if vie.Revision > pub.BasedOn {
 		return follower.Judged{Reason: reducer.ReasonConflict}, nil
 	}
 	next := vie.Catalog
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -103,6 +103,10 @@
 		Expect(rep.refusal().Message).To(ContainSubstring("workspaces"))
 	})
 
+	It("does not run a publication that was made from a revision it has not folded", func() {
+		Expect(sit.publish(9, siteInventory()).refusal().Type).To(Equal("not_run"))
+	})
+
 	It("answers the same publication again as it did first", func() {
 		body := `{"id": "` + uuid.Must(uuid.NewV7()).String() + `", "based_on": 1, "rules": {}}`
 		first := sit.send("POST", "/v1/publications", body)
--- /dev/null
+++ b/watcher/member_test.go
@@ -0,0 +1,91 @@
+package watcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/cataloger"
+	"github.com/lovagelever/lovagelever/prober"
+	"github.com/lovagelever/lovagelever/reducer"
+	"github.com/lovagelever/lovagelever/watcher"
+)
+
+// engines answers probes by host; a VM that is not there does not answer.
+type engines map[string]prober.Status
+
+func (eng engines) RoundTrip(req *http.Request) (*http.Response, error) {
+	sta, there := eng[req.URL.Hostname()]
+	if !there {
+		return nil, io.ErrUnexpectedEOF
+	}
+	data, err := json.Marshal(sta)
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(string(data))), Request: req}, err
+}
+
+// told counts the facts that a watcher states, one for each probe.
+type told chan string
+
+func (tol told) Set(subject string, _ []byte)      { tol <- subject }
+func (tol told) Get(string, string) ([]byte, bool) { return nil, false }
+func (tol told) Heard(string) time.Time            { return time.Time{} }
+
+func member(vm string, change func(sta *prober.Status)) prober.Status {
+	sta := prober.Status{VM: vm, Group: "g", Fence: 7, Model: "writer", Version: "1", State: prober.Ready}
+	change(&sta)
+	return sta
+}
+
+var _ = Describe("a replica group", func() {
+	whole := func(*prober.Status) {}
+	cases := []struct {
+		name    string
+		change  func(sta *prober.Status)
+		missing bool
+		later   time.Duration
+		stage   watcher.Stage
+	}{
+		{"serves while every member reports its group and fence", whole, false, 0, watcher.StageServing},
+		{"does not serve with a member that does not answer", whole, true, 0, watcher.StageBroken},
+		{"does not serve on reports that are old", whole, false, 4 * time.Second, watcher.StageBroken},
+		{"does not serve with a member of another group", func(sta *prober.Status) { sta.Group = "h" }, false, 0, watcher.StageLoading},
+		{"does not serve with a member of an older fence", func(sta *prober.Status) { sta.Fence = 6 }, false, 0, watcher.StageLoading},
+		{"does not serve with a member that loads", func(sta *prober.Status) { sta.State = "loading" }, false, 0, watcher.StageLoading},
+		{"does not serve with a member of another model", func(sta *prober.Status) { sta.Model = "reader" }, false, 0, watcher.StageLoading},
+		{"does not serve with a member of an old version", func(sta *prober.Status) { sta.Version = "0" }, false, 0, watcher.StageLoading},
+	}
+	for _, cas := range cases {
+		It(cas.name, func() {
+			vie := reducer.NewState().View()
+			vie.Catalog.Inventory.VMs = map[string]cataloger.VM{"a": {Address: "a:1"}, "b": {Address: "b:1"}}
+			vie.Groups = map[string]reducer.Group{"g": {Name: "g", Model: "writer", Version: "1", Fence: 7, VMs: []string{"a", "b"}}}
+			vie.Owners = map[string]string{"a": "g", "b": "g"}
+			vie.Homes = map[string]reducer.Home{"g": {Incarnation: "own"}}
+			there := engines{"a": member("a", whole), "b": member("b", cas.change)}
+			if cas.missing {
+				delete(there, "b")
+			}
+			clk := clockwork.NewFakeClock()
+			probes := make(told, 2)
+			wat := watcher.New(watcher.Options{
+				View: func() *reducer.View { return vie }, Self: func() string { return "own" }, Facts: probes, Clock: clk, Interval: time.Second,
+				Leaving:  func(string) (time.Duration, bool) { return 0, false },
+				Client:   prober.Options{Client: &http.Client{Transport: there}},
+				OnReport: func(string, prober.Probe) {},
+			})
+			wat.Prober().Round(context.Background())
+			<-probes
+			<-probes
+			clk.Advance(cas.later)
+			stage, _ := wat.Stage(vie, "g")
+			Expect(stage).To(Equal(cas.stage))
+		})
+	}
+})
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -38,7 +38,6 @@
 	Interval time.Duration
 	Client   prober.Options
 	OnReport func(unit string, pro prober.Probe)
-	OnProbe  func(vm string)
 }
 
 // Sight is what a watcher passes on of one VM; it changes seldom.
@@ -77,7 +76,6 @@
 	probing.Clock = opt.Clock
 	probing.Interval = opt.Interval
 	probing.Targets = wat.targets
-	probing.Before = opt.OnProbe
 	probing.OnProbe = wat.onProbe
 	wat.pro = prober.New(probing)
 	return wat
