--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -12,6 +12,8 @@
 const (
 	DecreaseFactor = 0.7
 	LatencyFactor  = 1.5
+	// FirstTokenFactor is larger, since on a busy unit a request first waits for the step that runs.
+	FirstTokenFactor = 4
 )
 
 // Defaults of a limiter.
