--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -16,8 +16,8 @@
 
 // Defaults of an admitter.
 const (
-	DefaultValidity  = time.Second
-	DefaultReportLag = time.Second
+	DefaultValidity  = limiter.DefaultValidity
+	DefaultReportLag = limiter.DefaultReportLag
 )
 
 const suspectLane = "suspect"
@@ -48,7 +48,7 @@
 	Clock       clockwork.Clock
 }
 
-// Request asks for a place on a unit; ID is unique for each attempt, Holder is the incarnation of the entry that asks, and Within is the time left before the deadline, zero for none.
+// Request asks for a place on a unit; ID is unique for each attempt, Holder is the incarnation of the entry that asks, Within bounds its wait and Finish the time until its end, zero for no bound.
 type Request struct {
 	ID        string
 	Holder    string
@@ -59,6 +59,7 @@
 	Weight    int
 	Cost      float64
 	Within    time.Duration
+	Finish    time.Duration
 	// Suspect says that the request ran on a unit that crashed.
 	Suspect bool
 }
@@ -98,12 +99,17 @@
 	return &Admitter{opt: opt, units: map[string]*unit{}, tickets: map[string]*grant{}}
 }
 
-// Admit waits for a place on the unit; it fails with a refuser.Refusal. A ticket that is granted must be released, also when the context has ended.
+// Admit waits for a place on the unit and fails with a refuser.Refusal; a ticket that is granted must be released, also when the context has ended.
 func (adm *Admitter) Admit(ctx context.Context, req Request) (Ticket, error) {
 	wai, err := adm.enqueue(req)
 	if err != nil {
 		return Ticket{}, err
 	}
+	select {
+	case ans := <-wai.answered:
+		return ans.result()
+	default:
+	}
 	var late <-chan time.Time
 	if req.Within > 0 {
 		tim := adm.opt.Clock.NewTimer(req.Within)
@@ -178,7 +184,7 @@
 		}
 	}
 	for _, uni := range adm.units {
-		uni.forget(holder)
+		uni.refuseWhere(func(req Request) bool { return req.Holder == holder }, refuser.NotRun("the entry that asked was evicted", 0))
 		adm.pump(uni)
 	}
 }
@@ -227,7 +233,7 @@
 			uni.limiter.Release(per, limiter.Outcome{Undispatched: true})
 			return
 		}
-		if !itm.Deadline.IsZero() && !itm.Deadline.After(adm.opt.Clock.Now()) {
+		if !itm.StartBy.IsZero() && !itm.StartBy.After(adm.opt.Clock.Now()) {
 			uni.limiter.Release(per, limiter.Outcome{Undispatched: true})
 			uni.refuse(itm.ID, refuser.NotRun("the deadline passed in the queue", refuser.DefaultRetryAfter))
 			continue
@@ -263,8 +269,7 @@
 	delete(uni.running, gra.req.ID)
 	uni.limiter.Release(gra.permit, out)
 	if gra.req.Suspect {
-		uni.suspects--
-		uni.suspectLost = uni.suspectLost || out.MayRun
+		uni.endSuspect(out.MayRun)
 	}
 	if out.Whole() {
 		uni.queue.Served(gra.req.Cost, adm.opt.Clock.Since(gra.at))
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -14,7 +14,11 @@
 	LatencyFactor  = 1.5
 	// FirstTokenFactor is larger, since on a busy unit a request first waits for the step that runs.
 	FirstTokenFactor = 4
-	DefaultLag       = time.Second
+)
+
+// Defaults of a limiter.
+const (
+	DefaultReportLag = time.Second
 	DefaultValidity  = time.Second
 )
 
@@ -90,6 +94,12 @@
 	if opt.Clock == nil {
 		opt.Clock = clockwork.NewRealClock()
 	}
+	if opt.ReportLag <= 0 {
+		opt.ReportLag = DefaultReportLag
+	}
+	if opt.Validity <= 0 {
+		opt.Validity = DefaultValidity
+	}
 	lim := &Limiter{opt: opt, permits: map[Permit]time.Time{}, cold: true}
 	lim.resetLimit()
 	if opt.Untouched {
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -54,7 +54,6 @@
 	Clock    clockwork.Clock
 	Interval time.Duration
 	Targets  func() []Target
-	Before   func(vm string)
 	OnProbe  func(vm string, pro Probe)
 }
 
@@ -121,7 +120,6 @@
 
 func (pro *Prober) probe(ctx context.Context, tar Target) {
 	asked := pro.opt.Clock.Now()
-	pro.opt.Before(tar.VM)
 	sta, err := pro.ask(ctx, tar)
 	pro.mtx.Lock()
 	delete(pro.busy, tar.VM)
@@ -153,7 +151,7 @@
 	}
 	res, err := cli.Do(req)
 	if err != nil {
-		return Status{}, errors.Wrap(err, ErrUnavailable)
+		return Status{}, errors.WithType(errors.Annotate(err, string(ErrUnavailable)), ErrUnavailable)
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
@@ -161,7 +159,7 @@
 	}
 	var sta Status
 	if err := json.NewDecoder(res.Body).Decode(&sta); err != nil {
-		return Status{}, errors.Wrap(err, ErrUnavailable)
+		return Status{}, errors.WithType(errors.Annotate(err, string(ErrUnavailable)), ErrUnavailable)
 	}
 	if sta.VM != tar.VM {
 		return Status{}, errors.NotValidf("prober: answer of VM %q", sta.VM)
--- a/server/build.go
+++ b/server/build.go
@@ -94,6 +94,7 @@
 		Clock:    srv.clk,
 		Logger:   srv.log,
 		Every:    int64(srv.set.SnapshotEveryRecords),
+		Within:   srv.set.SnapshotWithin,
 	})
 }
 
@@ -115,7 +116,6 @@
 		Interval: srv.set.ProbeInterval,
 		Client:   prober.Options{Client: srv.ctl},
 		OnReport: func(unit string, pro prober.Probe) { srv.kee.OnReport(unit, pro) },
-		OnProbe:  func(string) {},
 	})
 	srv.adm = admitter.New(admitter.Options{
 		Incarnation: srv.self(),
@@ -135,7 +135,7 @@
 		Clock:         srv.clk,
 		Logger:        srv.log,
 		Interval:      srv.set.ProbeInterval,
-		TakeoverAfter: 2 * srv.set.FreshFor,
+		TakeoverAfter: 3 * srv.set.FreshFor,
 		Spawn:         func(call func()) { go call() },
 	})
 }
@@ -144,11 +144,11 @@
 	srv.cla.Store(srv.newClaimer())
 	srv.qua = quarantiner.New(quarantiner.Settings{}, srv.clk, folded{srv: srv}, folded{srv: srv})
 	srv.tic = ticketer.New(ticketer.Options{
-		View:      srv.view,
-		Self:      srv.self,
-		Home:      srv.kee,
-		Messenger: srv.mes,
-		Clock:     srv.clk,
+		View:  srv.view,
+		Self:  srv.self,
+		Home:  srv.kee,
+		Homes: remote{srv: srv},
+		Clock: srv.clk,
 	})
 	bre := breaker.New(breaker.Options{Clock: srv.clk})
 	bal := srv.newBalancer(bre)
@@ -174,7 +174,7 @@
 		Tickets:    srv.tic,
 		Services:   invoker.New(srv.dia, 0),
 		Balancer:   bal,
-		Messenger:  srv.mes,
+		Entries:    remote{srv: srv},
 		Clock:      srv.clk,
 		Queue:      srv.set.QueueTimeout,
 		Zone:       srv.set.Zone,
