--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 DEPLOYMENT ?= alokrekha
+SEEDS ?= 1000
 GOBIN := $(shell go env GOPATH)/bin
 LINT_VERSION := v2.15.0
 
-.PHONY: build test lint fmt run up down soak measure scale bench tools ci
+.PHONY: build test lint fmt run up down soak seeds measure scale bench tools ci
 
 build:
 	go build -o bin/lovagelever .
@@ -13,9 +14,15 @@
 test:
 	go test -race -count=1 ./...
 
-soak: build
+soak: build seeds
 	go test -tags soak -count=1 -timeout 60m -v ./prover
 
+seeds:
+	LOVAGELEVER_SEEDS=$(SEEDS) go test -count=1 -timeout 60m ./admitter ./claimer ./completer ./forwarder ./keeper ./planner
+
+bench:
+	go test -run XXX -bench . ./...
+
 measure:
 	scripts/measure.sh
 
