--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -1,11 +1,7 @@
 package gossiper
 
 import (
-	"cmp"
 	"context"
-	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +9,6 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
-	"github.com/lovagelever/lovagelever/assigner"
 	"github.com/lovagelever/lovagelever/recorder"
 	"github.com/lovagelever/lovagelever/reducer"
 )
@@ -78,29 +73,6 @@
 	ring    atomic.Pointer[ringAt]
 }
 
-// cursor is how far the facts of a peer are known while certain origins were asked for, and up to which version the peer was told what is held here.
-type cursor struct {
-	at     uint64
-	unseen string
-	held   uint64
-}
-
-// moved is the cursor after an answer; what is held is named again when the answer was cut short.
-func (cur cursor) moved(req Request, ans Answer, held uint64) cursor {
-	next := cursor{at: ans.Cursor, unseen: strings.Join(req.Unseen, ","), held: held}
-	if len(ans.Facts) >= maxFacts {
-		next.held = cur.held
-	}
-	return next
-}
-
-type peer struct {
-	name        string
-	incarnation string
-	address     string
-	score       uint64
-}
-
 // New returns a gossiper for the incarnation self.
 func New(opt Options, self string) *Gossiper {
 	return &Gossiper{
@@ -195,10 +167,6 @@
 	delete(gos.busy, pee.incarnation)
 }
 
-func (gos *Gossiper) mesh() bool {
-	return len(gos.opt.State.View().Members) <= meshUpTo
-}
-
 func (gos *Gossiper) follow(ctx context.Context) {
 	want := map[string]peer{}
 	if gos.mesh() {
@@ -250,66 +218,6 @@
 	return gos.opt.Interval * time.Duration(max(heldOnce, len(gos.fingers()))) / heldOnce
 }
 
-// ringAt is the ring of the members in one view.
-type ringAt struct {
-	vie     *reducer.View
-	members []peer
-}
-
-func (gos *Gossiper) members() []peer {
-	vie := gos.opt.State.View()
-	if rin := gos.ring.Load(); rin != nil && rin.vie == vie {
-		return rin.members
-	}
-	members := ringOf(vie.Members)
-	gos.ring.Store(&ringAt{vie: vie, members: members})
-	return members
-}
-
-// fingers are the peers that this entry pulls from.
-func (gos *Gossiper) fingers() []peer {
-	ring := gos.members()
-	self := gos.Self()
-	at := slices.IndexFunc(ring, func(pee peer) bool { return pee.incarnation == self })
-	if at < 0 {
-		return first(ring, meshUpTo)
-	}
-	var out []peer
-	for _, dist := range distances(len(ring)) {
-		out = append(out, ring[(at+dist)%len(ring)])
-	}
-	return out
-}
-
-// distances are the steps on a ring of the size: every one on a small ring, else the powers of two.
-func distances(size int) []int {
-	var out []int
-	for dist := 1; dist < size; {
-		out = append(out, dist)
-		if size <= meshUpTo {
-			dist++
-		} else {
-			dist *= 2
-		}
-	}
-	return out
-}
-
-func ringOf(members map[string]reducer.Member) []peer {
-	var ring []peer
-	for inc, mem := range members {
-		ring = append(ring, peer{name: mem.Name, incarnation: inc, address: mem.RPCAddress, score: assigner.Score("ring", mem.Name)})
-	}
-	slices.SortFunc(ring, func(one, two peer) int {
-		return cmp.Or(cmp.Compare(one.score, two.score), strings.Compare(one.incarnation, two.incarnation))
-	})
-	return ring
-}
-
-func first(ring []peer, count int) []peer {
-	return ring[:min(count, len(ring))]
-}
-
 func (gos *Gossiper) heard(inc string, at time.Time) {
 	gos.mtx.Lock()
 	defer gos.mtx.Unlock()
@@ -317,35 +225,3 @@
 		gos.hear[inc] = at
 	}
 }
-
-// cursorOf is how far the facts of a peer are known, or nothing when other origins are asked for than last time.
-func (gos *Gossiper) cursorOf(inc, unseen string) cursor {
-	gos.mtx.Lock()
-	defer gos.mtx.Unlock()
-	if cur := gos.cursors[inc]; cur.unseen == unseen {
-		return cur
-	}
-	return cursor{}
-}
-
-func (gos *Gossiper) setCursor(inc string, cur cursor) {
-	gos.mtx.Lock()
-	defer gos.mtx.Unlock()
-	gos.cursors[inc] = cur
-}
-
-// unseen says whether facts must be relayed for all, or else which members this entry has not heard lately.
-func (gos *Gossiper) unseen(now time.Time) (bool, []string) {
-	members := gos.opt.State.View().Members
-	if len(members) > meshUpTo {
-		return true, nil
-	}
-	var out []string
-	silent := unseenAfter * gos.holdTime()
-	for _, inc := range slices.Sorted(maps.Keys(members)) {
-		if inc != gos.Self() && now.Sub(gos.Heard(inc)) > silent {
-			out = append(out, inc)
-		}
-	}
-	return false, out
-}
