Let callers say how long they wait

Cause: of the requests admitted at twice the capacity 31% ended after the callers' 5 s, since an entry knew no deadline but its own 60 s. Change: X-Timeout-Ms bounds the queue and the whole request. Not measured again.

--- a/server/complete.go
+++ b/server/complete.go
@@ -39,6 +39,11 @@
 	if err != nil {
 		return err
 	}
+	within, err := srv.timeout(ctx)
+	if err != nil {
+		return err
+	}
+	cal.Deadline = srv.clk.Now().Add(within)
 	cal.RequestID = requestID(ctx)
 	srv.running.Add(1)
 	defer srv.running.Done()
@@ -78,7 +83,6 @@
 		MaxTokens: chat.MaxTokens,
 		Content:   chat.Messages,
 		Body:      body,
-		Deadline:  srv.clk.Now().Add(srv.set.RequestTimeout),
 	}, chat, nil
 }
 
--- a/server/forward.go
+++ b/server/forward.go
@@ -26,6 +26,9 @@
 	srv.running.Add(1)
 	defer srv.running.Done()
 	cal := srv.serviceCall(ctx, workspace, service, body)
+	if cal.Within, err = srv.timeout(ctx); err != nil {
+		return err
+	}
 	wat := srv.begin(workspace, srv.classOf(service, cal.Method))
 	ans := srv.fwd.Forward(ctx.Request().Context(), cal)
 	if ans.Refusal != nil {
@@ -51,7 +54,6 @@
 		Header:    req.Header,
 		Body:      body,
 		Key:       req.Header.Get(headerKey),
-		Within:    srv.set.RequestTimeout,
 	}
 }
 
--- a/server/gate.go
+++ b/server/gate.go
@@ -67,6 +67,19 @@
 	return data, nil
 }
 
+// timeout is how long the caller waits for the whole answer, at most the request timeout of this entry.
+func (srv *Server) timeout(ctx echo.Context) (time.Duration, error) {
+	text := ctx.Request().Header.Get(headerTimeoutMS)
+	if text == "" {
+		return srv.set.RequestTimeout, nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || millis <= 0 {
+		return 0, refuser.Invalid(headerTimeoutMS + " must be a whole number of milliseconds above 0")
+	}
+	return min(time.Duration(millis)*time.Millisecond, srv.set.RequestTimeout), nil
+}
+
 func allowed(name string, list []string) bool {
 	return slices.Contains(list, name)
 }
--- a/server/routes.go
+++ b/server/routes.go
@@ -17,6 +17,7 @@
 	headerRequestID = "X-Request-Id"
 	headerKey       = "Idempotency-Key"
 	headerReplayed  = "X-Replayed"
+	headerTimeoutMS = "X-Timeout-Ms"
 
 	headerTimeout  = 5 * time.Second
 	bodyTimeout    = 20 * time.Second
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -33,6 +33,12 @@
 		Expect(rep.body).To(ContainSubstring(text))
 	})
 
+	It("ends a completion at the caller's own timeout", func() {
+		long := strings.Replace(chat, `"max_tokens": 6`, `"max_tokens": 60000`, 1) + "}"
+		rep := sit.send(http.MethodPost, "/v1/chat/completions", long, "X-Workspace", "wedding-halls", "X-Timeout-Ms", "100")
+		Expect(rep.refusal().Type).To(BeElementOf("outcome_unknown", "not_run"), rep.body)
+	})
+
 	It("streams a completion to its end marker", func() {
 		rep := sit.send(http.MethodPost, "/v1/chat/completions", chat+`, "stream": true}`, "X-Workspace", "wedding-halls")
 		Expect(rep.header.Get("Content-Type")).To(Equal("text/event-stream"))
@@ -69,6 +75,7 @@
 		{"messages that are no list", "POST", "/v1/chat/completions", `{"model": "scene-composer", "messages": 4}`, []string{"X-Workspace", "wedding-halls"}, 400, "invalid"},
 		{"too many tokens", "POST", "/v1/chat/completions", `{"model": "scene-composer", "messages": [], "max_tokens": 99999999}`, []string{"X-Workspace", "wedding-halls"}, 400, "invalid"},
 		{"a body over the limit", "POST", "/v1/chat/completions", strings.Repeat("x", 5000), []string{"X-Workspace", "wedding-halls"}, 413, "too_large"},
+		{"a timeout that is none", "POST", "/v1/chat/completions", chat + "}", []string{"X-Workspace", "wedding-halls", "X-Timeout-Ms", "5s"}, 400, "invalid"},
 		{"an unknown service", "GET", "/v1/services/none/x", "", []string{"X-Workspace", "wedding-halls"}, 404, "invalid"},
 		{"a key that is none", "POST", "/v1/services/venue-api/x", "", []string{"X-Workspace", "wedding-halls", "Idempotency-Key", "mine"}, 400, "invalid"},
 		{"a key of an entry that is gone", "POST", "/v1/services/venue-api/x", "", []string{"X-Workspace", "wedding-halls", "Idempotency-Key", "entry-9.aaaaaaaa-aaaa.0/k"}, 502, "outcome_unknown"},
