--- a/caller/main.go
+++ b/caller/main.go
@@ -1,4 +1,3 @@
-// Command caller acts as a caller of a deployment and checks what it is answered.
 package main
 
 import (
--- a/keeper/fact.go
+++ b/keeper/fact.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"math"
 	"time"
 
 	"github.com/lovagelever/lovagelever/reducer"
@@ -36,8 +35,8 @@
 		Reason:  why,
 		Fence:   adm.Fence,
 		Warm:    adm.Warm,
-		Running: coarse(adm.Running + adm.Foreign),
-		Waiting: coarse(adm.Waiting),
+		Running: watcher.Coarse(adm.Running + adm.Foreign),
+		Waiting: watcher.Coarse(adm.Waiting),
 		Limit:   adm.Limit,
 		Started: kee.started(unit),
 	}
@@ -97,10 +96,3 @@
 	}
 	return sta, true
 }
-
-func coarse(count int) int {
-	if count <= 1 {
-		return count
-	}
-	return 1 << int(math.Ceil(math.Log2(float64(count))))
-}
--- /dev/null
+++ b/measurer/doc.go
@@ -0,0 +1,2 @@
+// Command measurer measures a running deployment.
+package main
--- a/measurer/main.go
+++ b/measurer/main.go
@@ -1,4 +1,3 @@
-// Command measurer measures a running deployment.
 package main
 
 import (
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,3 @@
-// Command standin runs a small stand-in of a platform service or a backend server.
 package main
 
 import (
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -137,7 +137,7 @@
 		State:   sta.State,
 		Reason:  sta.Reason,
 		Warm:    sta.Warm,
-		Running: coarse(sta.Running + sta.Queued),
+		Running: Coarse(sta.Running + sta.Queued),
 		StepMS:  coarseMS(sta.StepMS),
 		Started: sta.Started,
 	}
@@ -148,8 +148,8 @@
 	wat.opt.Facts.Set(subjectVM+vm, data)
 }
 
-// coarse rounds a count up to a power of two, so that facts change seldom.
-func coarse(count int) int {
+// Coarse rounds a count up to a power of two, so that facts change seldom.
+func Coarse(count int) int {
 	if count <= 1 {
 		return count
 	}
