--- a/server/build.go
+++ b/server/build.go
@@ -106,7 +106,7 @@
 		Clock:   srv.clk,
 		Logger:  srv.log,
 	})
-	srv.leave.Store(&map[string]time.Time{})
+	srv.leavingAt.Store(&map[string]time.Time{})
 	srv.wat = watcher.New(watcher.Options{
 		View:     srv.view,
 		Leaving:  srv.leavesIn,
--- a/server/folded.go
+++ b/server/folded.go
@@ -187,7 +187,7 @@
 
 func (srv *Server) observe(vie *reducer.View) planner.Observations {
 	obs := planner.Observations{VMs: srv.wat.Observe(vie)}
-	for vm, leavesAt := range *srv.leave.Load() {
+	for vm, leavesAt := range *srv.leavingAt.Load() {
 		one := obs.VMs[vm]
 		one.Leaving = true
 		one.LeavesAt = leavesAt
--- a/server/gate.go
+++ b/server/gate.go
@@ -35,12 +35,12 @@
 // zoneOutLong reports whether this entry's zone has been out for longer than callers keep an answer.
 func (srv *Server) zoneOutLong() bool {
 	if !srv.view().Catalog.Rules.ZoneOut(srv.set.Zone) {
-		srv.zoneOut.Store(0)
+		srv.zoneOutSince.Store(0)
 		return false
 	}
 	now := srv.clk.Now().UnixNano()
-	srv.zoneOut.CompareAndSwap(0, now)
-	return time.Duration(now-srv.zoneOut.Load()) > srv.set.LocateValidFor
+	srv.zoneOutSince.CompareAndSwap(0, now)
+	return time.Duration(now-srv.zoneOutSince.Load()) > srv.set.LocateValidFor
 }
 
 // enter checks that a workspace is known and that this entry takes new work.
--- a/server/server.go
+++ b/server/server.go
@@ -74,16 +74,16 @@
 	mtr *meter
 	bur *burner.Burner
 
-	cla      atomic.Pointer[claimer.Claimer]
-	rpcBytes counter.Counter
-	ctlBytes counter.Counter
-	draining atomic.Bool
-	running  sync.WaitGroup
-	diverged atomic.Int64
-	weights  atomic.Pointer[planner.Store]
-	zoneOut  atomic.Int64
-	leave    atomic.Pointer[map[string]time.Time]
-	ech      *echo.Echo
+	cla          atomic.Pointer[claimer.Claimer]
+	rpcBytes     counter.Counter
+	ctlBytes     counter.Counter
+	draining     atomic.Bool
+	running      sync.WaitGroup
+	diverged     atomic.Int64
+	weights      atomic.Pointer[planner.Store]
+	zoneOutSince atomic.Int64
+	leavingAt    atomic.Pointer[map[string]time.Time]
+	ech          *echo.Echo
 
 	storeRead time.Time
 }
--- a/server/tell.go
+++ b/server/tell.go
@@ -152,12 +152,12 @@
 			out[vm] = leavesAt
 		}
 	}
-	srv.leave.Store(&out)
+	srv.leavingAt.Store(&out)
 }
 
 // leavesIn tells in what time a VM leaves, if it is leaving.
 func (srv *Server) leavesIn(vm string) (time.Duration, bool) {
-	leavesAt, leaving := (*srv.leave.Load())[vm]
+	leavesAt, leaving := (*srv.leavingAt.Load())[vm]
 	return leavesAt.Sub(srv.clk.Now()), leaving
 }
 
