See the weights that engines hold ahead

An engine that staged weights reports them by name in weights and stays empty; the planner looked for a ready engine with the model, so no spare ever counted as staged, and a leaving VM's group waited for its last 30 s. The planner's own tests used engines that showed a ready state, which the protocol does not say. Change: status, sights and observations carry the weights; a transfer that was ordered ahead counts as under way for twice the store's time, since engines do not show it, and is not ordered again meanwhile. The tests' engines now show what the protocol says.

--- a/planner/attempt.go
+++ b/planner/attempt.go
@@ -27,6 +27,15 @@
 	return true
 }
 
+// expect lets the order that was just counted have so much time before it is sent again.
+func (rnd *round) expect(vm string, lasts time.Duration) {
+	att := rnd.mem.orders[vm]
+	if next := rnd.now.Add(lasts); next.After(att.next) {
+		att.next = next
+	}
+	rnd.mem.orders[vm] = att
+}
+
 func (rnd *round) backoff(count int) time.Duration {
 	return min(rnd.opt.OrderBackoff<<min(count, 16), rnd.opt.OrderBackoffMax)
 }
--- a/planner/drainer.go
+++ b/planner/drainer.go
@@ -93,13 +93,14 @@
 			continue
 		}
 		if rnd.headway(name, model) > 0 {
-			rnd.watchLoad(name, "staged/"+model, 0)
+			rnd.watchLoad(name, stagedAs(rnd.inv, model), 0)
 			continue
 		}
-		if !rnd.queueRoom(aheadForRepair) || !rnd.due(name, "staged/"+model, 0) {
+		if !rnd.queueRoom(aheadForRepair) || !rnd.due(name, stagedAs(rnd.inv, model), 0) {
 			continue
 		}
 		rnd.enqueue(model, []string{name})
+		rnd.expect(name, 2*rnd.queueTime())
 		rnd.actions = append(rnd.actions, Action{Stage: &Stage{
 			VM: name, Address: rnd.inv.VMs[name].Address, Fence: rnd.vie.Offset,
 			Model: model, Version: mod.Version, Adapters: mod.Adapters, WeightsGigabytes: share(mod),
--- a/planner/observation.go
+++ b/planner/observation.go
@@ -39,6 +39,8 @@
 	Queued   int
 	StepTime time.Duration
 	Started  string
+	// Weights names the models whose weights the engine holds without serving them, as MODEL@VERSION.
+	Weights []string
 }
 
 // Store is the weight store's queue: the gigabytes ahead of a new transfer and the gigabytes a second that all transfers share.
--- a/planner/spares.go
+++ b/planner/spares.go
@@ -43,18 +43,28 @@
 	return out[:min(num, len(out))]
 }
 
+// headway is 2 for a VM that holds the weights of a model, 1 for one that loads them, and else 0.
 func (rnd *round) headway(vm, model string) int {
 	obs := rnd.obs.VMs[vm]
-	if obs.Model != model || obs.Version != rnd.inv.Models[model].Version {
-		return 0
-	}
-	switch obs.State {
-	case StateReady:
+	version := rnd.inv.Models[model].Version
+	switch {
+	case obs.holds(model, version):
 		return 2
-	case StateLoading:
+	case obs.State == StateLoading && obs.Model == model && obs.Version == version, rnd.staging(vm, model):
 		return 1
+	default:
+		return 0
 	}
-	return 0
+}
+
+// staging reports that a VM was ordered to load weights ahead so lately that they may be on their way, which engines do not show.
+func (rnd *round) staging(vm, model string) bool {
+	att := rnd.attempt(vm, stagedAs(rnd.inv, model), 0)
+	return att.count > 0 && rnd.now.Before(att.next)
+}
+
+func stagedAs(inv cataloger.Inventory, model string) string {
+	return "staged/" + model + "@" + inv.Models[model].Version
 }
 
 func (rnd *round) place(model string) (placer.Placement, error) {
--- a/planner/unit.go
+++ b/planner/unit.go
@@ -1,6 +1,10 @@
 package planner
 
-import "github.com/lovagelever/lovagelever/reducer"
+import (
+	"slices"
+
+	"github.com/lovagelever/lovagelever/reducer"
+)
 
 // unit is a group with what this round knows of it.
 type unit struct {
@@ -58,7 +62,10 @@
 }
 
 func (obs Observation) holds(model, version string) bool {
-	return obs.State == StateReady && obs.Model == model && obs.Version == version
+	if obs.State == StateReady && obs.Model == model && obs.Version == version {
+		return true
+	}
+	return slices.Contains(obs.Weights, model+"@"+version)
 }
 
 // lost reports that a VM is dead beyond the grace, or that its loads kept failing.
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -209,6 +209,9 @@
 			if eng.state == planner.StateReady && eng.group != "" {
 				obs.StepTime = eng.step
 			}
+			if eng.group == "" && eng.model != "" {
+				showStaged(&obs, eng)
+			}
 		} else if now.Sub(eng.changed) < time.Second {
 			obs.Health = planner.HealthSuspect
 		}
@@ -217,6 +220,14 @@
 	return out
 }
 
+// showStaged shows weights that were loaded ahead as engines do: by name once they are held, and not at all before.
+func showStaged(obs *planner.Observation, eng *engine) {
+	if eng.state == planner.StateReady {
+		obs.Weights = []string{eng.model + "@" + eng.version}
+	}
+	obs.Model, obs.Version, obs.State = "", "", planner.StateEmpty
+}
+
 func (wor *world) carryOut(act planner.Action) {
 	switch {
 	case act.Form != nil:
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -29,6 +29,8 @@
 	Queued  int     `json:"queued"`
 	StepMS  float64 `json:"step_ms"`
 	Started string  `json:"started"`
+	// Weights names the models whose weights the engine holds, as MODEL@VERSION.
+	Weights []string `json:"weights"`
 }
 
 // Ready is the state of an engine that has loaded its weights.
--- a/watcher/observe.go
+++ b/watcher/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/lovagelever/lovagelever/planner"
@@ -71,6 +72,7 @@
 		Running:  sig.Running,
 		StepTime: time.Duration(sig.StepMS * float64(time.Millisecond)),
 		Started:  sig.Started,
+		Weights:  strings.Fields(sig.Weights),
 	}
 	if !sig.Alive {
 		obs.Health = planner.HealthDead
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"strings"
 	"sync"
 	"time"
 
@@ -53,6 +54,7 @@
 	Running int     `json:"running,omitempty"`
 	StepMS  float64 `json:"step_ms,omitempty"`
 	Started string  `json:"started,omitempty"`
+	Weights string  `json:"weights,omitempty"`
 }
 
 // Watcher watches the VMs of one entry.
@@ -140,6 +142,7 @@
 		Running: Coarse(sta.Running + sta.Queued),
 		StepMS:  coarseMS(sta.StepMS),
 		Started: sta.Started,
+		Weights: strings.Join(sta.Weights, " "),
 	}
 	data, err := json.Marshal(sig)
 	if err != nil {
