Load whole replicas ahead where a domain is idle

Cause: with fabric domains of four VMs and groups of four no domain has a spare, so that a lost member's group is formed elsewhere after the whole grace and a transfer. Change: an idle domain loads the weights of a whole replica ahead, and the grace ends early when such a place holds them all.

--- a/planner/preloader.go
+++ b/planner/preloader.go
@@ -5,19 +5,27 @@
 	"slices"
 )
 
-// preload lets one spare at a time load weights that groups of its fabric domain may need, while nothing else is to be done.
+// preload lets one spare at a time load weights ahead, while nothing else is to be done: those that groups of its fabric domain
+// may need, or, in a domain without groups, those of a whole replica.
 //
 // A member that is lost then costs no transfer.
 func (rnd *round) preload() {
 	if rnd.opt.ReformElsewhere || rnd.queued > 0 || len(rnd.actions) > 0 {
 		return
 	}
-	counts := rnd.modelsByDomain()
+	counts, all := rnd.modelsByDomain(), map[string]int{}
+	for _, model := range rnd.models {
+		all[model] = rnd.inv.Models[model].Replicas
+	}
 	for _, name := range rnd.vms {
 		if !rnd.free(name) || !rnd.usable(name) {
 			continue
 		}
-		if model := rnd.wantedBy(name, counts[rnd.inv.VMs[name].Domain]); model != "" {
+		own, used := counts[rnd.inv.VMs[name].Domain]
+		if !used {
+			own = all
+		}
+		if model := rnd.wantedBy(name, own, !used); model != "" {
 			rnd.stage(model, []string{name})
 			return
 		}
@@ -39,8 +47,8 @@
 	return out
 }
 
-// wantedBy returns the model that most groups of the domain serve, that the VM fits and that no spare of the domain holds or loads.
-func (rnd *round) wantedBy(vm string, counts map[string]int) string {
+// wantedBy returns the model with the highest count that the VM fits and that too few spares of the domain hold or load.
+func (rnd *round) wantedBy(vm string, counts map[string]int, whole bool) string {
 	models := make([]string, 0, len(counts))
 	for model := range counts {
 		if rnd.headway(vm, model) > 0 {
@@ -53,9 +61,14 @@
 	})
 	spec := rnd.inv.VMs[vm]
 	for _, model := range models {
-		spares := rnd.spares(spec.Domain, model, 1)
-		ready := len(spares) > 0 && rnd.headway(spares[0], model) > 0
-		if !ready && spec.Accelerators >= rnd.inv.Models[model].AcceleratorsEach {
+		mod := rnd.inv.Models[model]
+		wanted := 1
+		if whole {
+			wanted = mod.VMsPerReplica
+		}
+		spares := rnd.spares(spec.Domain, model, wanted)
+		ready := len(spares) == wanted && rnd.headway(spares[wanted-1], model) > 0
+		if !ready && spec.Accelerators >= mod.AcceleratorsEach && (!whole || len(spares) == wanted) {
 			return model
 		}
 	}
--- a/planner/stager.go
+++ b/planner/stager.go
@@ -20,7 +20,11 @@
 func (rnd *round) stageFor(uni *unit) {
 	missing := append(append([]string{}, uni.lost...), uni.doubted...)
 	spares := rnd.spares(uni.Domain, uni.Model, len(missing))
-	if len(missing) == 0 || len(spares) < len(missing) {
+	if len(missing) == 0 {
+		return
+	}
+	if len(spares) < len(missing) {
+		rnd.endGraceElsewhere(uni, missing)
 		return
 	}
 	switch held := rnd.stage(uni.Model, spares); {
@@ -34,6 +38,20 @@
 	}
 }
 
+// endGraceElsewhere ends the grace early for a group without spares when VMs elsewhere hold the weights of a whole one.
+func (rnd *round) endGraceElsewhere(uni *unit, missing []string) {
+	plc, err := rnd.place(uni.Model)
+	if err != nil || rnd.deadFor(uni.doubted) < rnd.opt.StagedGrace {
+		return
+	}
+	for _, name := range plc.VMs {
+		if rnd.headway(name, uni.Model) < 2 {
+			return
+		}
+	}
+	uni.lost, uni.doubted = missing, nil
+}
+
 func (rnd *round) anyLoading(vms []string, model string) bool {
 	for _, name := range vms {
 		if rnd.headway(name, model) == 1 {
