--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -194,17 +194,7 @@
 }
 
 func (fwd *Forwarder) send(ctx context.Context, cal Call, unit string, try int, repeatable bool) (invoker.Response, error) {
-	vie := fwd.opt.View()
-	rul := vie.Catalog.Rules.Workspaces[cal.Workspace]
-	hel, err := fwd.opt.Tickets.Take(ctx, admitter.Request{
-		ID:        cal.RequestID + "." + strconv.Itoa(try),
-		Unit:      unit,
-		Workspace: cal.Workspace,
-		Priority:  rul.Priority,
-		Weight:    max(1, rul.Weight),
-		Cost:      1,
-		Within:    min(fwd.opt.Queue, cal.Within),
-	})
+	hel, err := fwd.opt.Tickets.Take(ctx, fwd.request(cal, unit, try))
 	if err != nil {
 		return invoker.Response{}, err
 	}
@@ -214,23 +204,40 @@
 	}
 	res, err := fwd.opt.Services.Invoke(ctx, invoker.Call{
 		Method:     cal.Method,
-		Address:    vie.Catalog.Inventory.VMs[unit].Address,
+		Address:    fwd.opt.View().Catalog.Inventory.VMs[unit].Address,
 		Path:       cal.Path,
 		Header:     cal.Header,
 		Body:       cal.Body,
 		RequestID:  cal.RequestID,
 		Repeatable: repeatable,
 	})
+	out, err := judge(err)
+	fwd.opt.Tickets.Give(hel, out)
+	return res, err
+}
+
+func (fwd *Forwarder) request(cal Call, unit string, try int) admitter.Request {
+	rul := fwd.opt.View().Catalog.Rules.Workspaces[cal.Workspace]
+	return admitter.Request{
+		ID:        cal.RequestID + "." + strconv.Itoa(try),
+		Unit:      unit,
+		Workspace: cal.Workspace,
+		Priority:  rul.Priority,
+		Weight:    max(1, rul.Weight),
+		Cost:      1,
+		Within:    min(fwd.opt.Queue, cal.Within),
+	}
+}
+
+// judge tells what a call that ended with an error did to the backend server, and to the caller.
+func judge(err error) (limiter.Outcome, error) {
 	if err == nil {
-		fwd.opt.Tickets.Give(hel, limiter.Outcome{})
-		return res, nil
+		return limiter.Outcome{}, nil
 	}
 	if _, not := errors.AsType[*invoker.NotRunError](err); not {
-		fwd.opt.Tickets.Give(hel, limiter.Outcome{Refused: true})
-		return invoker.Response{}, refuser.NotRun(err.Error(), retryAfter)
+		return limiter.Outcome{Refused: true}, refuser.NotRun(err.Error(), retryAfter)
 	}
-	fwd.opt.Tickets.Give(hel, limiter.Outcome{Broken: true, MayRun: true})
-	return invoker.Response{}, refuser.OutcomeUnknown(err.Error())
+	return limiter.Outcome{Broken: true, MayRun: true}, refuser.OutcomeUnknown(err.Error())
 }
 
 func fingerprint(cal Call) string {
--- a/server/build.go
+++ b/server/build.go
@@ -36,6 +36,7 @@
 	"github.com/lovagelever/lovagelever/watcher"
 )
 
+// buildControl makes what reads, folds and appends to the log, and then what rests on it.
 func (srv *Server) buildControl() {
 	srv.mtr = newMeter()
 	srv.bur = burner.New(srv.clk)
@@ -56,6 +57,13 @@
 		Logger:   srv.log,
 		OnRename: srv.onRename,
 	})
+	srv.buildPeers()
+	srv.buildWatch()
+	srv.buildDuties()
+}
+
+// buildPeers makes what entries tell each other and conclude from it.
+func (srv *Server) buildPeers() {
 	srv.gos = gossiper.New(gossiper.Options{
 		State:        srv.fol,
 		Peers:        peers{srv: srv},
@@ -75,7 +83,10 @@
 		Logger:       srv.log,
 		SuspectAfter: srv.set.SuspectAfter,
 	})
-	srv.buildWatch()
+}
+
+// buildDuties makes what this entry does while the fold assigns it.
+func (srv *Server) buildDuties() {
 	srv.ste = steerer.New(steerer.Options{
 		View:     srv.view,
 		Self:     srv.self,
@@ -98,6 +109,7 @@
 	})
 }
 
+// buildWatch makes what looks at backend servers and admits to them.
 func (srv *Server) buildWatch() {
 	srv.lis = lister.New(lister.Options{
 		Address: srv.set.VMListAddress,
@@ -140,6 +152,7 @@
 	})
 }
 
+// buildRequests makes what carries requests.
 func (srv *Server) buildRequests() {
 	srv.cla.Store(srv.newClaimer())
 	srv.qua = quarantiner.New(quarantiner.Settings{}, srv.clk, folded{srv: srv}, folded{srv: srv})
