--- a/commander/status.go
+++ b/commander/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/juju/errors"
@@ -59,9 +60,9 @@
 	for _, mod := range sta.Models {
 		line("%s\t%d\t%d\t%d\t%s", mod.Name, mod.Wanted, mod.Serving, mod.Stranded, mod.Reason)
 	}
-	line("\nGROUP\tMODEL\tDOMAIN\tZONE\tHOME\tSTAGE\tWARM\tRUNNING\tLIMIT\tREASON")
+	line("\nGROUP\tMODEL\tDOMAIN\tZONE\tHOME\tSTAGE\tWARM\tRUNNING\tLIMIT\tVMS\tREASON")
 	for _, grp := range sta.Groups {
-		line("%s\t%s\t%s\t%s\t%s\t%s\t%t\t%d\t%d\t%s", grp.Name, grp.Model, grp.Domain, grp.Zone, grp.Home, grp.Stage, grp.Warm, grp.Running, grp.Limit, grp.Reason)
+		line("%s\t%s\t%s\t%s\t%s\t%s\t%t\t%d\t%d\t%s\t%s", grp.Name, grp.Model, grp.Domain, grp.Zone, grp.Home, grp.Stage, grp.Warm, grp.Running, grp.Limit, strings.Join(grp.VMs, " "), grp.Reason)
 	}
 	if len(sta.Voids) > 0 {
 		line("\nREFUSED RECORD\tOFFSET\tKIND\tWRITER\tREASON")
