Take the home of a killed entry's groups over at once

Cause: found by reading. A new home asks the former one to yield, and a killed one cannot answer, so that its groups got nothing for 9 s after the move and then half of the cold limit until somebody replaced the entry. The status said serving all the while, and so did the measurement of a killed entry. Ruled out: taking an eviction for the end of the process; a paused or cut off entry is evicted too. Change: a refused connection means that no process listens there; a unit whose home may not admit yet is told as takeover, and callers' requests go elsewhere.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -141,6 +141,9 @@
 	if cfg.State == admitter.Serving {
 		kee.continueFrom(unit)
 	}
+	if stage == watcher.StageServing && cfg.State == admitter.NotHome {
+		stage, why = watcher.StageTakeover, "its home may not admit yet"
+	}
 	kee.tell(unit, stage, why)
 }
 
--- a/keeper/takeover.go
+++ b/keeper/takeover.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/lovagelever/lovagelever/admitter"
 	"github.com/lovagelever/lovagelever/reducer"
 )
@@ -131,6 +134,8 @@
 	kee.nudge()
 }
 
+// askOne asks one former home. A refused connection means that no process listens there any more: one that is paused still has its
+// connections accepted, and one that is cut off does not answer.
 func (kee *Keeper) askOne(ctx context.Context, vie *reducer.View, req YieldRequest) (YieldAnswer, error) {
 	address := vie.Departed[req.Incarnation].RPCAddress
 	if mem, live := vie.Members[req.Incarnation]; live {
@@ -138,7 +143,11 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, yieldTimeout)
 	defer stop()
-	return kee.opt.Yield(ctx, address, req)
+	ans, err := kee.opt.Yield(ctx, address, req)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return YieldAnswer{Gone: true}, nil
+	}
+	return ans, err
 }
 
 // Yield gives a unit up once this entry has folded the offset at which it moved.
--- a/watcher/stage.go
+++ b/watcher/stage.go
@@ -19,6 +19,8 @@
 	StageBroken   Stage = "broken"
 	StageZoneOut  Stage = "zone_out"
 	StageGone     Stage = "gone"
+	// StageTakeover is told of a unit that would serve, by a home that waits for a former one or is not fresh.
+	StageTakeover Stage = "takeover"
 )
 
 // Stage judges a unit that has its home here: it serves only while every member has recently reported the same group and fence.
