Serve callers on a platform that lists the backend servers

Cause: lovagelever knew only its own engines, VM list and log service; the users' platform speaks otherwise and its callers bring routes and API keys. The parts that were lacking are new packages of the product: routes, the list of servers, groups formed by orders, places, sending, resumed streams. The names of the platform are read and written in platform/ alone. Ruled out for now: driving the fold and the homes with tickets over the platform's log; one entry meets a request there, and orders are guarded by the servers' own counts.

--- a/commander/exit.go
+++ b/commander/exit.go
@@ -27,8 +27,8 @@
 const ErrUsage = errors.ConstError("usage")
 
 // Main runs the command line, writes its error and returns the exit code.
-func Main(ctx context.Context, args []string, run Runner) int {
-	root := New(run)
+func Main(ctx context.Context, args []string, run Runner, gates ...GateRunner) int {
+	root := New(run, gates...)
 	err := root.Run(ctx, args)
 	if err == nil {
 		return ExitOK
--- /dev/null
+++ b/commander/gate.go
@@ -0,0 +1,35 @@
+package commander
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/lovagelever/lovagelever/gateconfigurer"
+)
+
+// GateRunner runs one entry on a platform until the context ends.
+type GateRunner func(ctx context.Context, set gateconfigurer.Settings) error
+
+func gateCommand(run GateRunner) *cli.Command {
+	return &cli.Command{
+		Name:         "gate",
+		Usage:        "run one entry on a platform, with the settings of a file",
+		Description:  "Runs until SIGTERM or SIGINT, then takes no new callers and lets requests in progress end.",
+		OnUsageError: asUsage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings of the entry, a YAML `FILE`", Sources: cli.EnvVars("LOVAGELEVER_SETTINGS")},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			file := cmd.String("settings")
+			if file == "" {
+				return usagef("give --settings FILE")
+			}
+			set, err := gateconfigurer.Load(file)
+			if err != nil {
+				return err
+			}
+			return run(ctx, set)
+		},
+	}
+}
--- a/commander/root.go
+++ b/commander/root.go
@@ -31,9 +31,9 @@
 	return run(ctx, set)
 }
 
-// New makes the root command; run runs an entry.
-func New(run Runner) *cli.Command {
-	return &cli.Command{
+// New makes the root command; run runs an entry, and gates one on a platform where there is such a runner.
+func New(run Runner, gates ...GateRunner) *cli.Command {
+	root := &cli.Command{
 		Name:           "lovagelever",
 		Usage:          "serve language models whose replicas span several VMs",
 		Description:    rootHelp,
@@ -49,6 +49,10 @@
 			reportCommand(),
 		},
 	}
+	for _, gate := range gates {
+		root.Commands = append(root.Commands, gateCommand(gate))
+	}
+	return root
 }
 
 func leaveError(context.Context, *cli.Command, error) {}
--- /dev/null
+++ b/gateconfigurer/doc.go
@@ -0,0 +1,2 @@
+// Package gateconfigurer reads the settings of an entry that serves callers on a platform.
+package gateconfigurer
--- /dev/null
+++ b/gateconfigurer/load.go
@@ -0,0 +1,90 @@
+package gateconfigurer
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"go.yaml.in/yaml/v3"
+)
+
+// Load reads the settings in a file; it fails with errors.NotValid that names every faulty field.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Annotate(err, "gateconfigurer: read settings")
+	}
+	return Parse(data)
+}
+
+// Parse reads settings from YAML and ignores keys that it does not know; it fails with errors.NotValid that names every faulty field.
+func Parse(data []byte) (Settings, error) {
+	var set Settings
+	if err := yaml.Unmarshal(data, &set); err != nil {
+		return Settings{}, errors.NewNotValid(err, "gateconfigurer: settings")
+	}
+	if faults := set.faults(); len(faults) > 0 {
+		return Settings{}, errors.NotValidf("gateconfigurer: settings with %s", strings.Join(faults, "; "))
+	}
+	return set, nil
+}
+
+func (set Settings) faults() []string {
+	var out []string
+	texts := []struct{ key, val string }{
+		{"name", set.Name}, {"availability_zone", set.Zone}, {"region", set.Region},
+	}
+	for _, one := range texts {
+		if one.val == "" {
+			out = append(out, one.key+" missing")
+		}
+	}
+	if _, err := netip.ParseAddr(set.Address); err != nil {
+		out = append(out, "address that is no IP address")
+	}
+	addresses := []struct{ key, val string }{
+		{"listen.callers", set.Listen.Callers}, {"listen.readiness", set.Listen.Readiness},
+		{"listen.directory", set.Listen.Directory}, {"listen.entries", set.Listen.Entries},
+		{"listen.metrics", set.Listen.Metrics}, {"store.address", set.Store.Address},
+	}
+	for _, one := range addresses {
+		if adr, err := netip.ParseAddrPort(one.val); err != nil || adr.Port() == 0 {
+			out = append(out, one.key+" that is no IP:PORT")
+		}
+	}
+	return append(out, set.numberFaults()...)
+}
+
+func (set Settings) numberFaults() []string {
+	var out []string
+	durations := []struct {
+		key string
+		val time.Duration
+	}{
+		{"store.shortest_lease", set.Store.ShortestLease}, {"heartbeat_every", set.HeartbeatEvery},
+		{"bounds.stop_grace", set.Bounds.StopGrace}, {"bounds.longest_directory_validity", set.Bounds.LongestDirectoryValidity},
+		{"bounds.engine_stall", set.Bounds.EngineStall}, {"bounds.retry_window", set.Bounds.RetryWindow},
+		{"bounds.load_window", set.Bounds.LoadWindow},
+	}
+	for _, one := range durations {
+		if one.val <= 0 {
+			out = append(out, one.key+" that is not above zero")
+		}
+	}
+	numbers := []struct {
+		key string
+		val float64
+	}{
+		{"memory_mb", float64(set.MemoryMB)}, {"processor_share", set.ProcessorShare},
+		{"bounds.retry_ratio", set.Bounds.RetryRatio}, {"bounds.cold_ratio", set.Bounds.ColdRatio},
+		{"bounds.load_ratio", set.Bounds.LoadRatio},
+	}
+	for _, one := range numbers {
+		if one.val <= 0 {
+			out = append(out, one.key+" that is not above zero")
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/gatekeeper/records.go
@@ -0,0 +1,113 @@
+package gatekeeper
+
+import (
+	"encoding/json"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lovagelever/lovagelever/introducer"
+	"github.com/lovagelever/lovagelever/registrar"
+	"github.com/lovagelever/lovagelever/router"
+	"github.com/lovagelever/lovagelever/tailer"
+)
+
+// onOperator takes configurations and which availability zones are out.
+func (gat *Gatekeeper) onOperator(cha tailer.Change) {
+	if cha.Whole {
+		gat.zones.Clear()
+	}
+	for _, rec := range cha.Records {
+		ope, err := gat.pla.Operation(rec)
+		if err != nil {
+			gat.log.WithError(err).WithFields(logrus.Fields{"key": rec.Key, "offset": rec.Offset}).Warn("record of the operator cannot be read, the last one stays in force")
+			continue
+		}
+		if ope.Config != nil {
+			gat.takeConfig(*ope.Config)
+		}
+		if ope.Zone != "" {
+			gat.zones.Store(ope.Zone, ope.ZoneOut)
+			gat.log.WithFields(logrus.Fields{"availability_zone": ope.Zone, "out": ope.ZoneOut}).Info("availability zone switched")
+		}
+	}
+	out := map[string]bool{}
+	gat.zones.Range(func(zone, isOut any) bool {
+		if isOut.(bool) {
+			out[zone.(string)] = true
+		}
+		return true
+	})
+	gat.reg.SetZonesOut(out)
+}
+
+func (gat *Gatekeeper) takeConfig(cfg router.Config) {
+	if old := gat.tab.Load(); old != nil && old.Version >= cfg.Version {
+		return
+	}
+	tab, err := router.New(cfg)
+	if err != nil {
+		gat.log.WithError(err).WithField("config_version", cfg.Version).Warn("configuration refused, the last one stays in force")
+		return
+	}
+	gat.tab.Store(tab)
+	gat.log.WithFields(logrus.Fields{"config_version": cfg.Version, "routes": len(cfg.Routes), "workspaces": len(cfg.Workspaces)}).Info("configuration in force")
+}
+
+// onServers takes the list of backend servers.
+func (gat *Gatekeeper) onServers(cha tailer.Change) {
+	now := gat.clk.Now()
+	list := map[string]registrar.Server{}
+	for _, rec := range cha.Records {
+		if len(rec.Value) == 0 {
+			if !cha.Whole {
+				gat.log.WithFields(logrus.Fields{"server": rec.Key, "offset": rec.Offset, "outage": cha.Outage}).Info("backend server off the list")
+				gat.reg.Remove(rec.Key, cha.Outage)
+			}
+			continue
+		}
+		ser, err := gat.pla.Server(rec, now)
+		if err != nil {
+			gat.log.WithError(err).WithFields(logrus.Fields{"server": rec.Key, "offset": rec.Offset}).Warn("entry of a backend server cannot be used")
+			gat.reg.Remove(rec.Key, false)
+			continue
+		}
+		if cha.Whole {
+			list[ser.ID] = ser
+			continue
+		}
+		gat.logServer(ser)
+		gat.reg.Put(ser)
+	}
+	if cha.Whole {
+		gat.log.WithField("servers", len(list)).Info("list of backend servers read")
+		gat.reg.Replace(list, cha.Outage)
+	}
+}
+
+// logServer tells when a backend server came, changed its life, or began to leave.
+func (gat *Gatekeeper) logServer(ser registrar.Server) {
+	old, known := gat.reg.View().Servers[ser.ID]
+	if known && old.Started == ser.Started && old.Draining == ser.Draining {
+		return
+	}
+	gat.log.WithFields(logrus.Fields{"server": ser.ID, "address": ser.Address, "draining": ser.Draining, "started": ser.Started}).Info("backend server on the list")
+}
+
+// onEntries takes the registrations of entries.
+func (gat *Gatekeeper) onEntries(cha tailer.Change) {
+	for _, rec := range cha.Records {
+		if rec.Key == gat.set.Name {
+			continue
+		}
+		if len(rec.Value) == 0 {
+			gat.itr.Remove(rec.Key)
+			continue
+		}
+		var ent introducer.Entry
+		if err := json.Unmarshal(rec.Value, &ent); err != nil || ent.Name != rec.Key {
+			gat.log.WithError(err).WithField("entry", rec.Key).Warn("registration of an entry cannot be read")
+			continue
+		}
+		gat.itr.Put(ent)
+	}
+}
--- /dev/null
+++ b/gatekeeper/units.go
@@ -0,0 +1,163 @@
+package gatekeeper
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lovagelever/lovagelever/dispatcher"
+	"github.com/lovagelever/lovagelever/gateway"
+	"github.com/lovagelever/lovagelever/grouper"
+	"github.com/lovagelever/lovagelever/registrar"
+	"github.com/lovagelever/lovagelever/router"
+)
+
+// unitTable is what requests may be sent to, with the backend servers that each unit rests on.
+type unitTable struct {
+	list    []dispatcher.Unit
+	members map[string][]registrar.Server
+	// hashes names the units as beats do.
+	hashes map[uint64]string
+}
+
+// follow keeps the units up to date with the list and the configuration.
+func (gat *Gatekeeper) follow(ctx context.Context) {
+	var tab *router.Table
+	for ctx.Err() == nil {
+		changed := gat.reg.Changed()
+		tab = gat.tab.Load()
+		if tab != nil {
+			gat.setUnits(tab, gat.reg.View())
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+func (gat *Gatekeeper) setUnits(tab *router.Table, vie *registrar.View) {
+	old := gat.units.Load()
+	out := &unitTable{members: map[string][]registrar.Server{}, hashes: map[uint64]string{}}
+	for _, grp := range vie.Groups {
+		ser, known := tab.Services[grp.Service]
+		if head, listed := grp.Head(); known && listed && ser.Engine != nil {
+			out.addGroup(ser, vie, grp, head)
+		}
+	}
+	for _, one := range vie.Servers {
+		if ser, known := tab.Services[one.Service]; known && ser.Engine == nil {
+			out.addPlain(ser, vie, one)
+		}
+	}
+	for _, uni := range out.list {
+		out.hashes[hash(uni.ID)] = uni.ID
+	}
+	gat.units.Store(out)
+	gat.dis.SetUnits(out.list)
+	gat.logUnits(old, out)
+}
+
+func (tab *unitTable) add(uni dispatcher.Unit, members []registrar.Server) {
+	tab.list = append(tab.list, uni)
+	tab.members[uni.ID] = members
+}
+
+func (tab *unitTable) addGroup(ser router.Service, vie *registrar.View, grp registrar.Group, head registrar.Server) {
+	mod, known := modelOf(ser, grp.Model)
+	if !known {
+		return
+	}
+	uni := dispatcher.Unit{
+		ID:   fmt.Sprintf("%s@%d/%s", head.ID, head.Started, grp.Name),
+		Pool: gateway.PoolName(ser.Name, mod.Name), ServerID: head.ID, Address: head.Address, Zone: head.Zone,
+		Slots: ser.Engine.Slots, ColdUntil: head.ColdUntil, ColdPerSecond: ser.ColdPerSecond,
+		UsualPause: usualPause(ser.Engine, mod), Readiness: dispatcher.Stopping,
+	}
+	var members []registrar.Server
+	for _, mem := range grp.Members {
+		members = append(members, mem)
+	}
+	switch {
+	case vie.Serves(grp, mod.Size):
+		uni.Readiness = dispatcher.Serving
+	case broken(vie, grp, head):
+		uni.Readiness = dispatcher.Broken
+	}
+	tab.add(uni, members)
+}
+
+// broken reports that nothing which runs on a group will end: a member does not answer, or the head says so.
+func broken(vie *registrar.View, grp registrar.Group, head registrar.Server) bool {
+	if head.Group.State == registrar.Broken {
+		return true
+	}
+	for _, mem := range grp.Members {
+		if vie.Doubted(mem.Life()) {
+			return true
+		}
+	}
+	return false
+}
+
+func (tab *unitTable) addPlain(ser router.Service, vie *registrar.View, one registrar.Server) {
+	uni := dispatcher.Unit{
+		ID: fmt.Sprintf("%s@%d", one.ID, one.Started), Pool: gateway.PoolName(ser.Name, ""),
+		ServerID: one.ID, Address: one.Address, Zone: one.Zone, Slots: max(1, one.Slots),
+		ColdUntil: one.ColdUntil, ColdPerSecond: ser.ColdPerSecond, Readiness: dispatcher.Stopping,
+	}
+	if vie.Usable(one) {
+		uni.Readiness = dispatcher.Serving
+	}
+	tab.add(uni, []registrar.Server{one})
+}
+
+// usualPause is the time between two events of a stream on a group that is half full.
+func usualPause(eng *router.Engine, mod router.Model) time.Duration {
+	step := eng.Step + time.Duration(eng.Slots/2)*eng.StepPerRequest
+	return time.Duration(float64(step) * float64(max(1, eng.StrideSteps)) * mod.Pace)
+}
+
+func modelOf(ser router.Service, name string) (router.Model, bool) {
+	for _, mod := range ser.Engine.Models {
+		if mod.Name == name {
+			return mod, true
+		}
+	}
+	return router.Model{}, false
+}
+
+// logUnits tells which units began or ceased to take requests, and why.
+func (gat *Gatekeeper) logUnits(old, now *unitTable) {
+	was := map[string]dispatcher.Readiness{}
+	for _, uni := range old.list {
+		was[uni.ID] = uni.Readiness
+	}
+	for _, uni := range now.list {
+		if before, known := was[uni.ID]; (!known && uni.Readiness == dispatcher.Stopping) || known && before == uni.Readiness {
+			continue
+		}
+		gat.log.WithFields(logrus.Fields{"unit": uni.ID, "pool": uni.Pool, "readiness": uni.Readiness}).Info("unit changed")
+	}
+}
+
+// members returns the backend servers that a unit rests on.
+func (gat *Gatekeeper) members(unit string) []registrar.Server {
+	return gat.units.Load().members[unit]
+}
+
+func (gat *Gatekeeper) loads(service, model string) grouper.Load {
+	loa := gat.dis.Loads()[gateway.PoolName(service, model)]
+	return grouper.Load{Slots: loa.Slots, Taken: loa.Taken, Waiting: loa.Waiting}
+}
+
+func hash(text string) uint64 {
+	return xxhash.Sum64String(text)
+}
+
+func lifeHash(lif registrar.Life) uint64 {
+	return hash(fmt.Sprintf("%s@%d", lif.ID, lif.Started))
+}
--- /dev/null
+++ b/gateway/event.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
+// event is one whole event of a stream, as it came.
+type event struct {
+	id   string
+	data []byte
+}
+
+// readEvent reads up to the blank line that ends an event; it fails with io.EOF only between two events.
+func readEvent(rea *bufio.Reader) (event, error) {
+	var eve event
+	for {
+		line, err := rea.ReadSlice('\n')
+		eve.data = append(eve.data, line...)
+		switch {
+		case err == bufio.ErrBufferFull && len(eve.data) <= eventBytes:
+			continue
+		case err == io.EOF && len(eve.data) > 0:
+			return eve, io.ErrUnexpectedEOF
+		case err == io.EOF:
+			return eve, io.EOF
+		case err != nil:
+			return eve, errors.Trace(err)
+		case len(eve.data) > eventBytes:
+			return eve, errors.NotValidf("event of over %d bytes", eventBytes)
+		}
+		if val, found := bytes.CutPrefix(line, []byte("id:")); found {
+			eve.id = string(bytes.TrimSpace(val))
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return eve, nil
+		}
+	}
+}
+
+// follows reports whether an event comes after the last one that was passed on; IDs that are no numbers always do.
+func follows(id, last string) bool {
+	if last == "" {
+		return true
+	}
+	one, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	two, err := strconv.ParseInt(last, 10, 64)
+	return err != nil || one > two
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,263 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lovagelever/lovagelever/dispatcher"
+	"github.com/lovagelever/lovagelever/refuser"
+	"github.com/lovagelever/lovagelever/router"
+	"github.com/lovagelever/lovagelever/sender"
+)
+
+// Places gives out the places of backend servers.
+type Places interface {
+	Acquire(ctx context.Context, req dispatcher.Request) (*dispatcher.Place, error)
+}
+
+// Sender sends one request to one backend server.
+type Sender interface {
+	Send(ctx context.Context, req sender.Request) (*sender.Exchange, error)
+}
+
+// Budget bounds how many requests are sent once more.
+type Budget interface {
+	Request(service string)
+	Allow(service string) bool
+	Force(service string)
+}
+
+// Detector looks after a unit that is silent or does not answer.
+type Detector interface {
+	Suspect(unit string)
+}
+
+// Meter counts what became of requests.
+type Meter interface {
+	Ended(kind router.Kind, outcome string, took time.Duration)
+}
+
+// Options are what a gateway needs; Table is nil until a configuration is known.
+type Options struct {
+	Table    func() *router.Table
+	Places   Places
+	Sender   Sender
+	Budget   Budget
+	Detector Detector
+	Dialect  Dialect
+	Meter    Meter
+	Clock    clockwork.Clock
+	Logger   *logrus.Entry
+	// Stopping reports whether the entry is about to end, so that connections are not to be kept.
+	Stopping func() bool
+}
+
+// Gateway answers callers.
+type Gateway struct {
+	opt Options
+}
+
+// New returns a gateway.
+func New(opt Options) *Gateway {
+	return &Gateway{opt: opt}
+}
+
+// PoolName names the pool of a service's units, for one model where the service runs several.
+func PoolName(service, model string) string {
+	if model == "" {
+		return service
+	}
+	return service + "/" + model
+}
+
+// job is one request on its way.
+type job struct {
+	gat      *Gateway
+	req      *http.Request
+	wtr      http.ResponseWriter
+	cal      Call
+	tab      *router.Table
+	rou      router.Route
+	ser      router.Service
+	wsp      router.Workspace
+	target   string
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+	log      *logrus.Entry
+	// sends counts the backend servers that the request was sent to, ran those that may have run it.
+	sends int
+	ran   int
+	// had names the units that are not to be asked again.
+	had []string
+}
+
+// ServeHTTP answers one request.
+func (gat *Gateway) ServeHTTP(wtr http.ResponseWriter, req *http.Request) {
+	job := &job{gat: gat, req: req, wtr: wtr, cal: gat.opt.Dialect.Call(req), arrived: gat.opt.Clock.Now()}
+	job.log = gat.opt.Logger.WithField("request", job.cal.ID)
+	if gat.opt.Stopping() {
+		wtr.Header().Set("Connection", "close")
+	}
+	if err := job.accept(); err != nil {
+		job.refuse(err)
+		return
+	}
+	gat.opt.Budget.Request(job.ser.Name)
+	ctx, cancel := context.WithDeadline(req.Context(), job.deadline)
+	defer cancel()
+	if job.rou.Kind == router.Stream {
+		job.stream(ctx)
+		return
+	}
+	job.plain(ctx)
+}
+
+// accept finds the route, the workspace and the service, and reads the body.
+func (job *job) accept() error {
+	job.tab = job.gat.opt.Table()
+	if job.tab == nil {
+		return refuser.NotRun("this entry knows no configuration yet", refuser.DefaultRetryAfter)
+	}
+	if job.cal.ID == "" {
+		return refuser.Invalid("the request has no ID")
+	}
+	if err := job.findRoute(); err != nil {
+		return err
+	}
+	if err := job.authenticate(); err != nil {
+		return err
+	}
+	ser, found := job.tab.Target(job.rou, job.cal.ID)
+	if !found {
+		return refuser.NotRun("no service has a share of route "+job.rou.Name, refuser.DefaultRetryAfter)
+	}
+	job.ser = ser
+	wait := job.rou.Timeout
+	if job.cal.Within > 0 && (wait <= 0 || job.cal.Within < wait) {
+		wait = job.cal.Within
+	}
+	job.deadline = job.arrived.Add(wait)
+	return job.readBody()
+}
+
+func (job *job) findRoute() error {
+	job.target = job.req.RequestURI
+	if !strings.HasPrefix(job.target, "/") {
+		job.target = job.req.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(job.target, "?")
+	rou, found := job.tab.Match(job.req.Host, path)
+	if !found {
+		return refuser.Unknown("no route")
+	}
+	job.rou = rou
+	return nil
+}
+
+func (job *job) authenticate() error {
+	if job.rou.Public || !job.tab.HasWorkspaces() {
+		return nil
+	}
+	wsp, known := job.tab.Workspace(job.cal.Key)
+	if job.cal.Key == "" || !known {
+		return refuser.Unauthorized("the API key is unknown")
+	}
+	job.wsp = wsp
+	return nil
+}
+
+// readBody reads the whole body, so that it can be sent to a second backend server.
+func (job *job) readBody() error {
+	if job.headerBytes() > job.tab.Limits.HeaderBytes && job.tab.Limits.HeaderBytes > 0 {
+		return refuser.HeadersTooLarge("the headers are too large")
+	}
+	limit := job.tab.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := readAll(http.MaxBytesReader(job.wtr, job.req.Body, limit), job.req.ContentLength)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuser.TooLarge("the body is too large")
+	case err != nil:
+		return refuser.Invalid("the body could not be read: " + err.Error())
+	}
+	job.body = body
+	return nil
+}
+
+func (job *job) headerBytes() int {
+	sum := len(job.req.RequestURI)
+	for name, vals := range job.req.Header {
+		for _, val := range vals {
+			sum += len(name) + len(val)
+		}
+	}
+	return sum
+}
+
+// pool names the units among which the request may choose.
+func (job *job) pool() string {
+	if job.ser.Engine == nil {
+		return PoolName(job.ser.Name, "")
+	}
+	return PoolName(job.ser.Name, job.cal.Model)
+}
+
+// place asks for a place on a unit that has not had the request.
+func (job *job) place(ctx context.Context) (*dispatcher.Place, error) {
+	now := job.gat.opt.Clock.Now()
+	cost := job.expected()
+	objective := job.arrived.Add(job.rou.Objective)
+	startBy := now.Add(time.Duration(float64(job.rou.Objective) * waitShare))
+	if latest := job.deadline.Add(-cost); latest.Before(startBy) {
+		startBy = latest
+	}
+	return job.gat.opt.Places.Acquire(ctx, dispatcher.Request{
+		ID: job.cal.ID, Pool: job.pool(), Workspace: job.wsp.Name,
+		Priority: job.tab.Priority(job.rou, job.wsp),
+		Cost:     cost.Seconds() * costPerSecond,
+		StartBy:  startBy, Deadline: job.deadline, Exclude: job.had,
+		Late: now.After(objective) || job.cal.Within > 0 && job.cal.Within < job.rou.Timeout-job.rou.Objective,
+	})
+}
+
+// expected estimates how long a unit works on the request.
+func (job *job) expected() time.Duration {
+	eng := job.ser.Engine
+	if eng == nil {
+		return plainWork
+	}
+	pace := 1.0
+	for _, mod := range eng.Models {
+		if mod.Name == job.cal.Model {
+			pace = mod.Pace
+		}
+	}
+	tokens := job.cal.AnswerTokens
+	if job.cal.LengthHint > 0 {
+		tokens = min(job.cal.LengthHint, max(tokens, 1))
+	}
+	read := float64(job.cal.PromptTokens) / max(1, eng.ReadPerSecond)
+	write := float64(tokens) * (eng.Step + time.Duration(eng.Slots/2)*eng.StepPerRequest).Seconds()
+	return time.Duration((read + write) * pace * float64(time.Second))
+}
+
+func (job *job) hop(pla *dispatcher.Place, after string) sender.Request {
+	within := job.gat.opt.Clock.Until(job.deadline)
+	head := job.gat.opt.Dialect.Header(job.req.Header, job.cal, Hop{
+		ServerID: pla.Unit.ServerID, Workspace: job.wsp.Name, Within: within, After: after,
+	})
+	return sender.Request{
+		Address: pla.Unit.Address, Key: pla.Unit.Address + "/" + pla.Unit.ServerID, Method: job.req.Method, Target: job.target,
+		Host: job.req.Host, Header: head, Body: job.body, Fresh: !job.rou.Repeatable(),
+	}
+}
--- /dev/null
+++ b/introducer/doc.go
@@ -0,0 +1,2 @@
+// Package introducer tells callers which entries they may connect to.
+package introducer
--- a/main.go
+++ b/main.go
@@ -8,13 +8,14 @@
 	"syscall"
 
 	"github.com/lovagelever/lovagelever/commander"
+	"github.com/lovagelever/lovagelever/platform/starter"
 	"github.com/lovagelever/lovagelever/server"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	context.AfterFunc(ctx, stop)
-	code := commander.Main(ctx, os.Args, commander.RunFunc(server.Run))
+	code := commander.Main(ctx, os.Args, commander.RunFunc(server.Run), starter.Run)
 	stop()
 	os.Exit(code)
 }
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -109,3 +109,13 @@
 	}
 	return OutcomeUnknown(err.Error())
 }
+
+// Unauthorized says that the caller's key is not known.
+func Unauthorized(message string) Refusal {
+	return Refusal{Type: TypeInvalid, Message: message, Status: http.StatusUnauthorized}
+}
+
+// TooLate says that the request may have run and its answer did not come in time.
+func TooLate(message string) Refusal {
+	return Refusal{Type: TypeOutcomeUnknown, Message: message, Status: http.StatusGatewayTimeout}
+}
--- /dev/null
+++ b/sender/sender.go
@@ -0,0 +1,155 @@
+package sender
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+)
+
+// asyncBody is the body size in bytes above which a request is written while its answer is read: a backend server may answer before it has read the body, and then read no more.
+const asyncBody = 4096
+
+// Dialer opens connections from the entry's own address.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Sender sends requests and keeps idle connections; it is safe for concurrent use.
+type Sender struct {
+	dia  Dialer
+	clk  clockwork.Clock
+	poo  pool
+	dial time.Duration
+}
+
+// New returns a sender; dialWithin bounds how long a connection may take.
+func New(dia Dialer, clk clockwork.Clock, dialWithin time.Duration) *Sender {
+	return &Sender{dia: dia, clk: clk, dial: dialWithin, poo: pool{idle: map[string][]*conn{}}}
+}
+
+// Request is one request; Key names the life of the backend server at Address, so that connections are not handed on to another life. Fresh asks for a new connection.
+type Request struct {
+	Address string
+	Key     string
+	Method  string
+	// Target is the path and query as they came.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	Fresh  bool
+}
+
+// Send sends a request and returns the head of its answer; it fails with ErrNotSent or ErrLost. The exchange must be ended.
+func (sen *Sender) Send(ctx context.Context, req Request) (*Exchange, error) {
+	con, err := sen.connect(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	exc := &Exchange{sen: sen, key: req.Key, con: con, written: make(chan error, 1)}
+	exc.unwatch = context.AfterFunc(ctx, func() { _ = con.Close() })
+	if err := exc.start(req); err != nil {
+		exc.End(false)
+		return nil, lost(err, "write")
+	}
+	if err := exc.readHead(req.Method); err != nil {
+		exc.End(false)
+		return nil, lost(err, "read answer")
+	}
+	return exc, nil
+}
+
+// Sweep closes connections that have been idle for too long.
+func (sen *Sender) Sweep() {
+	sen.poo.sweep(sen.clk.Now())
+}
+
+func (sen *Sender) connect(ctx context.Context, req Request) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, notSent(err, "connect")
+	}
+	if !req.Fresh {
+		if con := sen.poo.take(req.Key, sen.clk.Now()); con != nil {
+			return con, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, sen.dial)
+	defer cancel()
+	raw, err := sen.dia.DialContext(ctx, "tcp", req.Address)
+	if err != nil {
+		return nil, notSent(err, "connect")
+	}
+	return &conn{Conn: raw, buf: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+// encode writes the head of a request, and its body when that is small.
+func (req Request) encode() []byte {
+	var buf bytes.Buffer
+	buf.Grow(512 + min(len(req.Body), asyncBody))
+	buf.WriteString(req.Method)
+	buf.WriteByte(' ')
+	buf.WriteString(req.Target)
+	buf.WriteString(" HTTP/1.1\r\nHost: ")
+	buf.WriteString(req.Host)
+	buf.WriteString("\r\n")
+	for name, vals := range req.Header {
+		for _, val := range vals {
+			buf.WriteString(name)
+			buf.WriteString(": ")
+			buf.WriteString(val)
+			buf.WriteString("\r\n")
+		}
+	}
+	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
+		buf.WriteString("Content-Length: ")
+		buf.WriteString(strconv.Itoa(len(req.Body)))
+		buf.WriteString("\r\n")
+	}
+	buf.WriteString("\r\n")
+	if len(req.Body) <= asyncBody {
+		buf.Write(req.Body)
+	}
+	return buf.Bytes()
+}
+
+func (exc *Exchange) start(req Request) error {
+	if _, err := exc.con.Write(req.encode()); err != nil {
+		return errors.Trace(err)
+	}
+	if len(req.Body) <= asyncBody {
+		exc.written <- nil
+		return nil
+	}
+	go func() {
+		_, err := exc.con.Write(req.Body)
+		exc.written <- err
+	}()
+	return nil
+}
+
+// idleFor reads how long a backend server keeps an idle connection; zero means not at all.
+func idleFor(res *http.Response) time.Duration {
+	if res.Close {
+		return 0
+	}
+	for _, part := range strings.Split(res.Header.Get("Keep-Alive"), ",") {
+		name, val, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		num, err := strconv.Atoi(val)
+		if err != nil || num <= 0 {
+			return 0
+		}
+		return min(DefaultIdleFor, time.Duration(float64(num)*idleShare*float64(time.Second)))
+	}
+	return DefaultIdleFor
+}
