Grant a place on the unit that the popped request may have

Cause: the queue looks at several requests before it pops one, and the unit found for the last look was granted: none, or one that had had the request. Test: dispatcher, 'gives a free place only to a request that may have it'.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -182,14 +182,9 @@
 // pump gives free places to those that wait.
 func (dis *Dispatcher) pump(poo *pool) {
 	for poo.queue.Len() > 0 {
-		var sta *unitState
 		itm, found := poo.queue.Pop(func(itm queuer.Item) bool {
 			wai := poo.waiting[itm.ID]
-			if wai == nil {
-				return true
-			}
-			sta = dis.choose(poo, wai.req)
-			return sta != nil
+			return wai == nil || dis.choose(poo, wai.req) != nil
 		})
 		if !found {
 			return
@@ -197,7 +192,7 @@
 		wai := poo.waiting[itm.ID]
 		delete(poo.waiting, itm.ID)
 		if wai != nil {
-			wai.done <- answer{place: dis.grant(sta, wai.req)}
+			wai.done <- answer{place: dis.grant(dis.choose(poo, wai.req), wai.req)}
 		}
 	}
 }
@@ -207,8 +202,13 @@
 	now := dis.opt.Clock.Now()
 	var best *unitState
 	lowest := 0.0
-	for _, pos := range rand.Perm(len(poo.units)) {
-		sta := poo.units[pos]
+	if len(poo.units) == 0 {
+		return nil
+	}
+	// The start is random, so that entries do not all turn to the same of several units that are as free.
+	start := rand.IntN(len(poo.units))
+	for num := range poo.units {
+		sta := poo.units[(start+num)%len(poo.units)]
 		if !sta.open(now) || slices.Contains(req.Exclude, sta.ID) || dis.opt.Breaker.Open(sta.ID) {
 			continue
 		}
@@ -216,14 +216,13 @@
 			best, lowest = sta, load
 		}
 	}
-	if best != nil && !dis.opt.Breaker.Allow(best.ID) {
-		return nil
-	}
 	return best
 }
 
 func (dis *Dispatcher) grant(sta *unitState, req Request) *Place {
 	now := dis.opt.Clock.Now()
+	// The one trial of a circuit that is half open is taken here, and not by a mere look.
+	dis.opt.Breaker.Allow(sta.ID)
 	sta.running++
 	if sta.cold(now) {
 		sta.coldNext = now.Add(sta.coldEvery(dis.entries))
