Keep whole groups ready, and have doubts in a server confirmed by another entry

Cause: after each loss the survivors waited for servers without the weights (12 to 16 s), the leader never looked again at a group that it had completed (its claim was kept by a context that had ended), and healthy units were asked for signs of life over and over. SIGHUP ended the process. Ruled out: idle servers with one staged model each; after the first loss in a domain the other spare holds the wrong model. Change: all servers are in groups, those left over in groups that are not opened; hosts hold the other model; resumed streams go first; an event on any stream of a unit proves its members.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -41,6 +41,13 @@
 	return &Budgeter{opt: opt, start: opt.Clock.Now(), entries: 1, services: map[string]*window{}}
 }
 
+// SetBounds takes another ratio and slack.
+func (bud *Budgeter) SetBounds(ratio, slack float64) {
+	bud.mux.Lock()
+	defer bud.mux.Unlock()
+	bud.opt.Ratio, bud.opt.Slack = ratio, slack
+}
+
 // SetEntries takes how many entries share the budget, this one included.
 func (bud *Budgeter) SetEntries(num int) {
 	bud.mux.Lock()
--- a/commander/gate.go
+++ b/commander/gate.go
@@ -8,28 +8,29 @@
 	"github.com/lovagelever/lovagelever/gateconfigurer"
 )
 
-// GateRunner runs one entry on a platform until the context ends.
-type GateRunner func(ctx context.Context, set gateconfigurer.Settings) error
+// GateRunner runs one entry on a platform, with the settings of a file, until the context ends.
+type GateRunner func(ctx context.Context, file string) error
 
 func gateCommand(run GateRunner) *cli.Command {
 	return &cli.Command{
 		Name:         "gate",
 		Usage:        "run one entry on a platform, with the settings of a file",
-		Description:  "Runs until SIGTERM or SIGINT, then takes no new callers and lets requests in progress end.",
+		Description:  "Runs until SIGTERM or SIGINT, then takes no new callers and lets requests in progress end. SIGHUP has it read the settings again.",
 		OnUsageError: asUsage,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings of the entry, a YAML `FILE`", Sources: cli.EnvVars("LOVAGELEVER_SETTINGS")},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and stop"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			file := cmd.String("settings")
 			if file == "" {
 				return usagef("give --settings FILE")
 			}
-			set, err := gateconfigurer.Load(file)
-			if err != nil {
+			if cmd.Bool("check") {
+				_, err := gateconfigurer.Load(file)
 				return err
 			}
-			return run(ctx, set)
+			return run(ctx, file)
 		},
 	}
 }
--- a/conductor/build.go
+++ b/conductor/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,15 +23,15 @@
 }
 
 // complete has all members join, and opens the head once each of them says that it is ready.
-func (con *Conductor) complete(ctx context.Context, frm grouper.Formation) {
+func (con *Conductor) complete(term context.Context, frm grouper.Formation, open bool) {
 	defer func() {
 		con.mux.Lock()
 		con.forming--
 		con.mux.Unlock()
-		con.unclaim(ctx, frm.Name)
+		con.unclaim(term, frm.Name)
 	}()
 	began := con.opt.Clock.Now()
-	ctx, cancel := con.whileWhole(ctx, frm)
+	ctx, cancel := con.whileWhole(term, frm)
 	defer cancel()
 	if err := con.joinAll(ctx, frm); err != nil {
 		con.logGroup(frm, began).WithError(err).Info("group not formed")
@@ -40,6 +41,10 @@
 		con.logGroup(frm, began).WithError(err).Info("group not formed")
 		return
 	}
+	if !open {
+		con.logGroup(frm, began).Info("group stands by")
+		return
+	}
 	head := con.server(frm.Members[0])
 	err := con.carry(ctx, head, Order{Kind: Open, Group: frm.Name, Epoch: frm.Epoch}, func(gro registrar.Membership) bool {
 		return gro.Name == frm.Name && gro.Epoch == frm.Epoch && gro.State == registrar.Open
@@ -115,18 +120,7 @@
 // awaitReady waits until each member reports that it is ready under the group's own name and epoch.
 func (con *Conductor) awaitReady(ctx context.Context, frm grouper.Formation) error {
 	for {
-		vie := con.opt.View()
-		ready := 0
-		for rank, lif := range frm.Members {
-			ser := vie.Servers[lif.ID]
-			if ser.Life() != lif || ser.Group.Name != frm.Name || ser.Group.Epoch != frm.Epoch || ser.Group.Rank != rank {
-				continue
-			}
-			if ser.Group.State == registrar.Ready || ser.Group.State == registrar.Open {
-				ready++
-			}
-		}
-		if ready == len(frm.Members) {
+		if frm.ReadyMembers(con.opt.View()) == len(frm.Members) {
 			return nil
 		}
 		if err := con.pause(ctx, lookEvery); err != nil {
@@ -172,24 +166,26 @@
 
 // closeHead takes the next step to end the service of a head that answers; it reports true when the head has left the group.
 func (con *Conductor) closeHead(ctx context.Context, frm grouper.Formation, head registrar.Server, sta registrar.State) bool {
-	ord := Order{Group: frm.Name, Epoch: frm.Epoch}
+	lost := frm.Check(con.opt.View()) == grouper.Lost
+	var kinds []Kind
 	switch {
-	case sta == registrar.Open && frm.Check(con.opt.View()) == grouper.Leaving:
-		ord.Kind = CloseWait
-	case sta == registrar.Open, sta == registrar.Draining && frm.Check(con.opt.View()) == grouper.Lost:
-		ord.Kind = CloseCut
-	case sta == registrar.Draining:
+	case sta == registrar.Open && !lost:
+		kinds = []Kind{CloseWait}
+	case sta == registrar.Draining && !lost:
 		return false
+	case sta == registrar.Open, sta == registrar.Draining:
+		kinds = []Kind{CloseCut, Leave}
 	default:
-		ord.Kind = Leave
+		kinds = []Kind{Leave}
 	}
-	err := con.send(ctx, head, ord)
-	if err != nil {
-		con.opt.Logger.WithError(err).WithFields(logrus.Fields{"group": frm.Name, "order": ord.Kind, "server": head.ID}).Info("order to head failed")
-		_ = con.pause(ctx, reportLag)
-		return false
+	for _, kin := range kinds {
+		if err := con.send(ctx, head, Order{Kind: kin, Group: frm.Name, Epoch: frm.Epoch}); err != nil {
+			con.opt.Logger.WithError(err).WithFields(logrus.Fields{"group": frm.Name, "order": kin, "server": head.ID}).Info("order to head failed")
+			_ = con.pause(ctx, reportLag)
+			return false
+		}
 	}
-	return ord.Kind == Leave
+	return kinds[len(kinds)-1] == Leave
 }
 
 // dismiss has the members other than the head leave, so that a head that cannot be reached stands still and breaks.
@@ -214,24 +210,28 @@
 	con.retired = append(con.retired, frm.Name)
 }
 
-// stage has idle servers load weights onto their hosts while no group is being formed.
+// stage has servers load weights onto their hosts while no group is being formed.
 func (con *Conductor) stage(ctx context.Context, ser router.Service, list []grouper.Staging) {
 	for _, sta := range list {
 		con.mux.Lock()
-		waits := con.forming > 0
+		waits := con.forming > 0 || !con.opt.Early() && len(con.staging) >= stagedAtOnce
 		con.mux.Unlock()
 		if waits || !con.opt.Early() && !con.takeLoads(ser, 1) {
 			return
 		}
 		con.mux.Lock()
-		con.bound[sta.Server.Life()] = true
+		con.staging[sta.Server.Life()] = sta.Model
 		con.mux.Unlock()
 		go con.stageOne(ctx, sta)
 	}
 }
 
-// stagedWithin bounds how long a server counts as busy with a load onto its host: the longest load of the sheets takes 16 s.
-const stagedWithin = 20 * time.Second
+const (
+	// stagedWithin bounds how long a server counts as busy with a load onto its host: the longest load of the sheets takes 16 s.
+	stagedWithin = 20 * time.Second
+	// stagedAtOnce bounds the loads onto hosts once requests come, so that groups which are formed find the weight store free: it serves 7 loads at full speed.
+	stagedAtOnce = 3
+)
 
 func (con *Conductor) stageOne(ctx context.Context, sta grouper.Staging) {
 	lif := sta.Server.Life()
@@ -241,12 +241,12 @@
 	con.opt.Logger.WithError(err).WithFields(logrus.Fields{"server": sta.Server.ID, "model": sta.Model}).Info("weights are staged")
 	for err == nil {
 		now, listed := con.opt.View().Servers[lif.ID]
-		if !listed || now.Life() != lif || len(now.Staged) > 0 {
+		if !listed || now.Life() != lif || slices.Contains(now.Staged, sta.Model) {
 			break
 		}
 		err = con.pause(ctx, lookEvery)
 	}
 	con.mux.Lock()
 	defer con.mux.Unlock()
-	delete(con.bound, lif)
+	delete(con.staging, lif)
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -61,8 +62,9 @@
 	formations map[string]grouper.Formation
 	known      bool
 	end        int64
-	bound      map[registrar.Life]bool
+	staging    map[registrar.Life]string
 	busy       map[string]bool
+	dissolving map[string]bool
 	retired    []string
 	orders     map[registrar.Life]int64
 	servers    map[registrar.Life]registrar.Server
@@ -108,8 +110,9 @@
 	defer con.mux.Unlock()
 	con.known = false
 	con.formations = map[string]grouper.Formation{}
-	con.bound = map[registrar.Life]bool{}
+	con.staging = map[registrar.Life]string{}
 	con.busy = map[string]bool{}
+	con.dissolving = map[string]bool{}
 	con.orders = map[registrar.Life]int64{}
 	con.retired = nil
 	con.forming = 0
@@ -216,6 +219,7 @@
 	for _, rec := range recs {
 		delete(con.formations, rec.Name)
 		delete(con.busy, rec.Name)
+		delete(con.dissolving, rec.Name)
 		con.retired = slices.DeleteFunc(con.retired, func(name string) bool { return name == rec.Name })
 	}
 	return nil
@@ -226,9 +230,17 @@
 	plan := grouper.Make(con.picture(ser, vie))
 	for _, frm := range plan.Dissolve {
 		if con.claim(frm.Name) {
+			con.mux.Lock()
+			con.dissolving[frm.Name] = true
+			con.mux.Unlock()
 			go con.dissolve(ctx, frm)
 		}
 	}
+	for _, frm := range plan.Open {
+		if con.claim(frm.Name) {
+			con.build(ctx, frm, true)
+		}
+	}
 	con.resume(ctx, vie)
 	if err := con.form(ctx, ser, plan.Form); err != nil {
 		return err
@@ -242,14 +254,11 @@
 	defer con.mux.Unlock()
 	pic := grouper.Picture{
 		Service: ser.Name, Engine: *ser.Engine, View: vie, Early: con.opt.Early(),
-		Bound: map[registrar.Life]bool{}, Loads: map[string]grouper.Load{},
+		Busy: maps.Clone(con.busy), Dissolving: maps.Clone(con.dissolving), Staging: maps.Clone(con.staging), Loads: map[string]grouper.Load{},
 	}
 	for _, frm := range con.formations {
 		pic.Formations = append(pic.Formations, frm)
 	}
-	for lif := range con.bound {
-		pic.Bound[lif] = true
-	}
 	for _, mod := range ser.Engine.Models {
 		pic.Loads[mod.Name] = con.opt.Loads(ser.Name, mod.Name)
 	}
@@ -275,20 +284,28 @@
 	}
 }
 
-// resume goes on with groups that were decided on and do not serve yet.
+// build starts to have a group joined, and opened when it is to serve.
+func (con *Conductor) build(ctx context.Context, frm grouper.Formation, open bool) {
+	con.mux.Lock()
+	con.forming++
+	con.mux.Unlock()
+	go con.complete(ctx, frm, open)
+}
+
+// resume goes on with groups that were decided on and are not as they should be yet.
 func (con *Conductor) resume(ctx context.Context, vie *registrar.View) {
 	con.mux.Lock()
 	var waiting []grouper.Formation
 	for _, frm := range con.formations {
-		if !con.busy[frm.Name] && frm.Check(vie) == grouper.Whole && !frm.Opened(vie) {
+		done := frm.Opened(vie) || frm.Standby && frm.ReadyMembers(vie) == len(frm.Members)
+		if !con.busy[frm.Name] && frm.Check(vie) == grouper.Whole && !done {
 			con.busy[frm.Name] = true
 			waiting = append(waiting, frm)
 		}
 	}
-	con.forming += len(waiting)
 	con.mux.Unlock()
 	for _, frm := range waiting {
-		go con.complete(ctx, frm)
+		con.build(ctx, frm, !frm.Standby)
 	}
 }
 
@@ -303,7 +320,7 @@
 		if !con.mayLoad(ser, pro) {
 			continue
 		}
-		frm := grouper.Formation{Name: fmt.Sprintf("g%d", epoch), Epoch: epoch, Service: ser.Name, Model: pro.Model.Name}
+		frm := grouper.Formation{Name: fmt.Sprintf("g%d", epoch), Epoch: epoch, Service: ser.Name, Model: pro.Model.Name, Standby: pro.Standby}
 		for _, mem := range pro.Members {
 			frm.Members = append(frm.Members, mem.Life())
 		}
@@ -320,14 +337,13 @@
 	if err := con.append(ctx, recs); err != nil {
 		return err
 	}
-	con.mux.Lock()
-	defer con.mux.Unlock()
 	for _, frm := range frms {
+		con.mux.Lock()
 		con.formations[frm.Name] = frm
 		con.busy[frm.Name] = true
-		con.forming++
-		con.opt.Logger.WithFields(logrus.Fields{"group": frm.Name, "epoch": frm.Epoch, "model": frm.Model, "members": frm.Members}).Info("group decided")
-		go con.complete(ctx, frm)
+		con.mux.Unlock()
+		con.opt.Logger.WithFields(logrus.Fields{"group": frm.Name, "epoch": frm.Epoch, "model": frm.Model, "standby": frm.Standby, "members": frm.Members}).Info("group decided")
+		con.build(ctx, frm, !frm.Standby)
 	}
 	return nil
 }
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -13,10 +14,14 @@
 )
 
 const (
-	// askWithin bounds one question: an answer takes two round trips of at most 3 ms, and a lost packet is sent again after 200 ms.
-	askWithin = 150 * time.Millisecond
-	// questions is how many unanswered ones in a row make a doubt; one alone may be a lost packet.
-	questions = 2
+	// askWithin bounds one question: an answer takes two round trips of at most 3 ms.
+	askWithin = 50 * time.Millisecond
+	// questions is how many unanswered ones in a row make a doubt: each is lost with a chance of about a tenth where links lose 2.5% of the packets.
+	questions = 3
+	// lateFactor times the bound of a question is how late its end may be noticed before this entry itself counts as too slow to judge.
+	lateFactor = 2
+	// pulse is how long a sign of a unit proves that all its members are well: events are at most about 100 ms apart on a busy unit.
+	pulse = 120 * time.Millisecond
 	// againAfter is the time between two looks at the same unit, and at a server in doubt.
 	againAfter = 400 * time.Millisecond
 	// doubtFor is how long a doubt lasts unless it is renewed.
@@ -35,7 +40,7 @@
 
 // Doubts keeps which lives of backend servers do not answer.
 type Doubts interface {
-	Doubt(lif registrar.Life, until time.Time)
+	Doubt(lif registrar.Life, until time.Time, certain bool)
 	Trust(lif registrar.Life)
 	View() *registrar.View
 }
@@ -54,27 +59,49 @@
 	opt     Options
 	mux     sync.Mutex
 	looked  map[string]time.Time
+	heard   map[string]time.Time
+	told    map[string]time.Time
 	doubted map[registrar.Life]bool
 }
 
 // New returns a detector.
 func New(opt Options) *Detector {
-	return &Detector{opt: opt, looked: map[string]time.Time{}, doubted: map[registrar.Life]bool{}}
+	return &Detector{opt: opt, looked: map[string]time.Time{}, heard: map[string]time.Time{}, told: map[string]time.Time{}, doubted: map[registrar.Life]bool{}}
 }
 
-// Suspect has the servers of a unit asked, unless that was done just now.
-func (det *Detector) Suspect(unit string) {
+// Heard notes that a unit gave this entry a sign.
+func (det *Detector) Heard(unit string) {
+	det.mux.Lock()
+	defer det.mux.Unlock()
+	det.heard[unit] = det.opt.Clock.Now()
+}
+
+// Told notes that another entry had a sign of a unit not long ago.
+func (det *Detector) Told(unit string) {
 	det.mux.Lock()
+	defer det.mux.Unlock()
+	det.told[unit] = det.opt.Clock.Now()
+}
+
+// Alive returns the units that gave this entry a sign not long ago.
+func (det *Detector) Alive() map[string]bool {
+	det.mux.Lock()
+	defer det.mux.Unlock()
+	out := map[string]bool{}
 	now := det.opt.Clock.Now()
-	for name, at := range det.looked {
-		if now.Sub(at) >= againAfter {
-			delete(det.looked, name)
+	for unit, at := range det.heard {
+		if now.Sub(at) < pulse {
+			out[unit] = true
+		} else {
+			delete(det.heard, unit)
 		}
 	}
-	_, recent := det.looked[unit]
-	det.looked[unit] = now
-	det.mux.Unlock()
-	if recent {
+	return out
+}
+
+// Suspect has the servers of a unit asked, unless that was done or the unit gave a sign just now.
+func (det *Detector) Suspect(unit string) {
+	if !det.due(unit) {
 		return
 	}
 	for _, ser := range det.opt.Members(unit) {
@@ -82,6 +109,23 @@
 	}
 }
 
+func (det *Detector) due(unit string) bool {
+	det.mux.Lock()
+	defer det.mux.Unlock()
+	now := det.opt.Clock.Now()
+	for _, seen := range []map[string]time.Time{det.looked, det.told} {
+		maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) >= againAfter })
+	}
+	if now.Sub(det.heard[unit]) < pulse || now.Sub(det.told[unit]) < pulse {
+		return false
+	}
+	if _, recent := det.looked[unit]; recent {
+		return false
+	}
+	det.looked[unit] = now
+	return true
+}
+
 // SuspectServer has one server asked, because another entry doubts it.
 func (det *Detector) SuspectServer(ser registrar.Server) {
 	det.mux.Lock()
@@ -112,12 +156,12 @@
 	defer det.end(ser)
 	began := det.opt.Clock.Now()
 	for det.opt.Clock.Since(began) < doubtMost {
-		det.opt.Doubts.Doubt(ser.Life(), det.opt.Clock.Now().Add(doubtFor))
+		det.opt.Doubts.Doubt(ser.Life(), det.opt.Clock.Now().Add(doubtFor), errors.Is(err, ErrDown))
 		det.opt.Clock.Sleep(againAfter)
 		if now, listed := det.opt.Doubts.View().Servers[ser.ID]; !listed || now.Started != ser.Started {
 			return
 		}
-		if det.ask(ser) == nil {
+		if err = det.ask(ser); err == nil {
 			det.opt.Doubts.Trust(ser.Life())
 			return
 		}
@@ -144,13 +188,19 @@
 
 func (det *Detector) ask(ser registrar.Server) error {
 	var err error
-	for range questions {
+	for unanswered := 0; unanswered < 2*questions; {
+		began := det.opt.Clock.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), askWithin)
 		err = det.opt.Asker.Ask(ctx, ser)
 		cancel()
 		if err == nil || errors.Is(err, ErrDown) {
 			return err
 		}
+		// An end that is noticed late shows that this entry itself was held up, and counts half.
+		unanswered += 2
+		if det.opt.Clock.Since(began) > lateFactor*askWithin {
+			unanswered--
+		}
 	}
 	return err
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -43,6 +43,8 @@
 	Deadline time.Time
 	// Exclude names units that have had the request.
 	Exclude []string
+	// Resumed says that the request has run in part; it goes before all others.
+	Resumed bool
 	// Late says that the request cannot be served within its objective any more; it goes after those that can.
 	Late bool
 }
@@ -169,8 +171,12 @@
 }
 
 func item(req Request) queuer.Item {
-	rank := -2 * req.Priority
-	if !req.Late {
+	// Ranks of new requests are at most 0.
+	rank := -2*max(0, req.Priority) - 1
+	switch {
+	case req.Resumed:
+		rank = 1
+	case !req.Late:
 		rank++
 	}
 	return queuer.Item{
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -64,6 +64,7 @@
 	tails    map[string]*tailer.Tailer
 	tab      atomic.Pointer[router.Table]
 	units    atomic.Pointer[unitTable]
+	bounds   atomic.Pointer[gateconfigurer.Bounds]
 	stopping atomic.Bool
 	served   atomic.Bool
 	running  atomic.Int64
@@ -87,6 +88,7 @@
 	gat.mes = messenger.New(source, &gat.rpcBytes)
 	gat.reg = registrar.New(clk)
 	gat.units.Store(&unitTable{})
+	gat.bounds.Store(&set.Bounds)
 	gat.buildRequests(source)
 	if err := gat.buildSharing(); err != nil {
 		return nil, err
@@ -176,6 +178,7 @@
 			live := gat.itr.Live()
 			gat.dis.SetEntries(live)
 			gat.bud.SetEntries(live)
+			gat.reg.SetAlone(live == 1)
 		}
 	}
 }
--- a/gatekeeper/peers.go
+++ b/gatekeeper/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -29,10 +31,12 @@
 func (gat *Gatekeeper) beat() sharer.Beat {
 	bea := sharer.Beat{
 		Name: gat.set.Name, Incarnation: gat.self.Incarnation, Seq: gat.beats.Add(1),
-		Stopping: gat.stopping.Load(), Running: map[uint64]int{},
+		Stopping: gat.stopping.Load(), Running: map[uint64]int{}, Alive: map[uint64]bool{},
 	}
+	alive := gat.det.Alive()
 	for unit, num := range gat.dis.Running() {
 		bea.Running[hash(unit)] = num
+		bea.Alive[hash(unit)] = alive[unit]
 	}
 	for _, lif := range gat.det.Doubted() {
 		bea.Doubts = append(bea.Doubts, lifeHash(lif))
@@ -45,23 +49,38 @@
 	running := map[string]int{}
 	for key, num := range bea.Running {
 		gat.served.Store(true)
-		if unit, known := names[key]; known {
-			running[unit] = num
+		unit, known := names[key]
+		if !known {
+			continue
+		}
+		running[unit] = num
+		if bea.Alive[key] {
+			gat.det.Told(unit)
 		}
 	}
 	gat.dis.SetForeign(bea.Name, running)
 	if bea.Stopping {
 		gat.itr.Stop(bea.Name, bea.Incarnation)
 	}
-	for _, dou := range bea.Doubts {
-		for _, ser := range gat.reg.View().Servers {
-			if lifeHash(ser.Life()) == dou {
-				gat.det.SuspectServer(ser)
-			}
+	if len(bea.Doubts) > 0 {
+		gat.support(bea.Doubts)
+	}
+}
+
+// support takes the doubts of another entry, and has the servers asked from here too.
+func (gat *Gatekeeper) support(doubts []uint64) {
+	until := gat.clk.Now().Add(supportFor)
+	for _, ser := range gat.reg.View().Servers {
+		if slices.Contains(doubts, lifeHash(ser.Life())) {
+			gat.reg.Support(ser.Life(), until)
+			gat.det.SuspectServer(ser)
 		}
 	}
 }
 
+// supportFor is how long the doubt of another entry counts; beats repeat it every 100 ms.
+const supportFor = 500 * time.Millisecond
+
 func (gat *Gatekeeper) onSilent(name string) {
 	gat.dis.SetForeign(name, nil)
 }
--- a/gatekeeper/run.go
+++ b/gatekeeper/run.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lovagelever/lovagelever/gateconfigurer"
 	"github.com/lovagelever/lovagelever/messenger"
 )
 
@@ -94,6 +95,19 @@
 	gat.gat.ServeHTTP(wtr, req)
 }
 
+// Reload takes new bounds; addresses and names stay those of the start.
+func (gat *Gatekeeper) Reload(set gateconfigurer.Settings) {
+	gat.bounds.Store(&set.Bounds)
+	gat.bud.SetBounds(set.Bounds.RetryRatio, set.Bounds.RetrySlack)
+	gat.log.WithFields(logrus.Fields{"bounds": set.Bounds, "other_settings_changed": !gat.sameIdentity(set)}).Info("settings read again")
+}
+
+// sameIdentity reports whether nothing has changed that only a start takes.
+func (gat *Gatekeeper) sameIdentity(set gateconfigurer.Settings) bool {
+	set.Bounds = gat.set.Bounds
+	return set == gat.set
+}
+
 // register writes the registration of this entry until the store takes it.
 func (gat *Gatekeeper) register(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -122,7 +136,7 @@
 	}()
 	for {
 		since := gat.clk.Since(began)
-		if since >= gat.set.Bounds.StopGrace-stopMargin || since >= lingerFor && gat.running.Load() == 0 {
+		if since >= gat.bounds.Load().StopGrace-stopMargin || since >= lingerFor && gat.running.Load() == 0 {
 			break
 		}
 		gat.clk.Sleep(stopLook)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 // Detector looks after a unit that is silent or does not answer.
 type Detector interface {
 	Suspect(unit string)
+	Heard(unit string)
 }
 
 // Meter counts what became of requests.
@@ -218,14 +219,17 @@
 	cost := job.expected()
 	objective := job.arrived.Add(job.rou.Objective)
 	startBy := now.Add(time.Duration(float64(job.rou.Objective) * waitShare))
+	if job.ran > 0 {
+		startBy = now.Add(resumeWait)
+	}
 	if latest := job.deadline.Add(-cost); latest.Before(startBy) {
 		startBy = latest
 	}
 	return job.gat.opt.Places.Acquire(ctx, dispatcher.Request{
 		ID: job.cal.ID, Pool: job.pool(), Workspace: job.wsp.Name,
-		Priority: job.tab.Priority(job.rou, job.wsp),
-		Cost:     cost.Seconds() * costPerSecond,
-		StartBy:  startBy, Deadline: job.deadline, Exclude: job.had,
+		Priority: job.tab.Priority(job.rou, job.wsp), Resumed: job.ran > 0,
+		Cost:    cost.Seconds() * costPerSecond,
+		StartBy: startBy, Deadline: job.deadline, Exclude: job.had,
 		Late: now.After(objective) || job.cal.Within > 0 && job.cal.Within < job.rou.Timeout-job.rou.Objective,
 	})
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -13,6 +13,8 @@
 	defaultBodyBytes = 4 << 20
 	// waitShare is the part of a route's objective that a request may wait for a place; the rest is left for the backend server's own work.
 	waitShare = 0.6
+	// resumeWait is how long a request that has run in part may wait for another place; callers leave a silent stream after 2 s.
+	resumeWait = 1200 * time.Millisecond
 	// costPerSecond scales the expected work of a request to whole numbers for the queue.
 	costPerSecond = 100.0
 	// plainWork is the expected work of a plain call, from the work column of the sheets in docs/ADAPTER.md.
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -14,6 +14,7 @@
 type watchdog struct {
 	clk    clockwork.Clock
 	check  func()
+	alive  func()
 	cancel context.CancelCauseFunc
 	first  time.Duration
 	pause  time.Duration
@@ -32,6 +33,7 @@
 	wat := &watchdog{
 		clk:    pas.gat.opt.Clock,
 		check:  func() { pas.gat.opt.Detector.Suspect(pla.Unit.ID) },
+		alive:  func() { pas.gat.opt.Detector.Heard(pla.Unit.ID) },
 		cancel: cancel,
 		first:  time.Duration(float64(pas.rou.Objective) * firstCheck),
 		pause:  time.Duration(float64(pas.rou.LongestPause) * pauseCheck),
@@ -63,6 +65,7 @@
 	}
 	wat.last = now
 	wat.timer.Reset(wat.pause)
+	wat.alive()
 }
 
 // silent runs when the unit has sent nothing for a while.
--- a/grouper/formation.go
+++ b/grouper/formation.go
@@ -13,6 +13,8 @@
 	Service string           `json:"service"`
 	Model   string           `json:"model"`
 	Members []registrar.Life `json:"members"`
+	// Standby says that the group was not to be opened when it was formed.
+	Standby bool `json:"standby,omitempty"`
 }
 
 // Health says how a formation stands.
@@ -31,7 +33,7 @@
 	for _, lif := range frm.Members {
 		ser, listed := vie.Servers[lif.ID]
 		switch {
-		case !listed || ser.Started != lif.Started || vie.Doubted(lif):
+		case !listed || ser.Started != lif.Started || vie.Confirmed(lif):
 			return Lost
 		case ser.Draining:
 			out = Leaving
@@ -48,6 +50,26 @@
 	return slices.Contains(frm.Members, lif)
 }
 
+// isReady reports whether every member says that it is ready under the group's own name and epoch.
+func (frm Formation) isReady(vie *registrar.View) bool {
+	return frm.ReadyMembers(vie) == len(frm.Members)
+}
+
+// ReadyMembers counts the members that say that they are ready under the group's own name, epoch and rank.
+func (frm Formation) ReadyMembers(vie *registrar.View) int {
+	ready := 0
+	for rank, lif := range frm.Members {
+		ser := vie.Servers[lif.ID]
+		if ser.Life() != lif || ser.Group.Name != frm.Name || ser.Group.Epoch != frm.Epoch || ser.Group.Rank != rank {
+			continue
+		}
+		if ser.Group.State == registrar.Ready || ser.Group.State == registrar.Open {
+			ready++
+		}
+	}
+	return ready
+}
+
 // Opened reports whether the head says that it takes requests.
 func (frm Formation) Opened(vie *registrar.View) bool {
 	head, listed := vie.Servers[frm.Members[0].ID]
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// groupedShare is the part of the servers that groups are planned for at first; the others stand by, since most days lose a fifth of them.
+	// groupedShare is the part of the servers that is planned to serve at first; the others stand by, since most days lose a fifth of them.
 	groupedShare = 0.8
 	// crowded is the share of a model's places above which one more group is wanted.
 	crowded = 0.75
@@ -36,8 +36,12 @@
 	View    *registrar.View
 	// Formations are all that were decided on and not given up.
 	Formations []Formation
-	// Bound are the lives that something is being done with.
-	Bound map[registrar.Life]bool
+	// Busy names the formations that are being built, opened or dissolved.
+	Busy map[string]bool
+	// Dissolving names the formations that are being dissolved.
+	Dissolving map[string]bool
+	// Staging holds the servers that load a model onto their host.
+	Staging map[registrar.Life]string
 	// Loads holds the load of each model.
 	Loads map[string]Load
 	// Early says that no request has come yet.
@@ -50,6 +54,8 @@
 	Members []registrar.Server
 	// ReadyIn is how long the slowest member takes.
 	ReadyIn time.Duration
+	// Standby says that the group is not to be opened yet.
+	Standby bool
 }
 
 // Staging has a server hold the weights of a model on its host.
@@ -61,28 +67,40 @@
 // Plan is what is to be done now.
 type Plan struct {
 	Dissolve []Formation
+	Open     []Formation
 	Form     []Proposal
 	Stage    []Staging
 }
 
 // round is one making of a plan.
 type round struct {
-	pic    Picture
-	free   []registrar.Server
-	active map[string][]Formation
-	out    Plan
+	pic     Picture
+	free    []registrar.Server
+	active  map[string][]Formation
+	standby map[string][]Formation
+	stands  map[registrar.Life]Formation
+	// waits says that servers which stood by are about to be free for what an earlier plan wants of them.
+	waits bool
+	out   Plan
 }
 
 // Make returns what is to be done now.
 func Make(pic Picture) Plan {
-	rnd := &round{pic: pic, active: map[string][]Formation{}}
+	rnd := &round{
+		pic: pic, active: map[string][]Formation{}, standby: map[string][]Formation{}, stands: map[registrar.Life]Formation{},
+	}
 	rnd.sort()
 	wanted := rnd.wanted()
+	given := map[string]bool{}
 	for {
-		mod, short := rnd.shortest(wanted)
-		if !short || !rnd.form(mod) {
+		mod, short := rnd.shortest(wanted, given)
+		if !short {
 			break
 		}
+		given[mod.Name] = !rnd.open(mod) && !rnd.form(mod)
+	}
+	if !rnd.waits {
+		rnd.standBy()
 	}
 	rnd.stage()
 	return rnd.out
@@ -98,40 +116,67 @@
 		for _, lif := range frm.Members {
 			taken[lif] = true
 		}
-		switch frm.Check(rnd.pic.View) {
-		case Whole:
-			rnd.active[frm.Model] = append(rnd.active[frm.Model], frm)
-		default:
-			rnd.out.Dissolve = append(rnd.out.Dissolve, frm)
-		}
+		rnd.sortOne(frm)
 	}
-	for _, ser := range rnd.pic.View.Servers {
-		if ser.Service == rnd.pic.Service && ser.Domain != "" && rnd.pic.View.Usable(ser) && !taken[ser.Life()] && !rnd.pic.Bound[ser.Life()] {
+	for _, ser := range rnd.usable() {
+		if !taken[ser.Life()] {
 			rnd.free = append(rnd.free, ser)
 		}
 	}
 	slices.SortFunc(rnd.free, func(one, two registrar.Server) int { return cmp.Compare(one.ID, two.ID) })
+	for _, list := range []map[string][]Formation{rnd.active, rnd.standby} {
+		for _, frms := range list {
+			slices.SortFunc(frms, func(one, two Formation) int { return cmp.Compare(one.Epoch, two.Epoch) })
+		}
+	}
 }
 
-// wanted returns how many groups each model should have.
-func (rnd *round) wanted() map[string]int {
-	usable := 0
+func (rnd *round) sortOne(frm Formation) {
+	vie := rnd.pic.View
+	switch {
+	case rnd.pic.Dissolving[frm.Name]:
+		rnd.waits = rnd.waits || frm.Check(vie) == Whole
+	case frm.Check(vie) != Whole:
+		rnd.out.Dissolve = append(rnd.out.Dissolve, frm)
+	case vie.ZoneOut(vie.Servers[frm.Members[0].ID].Zone):
+		// It serves again when its availability zone is back.
+	case frm.Standby && !frm.Opened(vie) && !rnd.pic.Busy[frm.Name]:
+		rnd.standby[frm.Model] = append(rnd.standby[frm.Model], frm)
+		for _, lif := range frm.Members {
+			rnd.stands[lif] = frm
+		}
+	case frm.Standby && !frm.Opened(vie) && !frm.isReady(vie):
+		// A standby group in the making counts for nothing yet.
+	default:
+		rnd.active[frm.Model] = append(rnd.active[frm.Model], frm)
+	}
+}
+
+// usable returns the servers with an engine that may get work.
+func (rnd *round) usable() []registrar.Server {
+	var out []registrar.Server
 	for _, ser := range rnd.pic.View.Servers {
 		if ser.Service == rnd.pic.Service && ser.Domain != "" && rnd.pic.View.Usable(ser) {
-			usable++
+			out = append(out, ser)
 		}
 	}
+	return out
+}
+
+// wanted returns how many groups of each model should serve.
+func (rnd *round) wanted() map[string]int {
+	usable := float64(len(rnd.usable()))
 	shares := 0.0
 	for _, mod := range rnd.pic.Engine.Models {
 		shares += mod.Share
 	}
 	out := map[string]int{}
 	for _, mod := range rnd.pic.Engine.Models {
-		share := mod.Share / shares
-		if shares <= 0 {
-			share = 1 / float64(len(rnd.pic.Engine.Models))
+		share := 1 / float64(len(rnd.pic.Engine.Models))
+		if shares > 0 {
+			share = mod.Share / shares
 		}
-		num := int(math.Round(float64(usable) * share * groupedShare / float64(mod.Size)))
+		num := int(math.Round(usable * share * groupedShare / float64(mod.Size)))
 		loa := rnd.pic.Loads[mod.Name]
 		if loa.Taken+loa.Waiting > 0 && float64(loa.Taken+loa.Waiting) > crowded*float64(loa.Slots) {
 			num = max(num, len(rnd.active[mod.Name])+1)
@@ -141,35 +186,74 @@
 	return out
 }
 
-// shortest returns the model that lacks the largest part of its groups.
-func (rnd *round) shortest(wanted map[string]int) (router.Model, bool) {
+// shortest returns the model that lacks the largest part of its groups, but for those that were given up.
+func (rnd *round) shortest(wanted map[string]int, given map[string]bool) (router.Model, bool) {
 	var best router.Model
 	lack := 0.0
 	for _, mod := range rnd.pic.Engine.Models {
 		one := 1 - float64(len(rnd.active[mod.Name]))/float64(wanted[mod.Name])
-		if one > lack {
+		if one > lack && !given[mod.Name] {
 			best, lack = mod, one
 		}
 	}
 	return best, lack > 0
 }
 
-// choice is one way to form a group.
-type choice struct {
-	members []registrar.Server
-	ready   time.Duration
-	// zone and domain count the model's groups there, strands the free servers that are left over in the domain.
-	zone    int
-	domain  int
-	strands int
+// open has a standby group of the model serve, in the availability zone that has fewest; it reports false when there is none.
+func (rnd *round) open(mod router.Model) bool {
+	var best *Formation
+	fewest := 0
+	for _, frm := range rnd.standby[mod.Name] {
+		if !frm.isReady(rnd.pic.View) {
+			continue
+		}
+		if num := rnd.inZone(mod, rnd.zone(frm)); best == nil || num < fewest {
+			best, fewest = &frm, num
+		}
+	}
+	if best == nil {
+		return false
+	}
+	rnd.out.Open = append(rnd.out.Open, *best)
+	rnd.removeStandby(*best)
+	rnd.active[mod.Name] = append(rnd.active[mod.Name], *best)
+	return true
+}
+
+func (rnd *round) removeStandby(frm Formation) {
+	rnd.standby[frm.Model] = slices.DeleteFunc(rnd.standby[frm.Model], func(oth Formation) bool { return oth.Name == frm.Name })
+	for _, lif := range frm.Members {
+		delete(rnd.stands, lif)
+	}
+}
+
+func (rnd *round) zone(frm Formation) string {
+	return rnd.pic.View.Servers[frm.Members[0].ID].Zone
+}
+
+func (rnd *round) inZone(mod router.Model, zone string) int {
+	num := 0
+	for _, frm := range rnd.active[mod.Name] {
+		if rnd.zone(frm) == zone {
+			num++
+		}
+	}
+	return num
 }
 
-// form proposes a group of the model where it is ready first; it reports false when no domain has enough free servers.
+// form proposes a group of the model where it is ready first; it reports false when no domain has enough servers that are free or stand by.
 func (rnd *round) form(mod router.Model) bool {
 	byDomain := map[string][]registrar.Server{}
 	for _, ser := range rnd.free {
 		byDomain[ser.Domain] = append(byDomain[ser.Domain], ser)
 	}
+	for lif := range rnd.stands {
+		if rnd.waits {
+			break
+		}
+		ser := rnd.pic.View.Servers[lif.ID]
+		byDomain[ser.Domain] = append(byDomain[ser.Domain], ser)
+	}
 	var best *choice
 	for _, dom := range slices.Sorted(maps.Keys(byDomain)) {
 		if len(byDomain[dom]) < mod.Size {
@@ -187,44 +271,70 @@
 	return true
 }
 
-func (rnd *round) choose(mod router.Model, free []registrar.Server) choice {
-	slices.SortStableFunc(free, func(one, two registrar.Server) int {
+// choice is one way to form a group.
+type choice struct {
+	members []registrar.Server
+	ready   time.Duration
+	// zone and domain count the model's groups there, broken the servers that stand by and would be taken.
+	zone   int
+	domain int
+	broken int
+}
+
+func (rnd *round) choose(mod router.Model, list []registrar.Server) choice {
+	slices.SortStableFunc(list, func(one, two registrar.Server) int {
 		return cmp.Or(
 			cmp.Compare(rnd.readyIn(mod, one), rnd.readyIn(mod, two)),
-			cmp.Compare(len(one.Staged), len(two.Staged)),
+			cmp.Compare(rnd.standsBy(one), rnd.standsBy(two)),
+			cmp.Compare(one.Group.Name, two.Group.Name),
+			cmp.Compare(one.ID, two.ID),
 		)
 	})
-	out := choice{members: slices.Clone(free[:mod.Size]), strands: (len(free) - mod.Size) % mod.Size}
+	out := choice{members: slices.Clone(list[:mod.Size]), zone: rnd.inZone(mod, list[0].Zone)}
 	out.ready = rnd.readyIn(mod, out.members[mod.Size-1])
+	for _, ser := range out.members {
+		out.broken += rnd.standsBy(ser)
+	}
 	for _, frm := range rnd.active[mod.Name] {
-		if ser, listed := rnd.pic.View.Servers[frm.Members[0].ID]; listed {
-			if ser.Zone == free[0].Zone {
-				out.zone++
-			}
-			if ser.Domain == free[0].Domain {
-				out.domain++
-			}
+		if rnd.pic.View.Servers[frm.Members[0].ID].Domain == list[0].Domain {
+			out.domain++
 		}
 	}
 	return out
 }
 
+func (rnd *round) standsBy(ser registrar.Server) int {
+	if _, stands := rnd.stands[ser.Life()]; stands {
+		return 1
+	}
+	return 0
+}
+
 // before reports whether one way is better than another: ready first, then spread over zones and domains.
 func (cho choice) before(oth choice) bool {
 	return cmp.Or(
 		cmp.Compare(cho.ready, oth.ready), cmp.Compare(cho.zone, oth.zone),
-		cmp.Compare(cho.domain, oth.domain), cmp.Compare(cho.strands, oth.strands),
+		cmp.Compare(cho.domain, oth.domain), cmp.Compare(cho.broken, oth.broken),
 	) < 0
 }
 
+// take proposes a choice, or first has the standby groups dissolved whose members it needs; these are free in a later round.
 func (rnd *round) take(mod router.Model, cho choice) {
 	lives := make([]registrar.Life, 0, len(cho.members))
+	waits := false
 	for _, ser := range cho.members {
 		lives = append(lives, ser.Life())
+		if frm, stands := rnd.stands[ser.Life()]; stands {
+			waits = true
+			rnd.out.Dissolve = append(rnd.out.Dissolve, frm)
+			rnd.removeStandby(frm)
+		}
 	}
 	rnd.free = slices.DeleteFunc(rnd.free, func(ser registrar.Server) bool { return slices.Contains(lives, ser.Life()) })
 	rnd.active[mod.Name] = append(rnd.active[mod.Name], Formation{Model: mod.Name, Members: lives})
-	rnd.out.Form = append(rnd.out.Form, Proposal{Model: mod, Members: cho.members, ReadyIn: cho.ready})
+	if !waits {
+		rnd.out.Form = append(rnd.out.Form, Proposal{Model: mod, Members: cho.members, ReadyIn: cho.ready})
+	}
 }
 
 // readyIn is how long a server takes to have a model's weights in its accelerators.
@@ -232,7 +342,7 @@
 	switch {
 	case ser.Loaded == mod.Name:
 		return rejoinIn
-	case slices.Contains(ser.Staged, mod.Name):
+	case slices.Contains(ser.Staged, mod.Name) && rnd.pic.Staging[ser.Life()] == "":
 		return mod.StagedIn
 	case rnd.pic.Early:
 		return time.Duration(float64(mod.LoadIn) * earlyShare)
@@ -240,45 +350,55 @@
 	return mod.LoadIn
 }
 
-// stage has each domain hold ready, on its free servers, what its groups may need.
-func (rnd *round) stage() {
-	byDomain := map[string][]registrar.Server{}
-	for _, ser := range rnd.free {
-		byDomain[ser.Domain] = append(byDomain[ser.Domain], ser)
-	}
-	for _, dom := range slices.Sorted(maps.Keys(byDomain)) {
-		held := map[string]int{}
-		var bare []registrar.Server
-		for _, ser := range byDomain[dom] {
-			if mod := rnd.holds(ser); mod != "" {
-				held[mod]++
-			} else {
-				bare = append(bare, ser)
+// standBy groups what is left over, so that a whole group only has to be opened when one is lost.
+func (rnd *round) standBy() {
+	models := slices.Clone(rnd.pic.Engine.Models)
+	slices.SortFunc(models, func(one, two router.Model) int { return cmp.Compare(one.Size, two.Size) })
+	for num, mod := range models {
+		byDomain := map[string][]registrar.Server{}
+		for _, ser := range rnd.free {
+			// Small groups fit anywhere, so empty servers join the smallest model.
+			if ser.Loaded == mod.Name || ser.Loaded == "" && num == 0 {
+				byDomain[ser.Domain] = append(byDomain[ser.Domain], ser)
 			}
 		}
-		for _, ser := range bare {
-			mod := rnd.leastHeld(held)
-			held[mod]++
-			rnd.out.Stage = append(rnd.out.Stage, Staging{Server: ser, Model: mod})
+		for _, dom := range slices.Sorted(maps.Keys(byDomain)) {
+			for list := byDomain[dom]; len(list) >= mod.Size; list = list[mod.Size:] {
+				cho := rnd.choose(mod, list[:mod.Size])
+				rnd.out.Form = append(rnd.out.Form, Proposal{Model: mod, Members: cho.members, ReadyIn: cho.ready, Standby: true})
+				rnd.free = slices.DeleteFunc(rnd.free, func(ser registrar.Server) bool {
+					return slices.ContainsFunc(cho.members, func(mem registrar.Server) bool { return mem.ID == ser.ID })
+				})
+			}
 		}
 	}
 }
 
-func (rnd *round) holds(ser registrar.Server) string {
-	for _, mod := range rnd.pic.Engine.Models {
-		if ser.Loaded == mod.Name || slices.Contains(ser.Staged, mod.Name) {
-			return mod.Name
+// stage has servers hold on their hosts the weights of another model than the one that they serve, so that they can change over quickly: all before the first request, and later those that serve nothing.
+func (rnd *round) stage() {
+	for _, ser := range rnd.usable() {
+		_, stands := rnd.stands[ser.Life()]
+		idle := stands || slices.ContainsFunc(rnd.free, func(oth registrar.Server) bool { return oth.ID == ser.ID })
+		if ser.Loaded == "" || rnd.pic.Staging[ser.Life()] != "" || !idle && !rnd.pic.Early {
+			continue
+		}
+		if mod, found := rnd.other(ser); found {
+			rnd.out.Stage = append(rnd.out.Stage, Staging{Server: ser, Model: mod})
 		}
 	}
-	return ""
+	slices.SortFunc(rnd.out.Stage, func(one, two Staging) int { return cmp.Compare(one.Server.ID, two.Server.ID) })
 }
 
-func (rnd *round) leastHeld(held map[string]int) string {
-	best := rnd.pic.Engine.Models[0].Name
+// other returns the model that a server should hold on its host; found is false when it holds it.
+func (rnd *round) other(ser registrar.Server) (model string, found bool) {
 	for _, mod := range rnd.pic.Engine.Models {
-		if held[mod.Name] < held[best] {
-			best = mod.Name
+		if mod.Name == ser.Loaded {
+			continue
+		}
+		if slices.Contains(ser.Staged, mod.Name) {
+			return "", false
 		}
+		model = mod.Name
 	}
-	return best
+	return model, model != ""
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -12,25 +12,37 @@
 // ReturnWithin is how long a server that vanished from the list during an outage of the store has to come back: its lease may have run out unseen, and its next heartbeat puts it back.
 const ReturnWithin = 2500 * time.Millisecond
 
+// supportStep is by how much a support must be longer to be worth a new view: beats repeat it every 100 ms.
+const supportStep = 200 * time.Millisecond
+
 // Registrar holds the newest entry of each backend server; it is safe for concurrent use.
 type Registrar struct {
 	clk      clockwork.Clock
 	mux      sync.Mutex
 	servers  map[string]Server
 	expected map[string]time.Time
-	doubts   map[Life]time.Time
+	doubts   map[Life]doubt
+	support  map[Life]time.Time
+	alone    bool
 	zonesOut map[string]bool
 	view     atomic.Pointer[View]
 	changed  chan struct{}
 }
 
+// doubt says until when a life of a server counts as unreachable; it is certain when its VM answered that nothing listens.
+type doubt struct {
+	until   time.Time
+	certain bool
+}
+
 // New returns a registrar that knows no server.
 func New(clk clockwork.Clock) *Registrar {
 	reg := &Registrar{
 		clk:      clk,
 		servers:  map[string]Server{},
 		expected: map[string]time.Time{},
-		doubts:   map[Life]time.Time{},
+		doubts:   map[Life]doubt{},
+		support:  map[Life]time.Time{},
 		zonesOut: map[string]bool{},
 		changed:  make(chan struct{}),
 	}
@@ -89,13 +101,30 @@
 	})
 }
 
-// Doubt notes until when a life of a server counts as unreachable, because it did not answer.
-func (reg *Registrar) Doubt(lif Life, until time.Time) {
-	reg.update(func() {
-		if until.After(reg.doubts[lif]) {
-			reg.doubts[lif] = until
-		}
-	})
+// Doubt notes until when a life of a server counts as unreachable, because it did not answer this entry; certain says that its VM answered that nothing listens.
+func (reg *Registrar) Doubt(lif Life, until time.Time, certain bool) {
+	reg.update(func() { reg.doubts[lif] = doubt{until: until, certain: certain} })
+}
+
+// Support notes until when another entry finds a life of a server unreachable.
+func (reg *Registrar) Support(lif Life, until time.Time) {
+	reg.mux.Lock()
+	old, known := reg.support[lif]
+	reg.mux.Unlock()
+	if known && until.Sub(old) < supportStep {
+		return
+	}
+	reg.update(func() { reg.support[lif] = until })
+}
+
+// SetAlone notes whether no other entry is heard that could support a doubt.
+func (reg *Registrar) SetAlone(alone bool) {
+	reg.mux.Lock()
+	same := reg.alone == alone
+	reg.mux.Unlock()
+	if !same {
+		reg.update(func() { reg.alone = alone })
+	}
 }
 
 // Trust ends the doubt in a life of a server that answered.
@@ -121,7 +150,10 @@
 	for _, until := range reg.expected {
 		due = due || !now.Before(until)
 	}
-	for _, until := range reg.doubts {
+	for _, dou := range reg.doubts {
+		due = due || !now.Before(dou.until)
+	}
+	for _, until := range reg.support {
 		due = due || !now.Before(until)
 	}
 	reg.mux.Unlock()
@@ -140,7 +172,8 @@
 			reg.drop(id)
 		}
 	}
-	maps.DeleteFunc(reg.doubts, func(_ Life, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(reg.doubts, func(_ Life, dou doubt) bool { return !now.Before(dou.until) })
+	maps.DeleteFunc(reg.support, func(_ Life, until time.Time) bool { return !now.Before(until) })
 	reg.publish()
 }
 
@@ -150,7 +183,12 @@
 }
 
 func (reg *Registrar) publish() {
-	reg.view.Store(newView(reg.servers, reg.doubts, reg.zonesOut))
+	vie := newView(reg.servers, reg.zonesOut)
+	for lif, dou := range reg.doubts {
+		_, supported := reg.support[lif]
+		vie.doubts[lif] = dou.certain || supported || reg.alone
+	}
+	reg.view.Store(vie)
 	close(reg.changed)
 	reg.changed = make(chan struct{})
 }
--- a/registrar/server.go
+++ b/registrar/server.go
@@ -52,8 +52,8 @@
 
 // Life names one life of a server.
 type Life struct {
-	ID      string
-	Started int64
+	ID      string `json:"id"`
+	Started int64  `json:"started"`
 }
 
 // Life returns the life that the server is in.
--- a/registrar/view.go
+++ b/registrar/view.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 )
 
 // View is the state of all backend servers at one moment.
@@ -12,7 +11,8 @@
 	// Servers holds all listed servers by ID.
 	Servers map[string]Server
 	// Groups holds the replica groups by the word of their members, in the order of their names.
-	Groups   []Group
+	Groups []Group
+	// doubts holds the lives that do not answer this entry, and whether that is confirmed.
 	doubts   map[Life]bool
 	zonesOut map[string]bool
 }
@@ -34,11 +34,8 @@
 	return head, listed
 }
 
-func newView(servers map[string]Server, doubts map[Life]time.Time, zonesOut map[string]bool) *View {
+func newView(servers map[string]Server, zonesOut map[string]bool) *View {
 	vie := &View{Servers: maps.Clone(servers), doubts: map[Life]bool{}, zonesOut: maps.Clone(zonesOut)}
-	for lif := range doubts {
-		vie.doubts[lif] = true
-	}
 	type key struct {
 		name  string
 		epoch int64
@@ -68,11 +65,17 @@
 
 // Usable reports whether a server may get new work: it is listed, stays, answers, and its availability zone is in service.
 func (vie *View) Usable(ser Server) bool {
-	return !ser.Draining && !vie.zonesOut[ser.Zone] && !vie.doubts[ser.Life()]
+	return !ser.Draining && !vie.zonesOut[ser.Zone] && !vie.Doubted(ser.Life())
 }
 
-// Doubted reports whether a life of a server does not answer.
+// Doubted reports whether a life of a server does not answer this entry.
 func (vie *View) Doubted(lif Life) bool {
+	_, doubted := vie.doubts[lif]
+	return doubted
+}
+
+// Confirmed reports whether a life of a server answers neither this entry nor another, or certainly has ended.
+func (vie *View) Confirmed(lif Life) bool {
 	return vie.doubts[lif]
 }
 
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -33,6 +33,7 @@
 			return errors.Trace(err)
 		}
 		if res.StatusCode >= http.StatusOK {
+			exc.whole = res.ContentLength == 0
 			res.Body = &body{exc: exc, src: res.Body}
 			exc.Response = res
 			return nil
--- a/sharer/beat.go
+++ b/sharer/beat.go
@@ -10,6 +10,8 @@
 	beatVersion = 1
 	// mostBytes keeps a datagram within one packet.
 	mostBytes = 1400
+	// aliveBit is the lowest bit of a unit's number; the count of requests stands above it.
+	aliveBit = 1
 )
 
 // Beat is what an entry tells the others; units and lives are named by hashes to save bytes.
@@ -20,6 +22,8 @@
 	Stopping    bool
 	// Running counts the requests that the entry runs on each unit.
 	Running map[uint64]int
+	// Alive are those of these units that gave the entry a sign not long ago.
+	Alive map[uint64]bool
 	// Doubts names the lives of backend servers that do not answer the entry.
 	Doubts []uint64
 }
@@ -47,7 +51,11 @@
 			break
 		}
 		out = binary.BigEndian.AppendUint64(out, uni)
-		out = binary.AppendUvarint(out, uint64(max(0, run)))
+		val := uint64(max(0, run)) << 1
+		if bea.Alive[uni] {
+			val |= aliveBit
+		}
+		out = binary.AppendUvarint(out, val)
 	}
 	return out
 }
@@ -65,10 +73,14 @@
 	for num := rea.uvarint(); num > 0 && !rea.bad; num-- {
 		bea.Doubts = append(bea.Doubts, rea.fixed())
 	}
-	bea.Running = map[uint64]int{}
+	bea.Running, bea.Alive = map[uint64]int{}, map[uint64]bool{}
 	for num := rea.uvarint(); num > 0 && !rea.bad; num-- {
 		uni := rea.fixed()
-		bea.Running[uni] = int(min(rea.uvarint(), mostRunning))
+		val := rea.uvarint()
+		bea.Running[uni] = int(min(val>>1, mostRunning))
+		if val&aliveBit != 0 {
+			bea.Alive[uni] = true
+		}
 	}
 	if rea.bad || len(rea.data) > 0 || bea.Name == "" {
 		return Beat{}, errors.NotValidf("sharer: beat of %d bytes", len(data))
