Have two entries read the store for all, and tell by beats how far they are

Change: the two entries of the lowest rank that are up to date read with short waits; beats carry the ends of the topics, the others ask one of the two.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -20,9 +20,10 @@
 	Leave(ctx context.Context) error
 }
 
-// Options are what an elector needs; TTL is the time to live of the lease.
+// Options are what an elector needs; Stands reports whether this entry is to lead if it can, TTL is the time to live of the lease.
 type Options struct {
 	Lease  Lease
+	Stands func() bool
 	TTL    time.Duration
 	Clock  clockwork.Clock
 	Logger *logrus.Entry
@@ -62,6 +63,9 @@
 // Step claims the lease once.
 func (ele *Elector) Step(ctx context.Context) {
 	led := ele.Leads()
+	if !led && !ele.opt.Stands() {
+		return
+	}
 	now := ele.opt.Clock.Now()
 	held, err := ele.opt.Lease.Claim(ctx, ele.opt.TTL)
 	if err != nil {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -72,6 +72,7 @@
 	beats    atomic.Uint64
 	self     introducer.Entry
 	zones    sync.Map
+	readers  sync.Map
 }
 
 // New makes an entry; it fails with errors.NotValid for an address that is none.
@@ -139,7 +140,7 @@
 			Topic: topic, Store: gat.pla.Store, Peers: asking{gat: gat}, Clock: gat.clk, Logger: gat.log, OnChange: change,
 		})
 	}
-	gat.ele = elector.New(elector.Options{Lease: gat.pla.Lease, TTL: max(leaseTTL, gat.set.Store.ShortestLease), Clock: gat.clk, Logger: gat.log})
+	gat.ele = elector.New(elector.Options{Lease: gat.pla.Lease, Stands: gat.reads, TTL: max(leaseTTL, gat.set.Store.ShortestLease), Clock: gat.clk, Logger: gat.log})
 	gat.con = conductor.New(conductor.Options{
 		Records: gat.pla.Records, Engines: gat.pla.Engines, View: gat.reg.View, Table: gat.tab.Load, Leads: gat.ele.Leads,
 		Loads: gat.loads, Early: gat.early, Clock: gat.clk, Logger: gat.log,
--- a/gatekeeper/peers.go
+++ b/gatekeeper/peers.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -9,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/lovagelever/lovagelever/introducer"
 	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/sharer"
 	"github.com/lovagelever/lovagelever/tailer"
@@ -34,6 +36,10 @@
 		Stopping: gat.stopping.Load(), Running: map[uint64]int{}, Alive: map[uint64]bool{},
 	}
 	alive := gat.det.Alive()
+	bea.Fresh = gat.fresh()
+	for _, topic := range gat.topics() {
+		bea.Ends = append(bea.Ends, gat.tails[topic].End())
+	}
 	for unit, num := range gat.dis.Running() {
 		bea.Running[hash(unit)] = num
 		bea.Alive[hash(unit)] = alive[unit]
@@ -44,7 +50,62 @@
 	return bea
 }
 
+// topics names the topics whose ends stand in beats, in their order there.
+func (gat *Gatekeeper) topics() []string {
+	return []string{gat.pla.Topics.Operator, gat.pla.Topics.Servers, gat.pla.Topics.Entries}
+}
+
+// fresh reports whether this entry reads the store and is up to date with it.
+func (gat *Gatekeeper) fresh() bool {
+	for _, tai := range gat.tails {
+		if age, known := tai.Age(); !known || age > freshFor {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	// readers is how many entries read the store for all: two, so that one may stop answering.
+	readers = 2
+	// freshFor is how old the last answer of the store may be; a reader asks again after 0.7 s.
+	freshFor = 1500 * time.Millisecond
+)
+
+// noteReader keeps which other entries are up to date with the store.
+func (gat *Gatekeeper) noteReader(bea sharer.Beat) {
+	if bea.Fresh && !bea.Stopping {
+		gat.readers.Store(bea.Name, gat.clk.Now())
+	} else {
+		gat.readers.Delete(bea.Name)
+	}
+	for num, topic := range gat.topics() {
+		if num < len(bea.Ends) {
+			gat.tails[topic].Poke(bea.Ends[num])
+		}
+	}
+}
+
+// reads reports whether this entry is one of those that read the store for all.
+func (gat *Gatekeeper) reads() bool {
+	before := 0
+	own := hash(gat.set.Name)
+	gat.readers.Range(func(name, at any) bool {
+		if gat.clk.Since(at.(time.Time)) < supportFor && hash(name.(string)) < own {
+			before++
+		}
+		return true
+	})
+	return before < readers
+}
+
+// Read reports whether enough others read the store.
+func (ask asking) Read() bool {
+	return !ask.gat.reads()
+}
+
 func (gat *Gatekeeper) onBeat(bea sharer.Beat) {
+	gat.noteReader(bea)
 	names := gat.units.Load().hashes
 	running := map[string]int{}
 	for key, num := range bea.Running {
@@ -81,8 +142,17 @@
 // supportFor is how long the doubt of another entry counts; beats repeat it every 100 ms.
 const supportFor = 500 * time.Millisecond
 
+// rank is 0 for an entry that reads the store and 1 for any other.
+func (gat *Gatekeeper) rank(name string) int {
+	if _, fresh := gat.readers.Load(name); fresh {
+		return 0
+	}
+	return 1
+}
+
 func (gat *Gatekeeper) onSilent(name string) {
 	gat.dis.SetForeign(name, nil)
+	gat.readers.Delete(name)
 }
 
 // Question asks for the records of a topic from an offset on.
@@ -116,6 +186,10 @@
 func (ask asking) Ask(ctx context.Context, topic string, from int64) (tailer.Page, error) {
 	others := ask.gat.itr.Others()
 	rand.Shuffle(len(others), func(one, two int) { others[one], others[two] = others[two], others[one] })
+	// Those that read the store come first.
+	slices.SortStableFunc(others, func(one, two introducer.Entry) int {
+		return cmp.Compare(ask.gat.rank(one.Name), ask.gat.rank(two.Name))
+	})
 	for _, ent := range others {
 		if ask.gat.heard(ent.Name) {
 			return messenger.Call[Question, tailer.Page](ctx, ask.gat.mes, ent.Entries, "Records", Question{Topic: topic, From: from})
--- a/sharer/beat.go
+++ b/sharer/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/juju/errors"
 )
@@ -12,6 +13,9 @@
 	mostBytes = 1400
 	// aliveBit is the lowest bit of a unit's number; the count of requests stands above it.
 	aliveBit = 1
+	// stoppingFlag and freshFlag are bits of the second byte.
+	stoppingFlag = 1
+	freshFlag    = 2
 )
 
 // Beat is what an entry tells the others; units and lives are named by hashes to save bytes.
@@ -20,6 +24,9 @@
 	Incarnation uint64
 	Seq         uint64
 	Stopping    bool
+	// Fresh says that the entry reads the store and is up to date with it; Ends are the offsets up to which it knows the topics that all entries follow.
+	Fresh bool
+	Ends  []int64
 	// Running counts the requests that the entry runs on each unit.
 	Running map[uint64]int
 	// Alive are those of these units that gave the entry a sign not long ago.
@@ -32,12 +39,19 @@
 func Encode(bea Beat) []byte {
 	out := []byte{beatVersion, 0}
 	if bea.Stopping {
-		out[1] = 1
+		out[1] |= stoppingFlag
+	}
+	if bea.Fresh {
+		out[1] |= freshFlag
 	}
 	out = binary.AppendUvarint(out, uint64(len(bea.Name)))
 	out = append(out, bea.Name...)
 	out = binary.BigEndian.AppendUint64(out, bea.Incarnation)
 	out = binary.AppendUvarint(out, bea.Seq)
+	out = binary.AppendUvarint(out, uint64(len(bea.Ends)))
+	for _, end := range bea.Ends {
+		out = binary.AppendUvarint(out, uint64(max(0, end)))
+	}
 	const doubtBytes, runningBytes = 8, 11
 	doubts := bea.Doubts[:min(len(bea.Doubts), (mostBytes-len(out))/2/doubtBytes)]
 	out = binary.AppendUvarint(out, uint64(len(doubts)))
@@ -66,10 +80,14 @@
 	if rea.octet() != beatVersion {
 		return Beat{}, errors.NotValidf("sharer: version of a beat")
 	}
-	bea := Beat{Stopping: rea.octet() == 1}
+	flags := rea.octet()
+	bea := Beat{Stopping: flags&stoppingFlag != 0, Fresh: flags&freshFlag != 0}
 	bea.Name = string(rea.bytes(int(rea.uvarint())))
 	bea.Incarnation = rea.fixed()
 	bea.Seq = rea.uvarint()
+	for num := rea.uvarint(); num > 0 && !rea.bad; num-- {
+		bea.Ends = append(bea.Ends, int64(min(rea.uvarint(), math.MaxInt64)))
+	}
 	for num := rea.uvarint(); num > 0 && !rea.bad; num-- {
 		bea.Doubts = append(bea.Doubts, rea.fixed())
 	}
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// waitFor is how long one read of the store waits for a record: the store allows 30 s, and a connection that has gone silent is noticed after this.
-	waitFor = 8 * time.Second
+	// waitFor is how long one read of the store waits for a record, so that a connection which has gone silent is noticed within half of the shortest bound on changes, which is 2 s.
+	waitFor = 700 * time.Millisecond
+	// relayCheck is the time between two looks whether another entry still reads the store in place of this one.
+	relayCheck = 250 * time.Millisecond
 	// retryAfter is the pause after a failed read, and between questions to other entries: a third of the shortest bound on changes, which is 2 s.
 	retryAfter = 300 * time.Millisecond
 	// settleFor is how long after an outage a removal may be a lease that ran out unseen; heartbeats are back within 2 s of the store's return.
@@ -37,6 +39,8 @@
 type Page struct {
 	End     int64
 	Records []Record
+	// Outage says that removals among the records may be leases that ran out while the store was away.
+	Outage bool
 }
 
 // Store is the source of the topic; Read fails with ErrExpired when records from the offset on are no longer retained.
@@ -45,9 +49,12 @@
 	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Page, error)
 }
 
-// Peers asks another entry for the records of a topic from an offset on.
+// Peers are the other entries.
 type Peers interface {
+	// Ask asks one of them for the records of a topic from an offset on.
 	Ask(ctx context.Context, topic string, from int64) (Page, error)
+	// Read reports whether enough others read the store, so that this entry need not.
+	Read() bool
 }
 
 // Change is what a tailer tells: the records that are new, or with Whole all there are. Outage says that removals among them may be leases that ran out while the store was away.
@@ -77,6 +84,7 @@
 	contact time.Time
 	outage  time.Time
 	failed  bool
+	news    chan struct{}
 }
 
 type held struct {
@@ -86,12 +94,16 @@
 
 // New returns a tailer that has read nothing.
 func New(opt Options) *Tailer {
-	return &Tailer{opt: opt, newest: map[string]held{}}
+	return &Tailer{opt: opt, newest: map[string]held{}, news: make(chan struct{}, 1)}
 }
 
 // Run follows the topic until the context ends.
 func (tai *Tailer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if tai.opt.Peers.Read() {
+			tai.relay(ctx)
+			continue
+		}
 		err := tai.Step(ctx)
 		pause := gather
 		if err != nil {
@@ -106,6 +118,37 @@
 	}
 }
 
+// Poke tells that another entry knows the topic up to an offset.
+func (tai *Tailer) Poke(end int64) {
+	tai.mux.Lock()
+	ahead := end > tai.end
+	tai.mux.Unlock()
+	if !ahead {
+		return
+	}
+	select {
+	case tai.news <- struct{}{}:
+	default:
+	}
+}
+
+// End is the offset up to which the topic is known.
+func (tai *Tailer) End() int64 {
+	tai.mux.Lock()
+	defer tai.mux.Unlock()
+	return tai.end
+}
+
+// relay waits for news that another entry has read, and asks for it.
+func (tai *Tailer) relay(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-tai.news:
+		tai.askPeer(ctx)
+	case <-tai.opt.Clock.After(relayCheck):
+	}
+}
+
 // Step reads the store once.
 func (tai *Tailer) Step(ctx context.Context) error {
 	tai.mux.Lock()
@@ -139,7 +182,7 @@
 	if !tai.known {
 		return Page{}, errors.NotFoundf("tailer: topic %s", tai.opt.Topic)
 	}
-	out := Page{End: tai.end}
+	out := Page{End: tai.end, Outage: tai.inOutage()}
 	for _, hel := range tai.newest {
 		if hel.Offset >= from {
 			out.Records = append(out.Records, hel.Record)
@@ -152,13 +195,12 @@
 func (tai *Tailer) Age() (age time.Duration, known bool) {
 	tai.mux.Lock()
 	defer tai.mux.Unlock()
-	if tai.contact.IsZero() {
-		return 0, false
-	}
-	if !tai.failed {
-		return 0, true
-	}
-	return tai.opt.Clock.Since(tai.contact), true
+	return tai.opt.Clock.Since(tai.contact), !tai.contact.IsZero()
+}
+
+// inOutage reports whether removals may be leases that ran out while the store was away.
+func (tai *Tailer) inOutage() bool {
+	return tai.failed || !tai.outage.IsZero() && tai.opt.Clock.Since(tai.outage) < settleFor
 }
 
 func (tai *Tailer) askPeer(ctx context.Context) {
@@ -179,7 +221,7 @@
 func (tai *Tailer) take(pag Page, whole bool) {
 	tai.mux.Lock()
 	now := tai.opt.Clock.Now()
-	cha := Change{Whole: whole, Outage: tai.failed || !tai.outage.IsZero() && now.Sub(tai.outage) < settleFor}
+	cha := Change{Whole: whole, Outage: pag.Outage || tai.inOutage()}
 	if whole && pag.End < tai.end {
 		tai.mux.Unlock()
 		return
