Have a server leave its group before it joins another

Ruled out: waiting until an unreachable head must have broken (7 s without its members); a confirmed leave frees each member at once. Test: conductor, 'takes no member of a group whose head may still serve' and the random one, both failed on the earlier code.

--- a/conductor/build.go
+++ b/conductor/build.go
@@ -15,8 +15,8 @@
 	"github.com/lovagelever/lovagelever/router"
 )
 
-// stallMargin is added to the time after which a head that cannot be reached has noticed that its members are gone.
-const stallMargin = time.Second
+// leaveFor is how long a head that leaves and does not answer any more may go on with what runs on it before its members are taken; streams of the sheets in docs/ADAPTER.md last up to 3 s.
+const leaveFor = 3 * time.Second
 
 func gone(err error) bool {
 	return errors.Is(err, detector.ErrDown) || errors.Is(err, ErrStranger)
@@ -102,6 +102,10 @@
 		wgr.Add(1)
 		go func() {
 			defer wgr.Done()
+			if err := con.leaveOther(ctx, ser, frm); err != nil {
+				failed <- err
+				return
+			}
 			failed <- con.carry(ctx, ser, Order{Kind: Join, Group: frm.Name, Epoch: frm.Epoch, Model: frm.Model, Members: names}, func(gro registrar.Membership) bool {
 				return gro.Name == frm.Name && gro.Epoch == frm.Epoch
 			})
@@ -117,6 +121,28 @@
 	return nil
 }
 
+// leaveOther has a server leave the group that it is in, so that it is never taken from one whose head may still serve.
+func (con *Conductor) leaveOther(ctx context.Context, ser registrar.Server, frm grouper.Formation) error {
+	for {
+		rep, err := con.report(ctx, ser)
+		if gone(err) {
+			return err
+		}
+		if err == nil {
+			if rep.Group.Name == "" || rep.Group.Name == frm.Name && rep.Group.Epoch == frm.Epoch {
+				return nil
+			}
+			if err = con.send(ctx, ser, Order{Kind: Leave, Group: rep.Group.Name, Epoch: rep.Group.Epoch}); err == nil {
+				return nil
+			}
+		}
+		con.opt.Logger.WithError(err).WithFields(logrus.Fields{"server": ser.ID, "group": rep.Group.Name, "for": frm.Name}).Info("server has not left its group yet")
+		if err := con.pause(ctx, reportLag); err != nil {
+			return err
+		}
+	}
+}
+
 // awaitReady waits until each member reports that it is ready under the group's own name and epoch.
 func (con *Conductor) awaitReady(ctx context.Context, frm grouper.Formation) error {
 	for {
@@ -129,34 +155,27 @@
 	}
 }
 
-// dissolve makes sure that the head of a group takes no requests and never will, so that its members may join another.
+// dissolve ends the service of a group's head as far as that can be reached; its other members leave when they join another group.
 func (con *Conductor) dissolve(ctx context.Context, frm grouper.Formation) {
 	began := con.opt.Clock.Now()
 	head := con.server(frm.Members[0])
 	con.logGroup(frm, began).WithField("health", frm.Check(con.opt.View())).Info("group is dissolved")
-	var silent time.Time
 	for ctx.Err() == nil {
 		rep, err := con.report(ctx, head)
 		switch {
-		case head.ID == "" || gone(err):
-			con.dissolved(frm, began, "its head is gone")
+		case head.ID == "" || con.ended(head, err):
+			con.dissolved(frm, began, "its head has ended")
 			return
-		case err != nil && silent.IsZero():
-			silent = con.opt.Clock.Now()
-			con.dismiss(ctx, frm)
-		case err != nil && con.opt.Clock.Since(silent) >= con.opt.Stall+stallMargin:
-			con.dissolved(frm, began, "its head was out of reach until it must have broken")
+		case err != nil && con.spared(frm, began):
+		case err != nil:
+			con.dissolved(frm, began, "its head does not answer")
+			return
+		case rep.Group.Name != frm.Name || rep.Group.Epoch != frm.Epoch:
+			con.dissolved(frm, began, "its head is in no group, or in another")
+			return
+		case con.closeHead(ctx, frm, head, rep.Group.State):
+			con.dissolved(frm, began, "its head has left")
 			return
-		case err == nil:
-			silent = time.Time{}
-			if rep.Group.Name != frm.Name || rep.Group.Epoch != frm.Epoch {
-				con.dissolved(frm, began, "its head is in no group, or in another")
-				return
-			}
-			if con.closeHead(ctx, frm, head, rep.Group.State) {
-				con.dissolved(frm, began, "its head has left")
-				return
-			}
 		}
 		if con.pause(ctx, lookEvery) != nil {
 			return
@@ -164,6 +183,20 @@
 	}
 }
 
+// spared reports whether a head that does not answer may still be ending what runs on it, because it leaves.
+func (con *Conductor) spared(frm grouper.Formation, began time.Time) bool {
+	return frm.Check(con.opt.View()) == grouper.Leaving && con.opt.Clock.Since(began) < leaveFor
+}
+
+// ended reports whether a head that was asked has certainly ended: it has started again, or nothing listens although it neither drains nor is off the list. One that leaves stops to listen while it still ends what runs.
+func (con *Conductor) ended(head registrar.Server, err error) bool {
+	if errors.Is(err, ErrStranger) {
+		return true
+	}
+	now, listed := con.opt.View().Servers[head.ID]
+	return errors.Is(err, detector.ErrDown) && listed && now.Life() == head.Life() && !now.Draining
+}
+
 // closeHead takes the next step to end the service of a head that answers; it reports true when the head has left the group.
 func (con *Conductor) closeHead(ctx context.Context, frm grouper.Formation, head registrar.Server, sta registrar.State) bool {
 	lost := frm.Check(con.opt.View()) == grouper.Lost
@@ -188,21 +221,6 @@
 	return kinds[len(kinds)-1] == Leave
 }
 
-// dismiss has the members other than the head leave, so that a head that cannot be reached stands still and breaks.
-func (con *Conductor) dismiss(ctx context.Context, frm grouper.Formation) {
-	for _, lif := range frm.Members[1:] {
-		ser := con.server(lif)
-		if ser.ID == "" {
-			continue
-		}
-		go func() {
-			if err := con.send(ctx, ser, Order{Kind: Leave, Group: frm.Name, Epoch: frm.Epoch}); err != nil {
-				con.opt.Logger.WithError(err).WithFields(logrus.Fields{"group": frm.Name, "server": ser.ID}).Info("member could not be dismissed")
-			}
-		}()
-	}
-}
-
 func (con *Conductor) dissolved(frm grouper.Formation, began time.Time, why string) {
 	con.logGroup(frm, began).WithField("why", why).Info("group dissolved")
 	con.mux.Lock()
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -39,7 +39,7 @@
 	Append(ctx context.Context, at int64, recs []Record) error
 }
 
-// Options are what a conductor needs; Stall is after how long a group stands broken that has lost a member, LoadWindow the span over which loads are counted.
+// Options are what a conductor needs; LoadWindow is the span over which loads are counted.
 type Options struct {
 	Records    Records
 	Engines    Engines
@@ -50,7 +50,6 @@
 	Early      func() bool
 	Clock      clockwork.Clock
 	Logger     *logrus.Entry
-	Stall      time.Duration
 	LoadWindow time.Duration
 }
 
--- /dev/null
+++ b/conductor/conductor_test.go
@@ -0,0 +1,139 @@
+package conductor_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/registrar"
+)
+
+// startWorld starts a world with one conductor and lets it form its groups.
+func startWorld(seed uint64) *world {
+	wor := newWorld(seed, 2, 10)
+	wor.early.Store(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	wor.cancel = cancel
+	DeferCleanup(wor.stop)
+	wor.start(ctx)
+	wor.run(8 * time.Second)
+	wor.early.Store(false)
+	return wor
+}
+
+var _ = Describe("Conductor", func() {
+	It("forms whole groups of both models and keeps some standing by", func() {
+		wor := startWorld(1)
+		Expect(wor.open("large")).To(Equal(2))
+		Expect(wor.open("small")).To(Equal(4))
+		Expect(wor.wrong()).To(BeEmpty())
+	})
+
+	It("opens a group that stands by when one is lost, and mends one from its survivors", func() {
+		wor := startWorld(2)
+		head := wor.heads("large")[0]
+		wor.mux.Lock()
+		lost := wor.engines[head].members[1]
+		wor.mux.Unlock()
+		wor.change(lost, func(eng *engine) { eng.dark = true })
+		wor.reg.SetAlone(true)
+		wor.reg.Doubt(registrar.Life{ID: lost, Started: 1}, wor.clk.Now().Add(time.Hour), false)
+		wor.run(2 * time.Second)
+		Expect(wor.open("large")).To(Equal(2))
+		Expect(wor.wrong()).To(BeEmpty())
+	})
+
+	DescribeTable("takes no member of a group whose head may still serve",
+		func(change func(eng *engine), doubt bool) {
+			wor := startWorld(3)
+			for _, head := range wor.heads("large") {
+				wor.change(head, change)
+				if doubt {
+					wor.reg.SetAlone(true)
+					wor.reg.Doubt(registrar.Life{ID: head, Started: 1}, wor.clk.Now().Add(time.Hour), false)
+				}
+			}
+			wor.run(25 * time.Second)
+			Expect(wor.wrong()).To(BeEmpty())
+		},
+		Entry("it drains and has stopped to listen", func(eng *engine) { eng.Draining, eng.deaf = true, true }, false),
+		Entry("it left the list without a word and has stopped to listen", func(eng *engine) { eng.unlisted, eng.deaf = true, true }, false),
+		Entry("it drains", func(eng *engine) { eng.Draining = true }, false),
+		Entry("it left the list", func(eng *engine) { eng.unlisted = true }, false),
+	)
+
+	It("lets a leader that was replaced change nothing", func() {
+		wor := startWorld(4)
+		first := wor.leads[0]
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		wor.start(ctx)
+		for range 10 {
+			head := wor.heads("small")[0]
+			wor.change(head, func(eng *engine) { eng.Draining = true })
+			wor.run(time.Second)
+		}
+		first.Store(false)
+		wor.run(3 * time.Second)
+		Expect(wor.wrong()).To(BeEmpty())
+	})
+
+	It("keeps each server in one group under losses, late orders and changes of the leader", func() {
+		for seed := range uint64(6) {
+			wor := startWorld(100 + seed)
+			wor.mux.Lock()
+			wor.lateIn = 0.3
+			wor.mux.Unlock()
+			ctx, cancel := context.WithCancel(context.Background())
+			DeferCleanup(cancel)
+			wor.disturb(ctx)
+			Expect(wor.wrong()).To(BeEmpty(), fmt.Sprint("seed ", 100+seed))
+		}
+	})
+})
+
+// disturb loses servers and changes leaders at random.
+func (wor *world) disturb(ctx context.Context) {
+	wor.reg.SetAlone(true)
+	for round := range 12 {
+		wor.mux.Lock()
+		var ids []string
+		for id, eng := range wor.engines {
+			if !eng.dark && !eng.unlisted {
+				ids = append(ids, id)
+			}
+		}
+		slices.Sort(ids)
+		id := ids[wor.rng.IntN(len(ids))]
+		kind := wor.rng.IntN(6)
+		wor.mux.Unlock()
+		switch kind {
+		case 0:
+			wor.change(id, func(eng *engine) { eng.dark = true })
+			wor.reg.Doubt(registrar.Life{ID: id, Started: 1}, wor.clk.Now().Add(time.Hour), false)
+		case 1:
+			wor.change(id, func(eng *engine) { eng.Draining = true })
+		case 2:
+			wor.change(id, func(eng *engine) { eng.Draining, eng.deaf = true, true })
+		case 3:
+			wor.change(id, func(eng *engine) { eng.unlisted = true })
+		case 4:
+			wor.change(id, func(eng *engine) {
+				fresh := eng.Server
+				fresh.Started, fresh.Orders, fresh.Group, fresh.Loaded, fresh.Staged = eng.Started+1, 0, registrar.Membership{}, "", nil
+				*eng = engine{Server: fresh}
+			})
+		case 5:
+			last := wor.leads[len(wor.leads)-1]
+			wor.start(ctx)
+			if round%2 == 0 {
+				last.Store(false)
+			}
+		}
+		wor.run(time.Duration(200+wor.rng.IntN(2500)) * time.Millisecond)
+	}
+}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -66,6 +66,7 @@
 	units    atomic.Pointer[unitTable]
 	bounds   atomic.Pointer[gateconfigurer.Bounds]
 	stopping atomic.Bool
+	endsAt   atomic.Pointer[time.Time]
 	served   atomic.Bool
 	running  atomic.Int64
 	rpcBytes counter.Counter
@@ -110,7 +111,7 @@
 	})
 	gat.gat = gateway.New(gateway.Options{
 		Table: gat.tab.Load, Places: gat.dis, Sender: gat.sen, Budget: gat.bud, Detector: gat.det,
-		Dialect: gat.pla.Dialect, Meter: gat.mtr, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopping.Load,
+		Dialect: gat.pla.Dialect, Meter: gat.mtr, Clock: gat.clk, Logger: gat.log, Stopping: gat.ends,
 	})
 }
 
@@ -144,7 +145,7 @@
 	gat.con = conductor.New(conductor.Options{
 		Records: gat.pla.Records, Engines: gat.pla.Engines, View: gat.reg.View, Table: gat.tab.Load, Leads: gat.ele.Leads,
 		Loads: gat.loads, Early: gat.early, Clock: gat.clk, Logger: gat.log,
-		Stall: gat.set.Bounds.EngineStall, LoadWindow: gat.set.Bounds.LoadWindow,
+		LoadWindow: gat.set.Bounds.LoadWindow,
 	})
 }
 
@@ -153,6 +154,15 @@
 	return gat.tab.Load() != nil && !gat.stopping.Load()
 }
 
+// ends returns when a stopping entry ends.
+func (gat *Gatekeeper) ends() (time.Time, bool) {
+	at := gat.endsAt.Load()
+	if at == nil {
+		return time.Time{}, false
+	}
+	return *at, true
+}
+
 func (gat *Gatekeeper) heard(name string) bool {
 	return gat.sha != nil && gat.sha.Heard(name)
 }
--- a/gatekeeper/run.go
+++ b/gatekeeper/run.go
@@ -126,6 +126,8 @@
 // stop takes no more callers, lets all requests end, and leaves.
 func (gat *Gatekeeper) stop(ctx context.Context) {
 	began := gat.clk.Now()
+	ends := began.Add(gat.bounds.Load().StopGrace - stopMargin)
+	gat.endsAt.Store(&ends)
 	gat.stopping.Store(true)
 	gat.log.WithField("running", gat.running.Load()).Info("entry stops")
 	go gat.ele.Resign(ctx)
@@ -136,7 +138,7 @@
 	}()
 	for {
 		since := gat.clk.Since(began)
-		if since >= gat.bounds.Load().StopGrace-stopMargin || since >= lingerFor && gat.running.Load() == 0 {
+		if gat.clk.Until(ends) <= 0 || since >= lingerFor && gat.running.Load() == 0 {
 			break
 		}
 		gat.clk.Sleep(stopLook)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,8 +55,8 @@
 	Meter    Meter
 	Clock    clockwork.Clock
 	Logger   *logrus.Entry
-	// Stopping reports whether the entry is about to end, so that connections are not to be kept.
-	Stopping func() bool
+	// Stopping reports whether the entry is about to end, so that connections are not to be kept, and when it ends.
+	Stopping func() (ends time.Time, stopping bool)
 }
 
 // Gateway answers callers.
@@ -103,7 +103,7 @@
 func (gat *Gateway) ServeHTTP(wtr http.ResponseWriter, req *http.Request) {
 	job := &job{gat: gat, req: req, wtr: wtr, cal: gat.opt.Dialect.Call(req), arrived: gat.opt.Clock.Now()}
 	job.log = gat.opt.Logger.WithField("request", job.cal.ID)
-	if gat.opt.Stopping() {
+	if _, stopping := gat.opt.Stopping(); stopping {
 		wtr.Header().Set("Connection", "close")
 	}
 	if err := job.accept(); err != nil {
@@ -145,7 +145,13 @@
 		wait = job.cal.Within
 	}
 	job.deadline = job.arrived.Add(wait)
-	return job.readBody()
+	if err := job.readBody(); err != nil {
+		return err
+	}
+	if ends, stopping := job.gat.opt.Stopping(); stopping && job.gat.opt.Clock.Until(ends) < stopFactor*job.expected()+stopSpare {
+		return refuser.NotRun("this entry ends before the request could", retryElsewhere)
+	}
+	return nil
 }
 
 func (job *job) findRoute() error {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -15,6 +15,11 @@
 	waitShare = 0.6
 	// resumeWait is how long a request that has run in part may wait for another place; callers leave a silent stream after 2 s.
 	resumeWait = 1200 * time.Millisecond
+	// stopFactor times the expected work of a request, and stopSpare, must be left of a stopping entry's time to take it: streams on a full unit take up to three times as long.
+	stopFactor = 3
+	stopSpare  = time.Second
+	// retryElsewhere is the advice where another entry can take the request at once.
+	retryElsewhere = 20 * time.Millisecond
 	// costPerSecond scales the expected work of a request to whole numbers for the queue.
 	costPerSecond = 100.0
 	// plainWork is the expected work of a plain call, from the work column of the sheets in docs/ADAPTER.md.
--- a/grouper/formation.go
+++ b/grouper/formation.go
@@ -20,7 +20,7 @@
 // Health says how a formation stands.
 type Health int
 
-// A formation is Whole when all members are listed and answer; Leaving when one of them drains; Lost when one is gone or does not answer.
+// A formation is Whole when all members are listed and answer; Leaving when one of them drains or is off the list, which may be its way to leave; Lost when one has started again or does not answer.
 const (
 	Whole Health = iota
 	Leaving
@@ -33,9 +33,9 @@
 	for _, lif := range frm.Members {
 		ser, listed := vie.Servers[lif.ID]
 		switch {
-		case !listed || ser.Started != lif.Started || vie.Confirmed(lif):
+		case listed && ser.Started != lif.Started, vie.Confirmed(lif):
 			return Lost
-		case ser.Draining:
+		case !listed, ser.Draining:
 			out = Leaving
 		}
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -9,8 +9,8 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// ReturnWithin is how long a server that vanished from the list during an outage of the store has to come back: its lease may have run out unseen, and its next heartbeat puts it back.
-const ReturnWithin = 2500 * time.Millisecond
+// ReturnWithin is how long a server that vanished from the list around an outage of the store has to come back: its lease may have run out unseen, and its next heartbeat puts it back. It stays below the 2 s within which a server that leaves must get no more requests.
+const ReturnWithin = 1500 * time.Millisecond
 
 // supportStep is by how much a support must be longer to be worth a new view: beats repeat it every 100 ms.
 const supportStep = 200 * time.Millisecond
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -18,7 +18,7 @@
 	// retryAfter is the pause after a failed read, and between questions to other entries: a third of the shortest bound on changes, which is 2 s.
 	retryAfter = 300 * time.Millisecond
 	// settleFor is how long after an outage a removal may be a lease that ran out unseen; heartbeats are back within 2 s of the store's return.
-	settleFor = 2500 * time.Millisecond
+	settleFor = 2 * time.Second
 	// gather is the pause between two reads while records arrive, so that a row of them costs one call.
 	gather = 120 * time.Millisecond
 	// keepRemoved is how long a removal is remembered for entries that ask; they ask every retryAfter.
