--- /dev/null
+++ b/budgeter/budgeter_test.go
@@ -0,0 +1,74 @@
+package budgeter_test
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/budgeter"
+)
+
+const (
+	window = 10 * time.Second
+	ratio  = 0.2
+	slack  = 105.0
+)
+
+var _ = Describe("Budgeter", func() {
+	DescribeTable("keeps the repeats of all entries within the budget in any window",
+		func(entries, perSecond int) {
+			clk := clockwork.NewFakeClock()
+			var all []*budgeter.Budgeter
+			for range entries {
+				bud := budgeter.New(budgeter.Options{Ratio: ratio, Slack: slack, Window: window, Clock: clk})
+				bud.SetEntries(entries)
+				all = append(all, bud)
+			}
+			const step = 100 * time.Millisecond
+			var requests, repeats []int
+			for range 400 {
+				asked, allowed := 0, 0
+				for _, bud := range all {
+					for range perSecond / 10 {
+						bud.Request("s")
+						asked++
+						for bud.Allow("s") {
+							allowed++
+						}
+					}
+				}
+				requests, repeats = append(requests, asked), append(repeats, allowed)
+				clk.Advance(step)
+			}
+			const span = int(window / step)
+			for from := 0; from+span <= len(requests); from++ {
+				asked, allowed := 0, 0
+				for num := from; num < from+span; num++ {
+					asked += requests[num]
+					allowed += repeats[num]
+				}
+				Expect(float64(allowed)).To(BeNumerically("<=", ratio*float64(asked)+slack))
+			}
+		},
+		Entry("one entry", 1, 20),
+		Entry("seven entries", 7, 30),
+		Entry("many entries, few requests", 74, 10),
+	)
+
+	It("counts each service by itself", func() {
+		bud := budgeter.New(budgeter.Options{Ratio: 0, Slack: 2, Window: window, Clock: clockwork.NewFakeClock()})
+		Expect(bud.Allow("a")).To(BeTrue())
+		Expect(bud.Allow("a")).To(BeFalse())
+		Expect(bud.Allow("b")).To(BeTrue())
+	})
+
+	It("is not confused by the time of day", func() {
+		clk := clockwork.NewFakeClock()
+		bud := budgeter.New(budgeter.Options{Ratio: 0, Slack: 2, Window: window, Clock: clk})
+		Expect(bud.Allow("a")).To(BeTrue())
+		clk.Advance(window + time.Second)
+		Expect(bud.Allow("a")).To(BeTrue())
+	})
+})
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -124,7 +124,7 @@
 		case 4:
 			wor.change(id, func(eng *engine) {
 				fresh := eng.Server
-				fresh.Started, fresh.Orders, fresh.Group, fresh.Loaded, fresh.Staged = eng.Started+1, 0, registrar.Membership{}, "", nil
+				fresh.Started, fresh.Group, fresh.Loaded, fresh.Staged = eng.Started+1, registrar.Membership{}, "", nil
 				*eng = engine{Server: fresh}
 			})
 		case 5:
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -35,6 +35,7 @@
 // engine is a server that obeys orders as the platform's workers do.
 type engine struct {
 	registrar.Server
+	orders   int64
 	members  []string
 	readyAt  time.Time
 	dark     bool
@@ -183,7 +184,7 @@
 
 // obey carries out an order as a worker does; the caller holds the lock.
 func (wor *world) obey(eng *engine, ord conductor.Order) error {
-	if ord.Expect != eng.Orders {
+	if ord.Expect != eng.orders {
 		return errors.WithType(errors.New("count"), conductor.ErrMisfit)
 	}
 	own := eng.Group.Name == ord.Group && eng.Group.Epoch == ord.Epoch
@@ -209,7 +210,7 @@
 		}
 		eng.Group, eng.members = registrar.Membership{}, nil
 	}
-	eng.Orders++
+	eng.orders++
 	return nil
 }
 
@@ -227,7 +228,7 @@
 	}
 	eng.Group = registrar.Membership{Name: ord.Group, Epoch: ord.Epoch, Rank: slices.Index(ord.Members, eng.ID), State: registrar.Joining}
 	eng.Loaded, eng.Staged, eng.members, eng.readyAt = ord.Model, []string{ord.Model}, ord.Members, wor.clk.Now().Add(wait)
-	eng.Orders++
+	eng.orders++
 	return nil
 }
 
@@ -263,7 +264,7 @@
 		return conductor.Report{}, err
 	}
 	defer wor.mux.Unlock()
-	return conductor.Report{Orders: eng.Orders, Started: eng.Started, Group: eng.Group}, nil
+	return conductor.Report{Orders: eng.orders, Started: eng.Started, Group: eng.Group}, nil
 }
 
 // Order has an engine obey; some orders are not answered and carried out late.
--- /dev/null
+++ b/gateconfigurer/gateconfigurer_test.go
@@ -0,0 +1,50 @@
+package gateconfigurer_test
+
+import (
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/gateconfigurer"
+)
+
+const settings = `name: e
+availability_zone: z
+region: r
+address: 127.0.0.1
+listen: {callers: "127.0.0.1:1", readiness: "127.0.0.1:2", directory: "127.0.0.1:3", entries: "127.0.0.1:4", metrics: "127.0.0.1:5"}
+store: {address: "127.0.0.1:6", shortest_lease: 1000ms}
+memory_mb: 284
+processor_share: 0.4
+heartbeat_every: 1200ms
+bounds: {stop_grace: 8s, longest_directory_validity: 5s, engine_stall: 6000ms, retry_ratio: 0.2, retry_slack: 105, retry_window: 10s, cold_ratio: 1.5, cold_slack: 5, load_window: 5s, load_ratio: 1.1}
+`
+
+var _ = Describe("Parse", func() {
+	It("reads settings and ignores what it does not know", func() {
+		set, err := gateconfigurer.Parse([]byte(settings + "later: {more: 1}\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(set.Bounds.StopGrace).To(Equal(8 * time.Second))
+		Expect(set.Store.Address).To(Equal("127.0.0.1:6"))
+	})
+
+	DescribeTable("names the field that is missing or wrong",
+		func(old, new, field string) {
+			text := strings.Replace(settings, old, new, 1)
+			Expect(text).NotTo(Equal(settings))
+			_, err := gateconfigurer.Parse([]byte(text))
+			Expect(errors.Is(err, errors.NotValid)).To(BeTrue())
+			Expect(err).To(MatchError(ContainSubstring(field)))
+		},
+		Entry("no name", "name: e\n", "", "name missing"),
+		Entry("no zone", "availability_zone: z\n", "", "availability_zone missing"),
+		Entry("a host name", "address: 127.0.0.1\n", "address: host\n", "address"),
+		Entry("an address without a port", `callers: "127.0.0.1:1"`, `callers: "127.0.0.1"`, "listen.callers"),
+		Entry("a duration without a unit", "stop_grace: 8s", "stop_grace: [8]", "stop_grace"),
+		Entry("no retry window", "retry_window: 10s, ", "", "bounds.retry_window"),
+		Entry("memory below zero", "memory_mb: 284", "memory_mb: -1", "memory_mb"),
+	)
+})
--- a/gateconfigurer/load.go
+++ b/gateconfigurer/load.go
@@ -1,6 +1,7 @@
 package gateconfigurer
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"strings"
@@ -23,7 +24,7 @@
 func Parse(data []byte) (Settings, error) {
 	var set Settings
 	if err := yaml.Unmarshal(data, &set); err != nil {
-		return Settings{}, errors.NewNotValid(err, "gateconfigurer: settings")
+		return Settings{}, errors.NewNotValid(err, "gateconfigurer: settings"+quoteLines(err, data))
 	}
 	if faults := set.faults(); len(faults) > 0 {
 		return Settings{}, errors.NotValidf("gateconfigurer: settings with %s", strings.Join(faults, "; "))
@@ -31,6 +32,23 @@
 	return set, nil
 }
 
+// quoteLines returns the lines that a YAML error speaks of, since it names their numbers and not their fields.
+func quoteLines(err error, data []byte) string {
+	var typ *yaml.TypeError
+	if !errors.As(err, &typ) {
+		return ""
+	}
+	lines := strings.Split(string(data), "\n")
+	out := ""
+	for _, text := range typ.Errors {
+		var num int
+		if _, err := fmt.Sscanf(text, "line %d:", &num); err == nil && num > 0 && num <= len(lines) {
+			out += fmt.Sprintf(", at %q", strings.TrimSpace(lines[num-1]))
+		}
+	}
+	return out
+}
+
 func (set Settings) faults() []string {
 	var out []string
 	texts := []struct{ key, val string }{
--- /dev/null
+++ b/gateway/plain_test.go
@@ -0,0 +1,232 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/dispatcher"
+	"github.com/lovagelever/lovagelever/router"
+)
+
+var (
+	safe   = router.Route{Kind: router.Safe, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond, Attempts: 2}
+	unsafe = router.Route{Kind: router.Unsafe, Timeout: 700 * time.Millisecond, Objective: 200 * time.Millisecond, Attempts: 1}
+)
+
+type answering = func(net.Conn, *http.Request, []byte) bool
+
+var (
+	full = answering(func(con net.Conn, req *http.Request, _ []byte) bool {
+		_, _ = io.WriteString(con, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	cut = answering(func(con net.Conn, req *http.Request, _ []byte) bool {
+		head(con, req, 200, "Content-Length: 100\r\n")
+		_, _ = io.WriteString(con, "half")
+		return false
+	})
+	resets = answering(func(con net.Conn, _ *http.Request, _ []byte) bool {
+		reset(con)
+		return false
+	})
+	unsigned = answering(func(con net.Conn, _ *http.Request, _ []byte) bool {
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+		return true
+	})
+	foreign = answering(func(con net.Conn, _ *http.Request, _ []byte) bool {
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nX-Signed: s\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nhi")
+		return true
+	})
+	noise = answering(func(con net.Conn, _ *http.Request, _ []byte) bool {
+		_, _ = io.WriteString(con, "\x00\x01 what\r\n\r\n")
+		return false
+	})
+	silent = answering(func(con net.Conn, _ *http.Request, _ []byte) bool {
+		time.Sleep(3 * time.Second)
+		return false
+	})
+)
+
+var _ = Describe("Gateway with plain calls", func() {
+	DescribeTable("repeats a call that may be repeated, and no other",
+		func(rou router.Route, first answering, status int, body string, firstRuns, secondRuns int) {
+			one, two := newWorker(first), newWorker(whole(200, "good"))
+			res := newWorld(rou, one, two).call(context.Background())
+			Expect(res.err).NotTo(HaveOccurred())
+			Expect(res.status).To(Equal(status))
+			if body != "" {
+				Expect(res.body).To(Equal(body))
+			}
+			Expect(one.runs()).To(Equal(firstRuns))
+			Expect(two.runs()).To(Equal(secondRuns))
+		},
+		Entry("good at once", safe, whole(200, "fine"), 200, "fine", 1, 0),
+		Entry("not run, safe", safe, full, 200, "good", 1, 1),
+		Entry("not run, unsafe", unsafe, full, 200, "good", 1, 1),
+		Entry("failed, safe", safe, whole(500, "bad"), 200, "good", 1, 1),
+		Entry("failed, unsafe", unsafe, whole(500, "bad"), 500, "bad", 1, 0),
+		Entry("refused by the worker's own word", safe, whole(404, "none"), 404, "none", 1, 0),
+		Entry("cut, safe", safe, cut, 200, "good", 1, 1),
+		Entry("cut, unsafe", unsafe, cut, 502, "", 1, 0),
+		Entry("reset, safe", safe, resets, 200, "good", 1, 1),
+		Entry("reset, unsafe", unsafe, resets, 502, "", 1, 0),
+		Entry("unsigned, safe", safe, unsigned, 200, "good", 1, 1),
+		Entry("unsigned, unsafe", unsafe, unsigned, 502, "", 1, 0),
+		Entry("of another request, safe", safe, foreign, 200, "good", 1, 1),
+		Entry("of another request, unsafe", unsafe, foreign, 502, "", 1, 0),
+		Entry("no HTTP, safe", safe, noise, 200, "good", 1, 1),
+		Entry("no HTTP, unsafe", unsafe, noise, 502, "", 1, 0),
+		Entry("silent, safe", safe, silent, 200, "good", 1, 1),
+		Entry("silent, unsafe", unsafe, silent, 504, "", 1, 0),
+	)
+
+	It("passes on an answer without a length that ends with its connection", func() {
+		one := newWorker(func(con net.Conn, req *http.Request, _ []byte) bool {
+			head(con, req, 200, "")
+			_, _ = io.WriteString(con, "all of it")
+			return false
+		})
+		Expect(newWorld(unsafe, one).call(context.Background()).body).To(Equal("all of it"))
+	})
+
+	It("gives a second answer on a connection to nobody", func() {
+		one := newWorker(func(con net.Conn, req *http.Request, body []byte) bool {
+			whole(200, req.Header.Get("X-Id"))(con, req, body)
+			whole(200, "extra")(con, req, body)
+			return true
+		})
+		wor := newWorld(safe, one)
+		for num := range 5 {
+			id := strconv.Itoa(num)
+			Expect(wor.call(context.Background(), "X-Id", id).body).To(Equal(id))
+		}
+	})
+
+	It("hands a worker what the caller sent, with the time that is left", func() {
+		var got *http.Request
+		var sent string
+		one := newWorker(func(con net.Conn, req *http.Request, body []byte) bool {
+			got, sent = req, string(body)
+			return whole(200, "ok")(con, req, body)
+		})
+		newWorld(safe, one).call(context.Background(), "X-Within", "900")
+		Expect(got.RequestURI).To(Equal("/p/x?q=1"))
+		Expect(got.Host).To(Equal("h.example"))
+		Expect(sent).To(Equal("body"))
+		Expect(got.Header.Get("X-Key")).To(BeEmpty())
+		left, err := strconv.Atoi(got.Header.Get("X-Within"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(left).To(And(BeNumerically("<=", 900), BeNumerically(">", 600)))
+	})
+
+	DescribeTable("refuses at once what cannot be served",
+		func(prepare func(wor *world), status int, retry bool, heads ...string) {
+			wor := newWorld(unsafe, newWorker(whole(200, "ok")))
+			prepare(wor)
+			began := time.Now()
+			res := wor.call(context.Background(), heads...)
+			Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+			Expect(res.status).To(Equal(status))
+			Expect(res.head.Get("Retry-After") != "").To(Equal(retry))
+		},
+		Entry("no configuration", func(wor *world) { wor.tab.Store(nil) }, 503, true),
+		Entry("no unit", func(wor *world) { wor.dis.SetUnits(nil) }, 503, true),
+		Entry("an unknown key", func(*world) {}, 401, false, "X-Key", "wrong"),
+		Entry("no key", func(*world) {}, 401, false, "X-Key", ""),
+		Entry("no route", func(wor *world) { wor.table(router.Config{}) }, 404, false),
+		Entry("no ID", func(*world) {}, 400, false, "X-Id", ""),
+		Entry("an entry that ends before it could", func(wor *world) { at := time.Now().Add(time.Second); wor.ends.Store(&at) }, 503, true),
+		Entry("too large headers", func(wor *world) {
+			cfg := wor.tab.Load().Config
+			cfg.Limits.HeaderBytes = 1000
+			wor.table(cfg)
+		}, 431, false, "X-Large", strings.Repeat("x", 2000)),
+		Entry("too large a body", func(wor *world) {
+			cfg := wor.tab.Load().Config
+			cfg.Limits.BodyBytes = 3
+			wor.table(cfg)
+		}, 413, false),
+	)
+
+	It("says nothing of what ran when the budget for repeats is used up", func() {
+		one, two := newWorker(resets), newWorker(whole(200, "good"))
+		wor := newWorld(safe, one, two)
+		wor.bud.left.Store(0)
+		Expect(wor.call(context.Background()).status).To(Equal(502))
+		Expect(two.runs()).To(BeZero())
+	})
+
+	It("has a unit that cannot be reached looked after, and goes on to another", func() {
+		gone := newWorker(whole(200, "never"))
+		_ = gone.lis.Close()
+		wor := newWorld(unsafe, gone, newWorker(whole(200, "good")))
+		Expect(wor.call(context.Background()).body).To(Equal("good"))
+		Expect(wor.wat.suspects.Load()).To(BeNumerically(">=", 1))
+	})
+
+	It("stops the work of a caller who left", func() {
+		ended := make(chan struct{})
+		one := newWorker(func(con net.Conn, _ *http.Request, _ []byte) bool {
+			_, _ = con.Read(make([]byte, 1))
+			close(ended)
+			return false
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { time.Sleep(50 * time.Millisecond); cancel() }()
+		newWorld(safe, one).call(ctx)
+		Eventually(ended, "500ms").Should(BeClosed())
+	})
+
+	It("ends its connections while it stops, and still serves", func() {
+		wor := newWorld(unsafe, newWorker(whole(200, "ok")))
+		at := time.Now().Add(10 * time.Second)
+		wor.ends.Store(&at)
+		res := wor.call(context.Background())
+		Expect(res.status).To(Equal(200))
+	})
+
+	// The load of a service that lost two of its three servers: more calls than places.
+	It("serves what fits and refuses the rest in time when places are short", func() {
+		one := newWorker(func(con net.Conn, req *http.Request, body []byte) bool {
+			time.Sleep(50 * time.Millisecond)
+			return whole(200, "ok")(con, req, body)
+		})
+		wor := newWorld(unsafe, one)
+		const callers = 60
+		results := make(chan result, callers)
+		took := make(chan time.Duration, callers)
+		for num := range callers {
+			go func() {
+				began := time.Now()
+				results <- wor.call(context.Background(), "X-Id", fmt.Sprint(num))
+				took <- time.Since(began)
+			}()
+		}
+		served := 0
+		for range callers {
+			res := <-results
+			Expect(res.err).NotTo(HaveOccurred())
+			switch res.status {
+			case 200:
+				served++
+			case 503:
+				Expect(res.head.Get("Retry-After")).NotTo(BeEmpty())
+			default:
+				Fail(fmt.Sprint("status ", res.status))
+			}
+			Expect(<-took).To(BeNumerically("<", 600*time.Millisecond))
+		}
+		Expect(served).To(BeNumerically(">=", 8))
+		Expect(one.runs()).To(Equal(served), "a refused call has not run")
+		Expect(wor.dis.Loads()["s"]).To(Equal(dispatcher.Load{Slots: 4}))
+	})
+})
--- /dev/null
+++ b/gateway/world_test.go
@@ -0,0 +1,258 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lovagelever/lovagelever/breaker"
+	"github.com/lovagelever/lovagelever/dispatcher"
+	"github.com/lovagelever/lovagelever/gateway"
+	"github.com/lovagelever/lovagelever/router"
+	"github.com/lovagelever/lovagelever/sender"
+)
+
+// dialect is a plain dialect for tests.
+type dialect struct{}
+
+func (dialect) Call(req *http.Request) gateway.Call {
+	ms, _ := strconv.Atoi(req.Header.Get("X-Within"))
+	return gateway.Call{
+		ID: req.Header.Get("X-Id"), Key: req.Header.Get("X-Key"), Within: time.Duration(ms) * time.Millisecond,
+		Model: req.Header.Get("X-Model"), After: req.Header.Get("X-After"),
+	}
+}
+
+func (dialect) Header(in http.Header, cal gateway.Call, hop gateway.Hop) http.Header {
+	out := in.Clone()
+	gateway.StripConnection(out)
+	out.Del("X-Key")
+	out.Set("X-Server", hop.ServerID)
+	out.Set("X-Within", strconv.FormatInt(hop.Within.Milliseconds(), 10))
+	if hop.After != "" {
+		out.Set("X-After", hop.After)
+	}
+	return out
+}
+
+func (dialect) Verdict(cal gateway.Call, res *http.Response) gateway.Verdict {
+	return gateway.Verdict{NotRun: res.Header.Get("X-Not-Run") != "", Own: res.Header.Get("X-Signed") != "" && res.Header.Get("X-Id") == cal.ID}
+}
+
+// worker is a backend server that answers each request on a connection as it is told.
+type worker struct {
+	lis net.Listener
+	mux sync.Mutex
+	ran []string
+	// answer deals with one request and reports whether the connection stays open.
+	answer func(con net.Conn, req *http.Request, body []byte) bool
+}
+
+func newWorker(answer func(con net.Conn, req *http.Request, body []byte) bool) *worker {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	wor := &worker{lis: lis, answer: answer}
+	// A test may have closed it.
+	DeferCleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go wor.serve(con)
+		}
+	}()
+	return wor
+}
+
+func (wor *worker) serve(con net.Conn) {
+	defer con.Close()
+	buf := bufio.NewReader(con)
+	for {
+		req, err := http.ReadRequest(buf)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		wor.mux.Lock()
+		wor.ran = append(wor.ran, req.Header.Get("X-Id"))
+		wor.mux.Unlock()
+		if !wor.answer(con, req, body) {
+			return
+		}
+	}
+}
+
+func (wor *worker) runs() int {
+	wor.mux.Lock()
+	defer wor.mux.Unlock()
+	return len(wor.ran)
+}
+
+// head writes the head of a signed answer.
+func head(con net.Conn, req *http.Request, status int, more string) {
+	_, _ = fmt.Fprintf(con, "HTTP/1.1 %d Status\r\nX-Signed: s\r\nX-Id: %s\r\n%s\r\n", status, req.Header.Get("X-Id"), more)
+}
+
+func whole(status int, text string) func(net.Conn, *http.Request, []byte) bool {
+	return func(con net.Conn, req *http.Request, _ []byte) bool {
+		head(con, req, status, fmt.Sprintf("Content-Length: %d\r\n", len(text)))
+		_, _ = io.WriteString(con, text)
+		return true
+	}
+}
+
+// chunk writes one chunk of an answer.
+func chunk(con net.Conn, text string) {
+	_, _ = fmt.Fprintf(con, "%x\r\n%s\r\n", len(text), text)
+}
+
+// events answers with the events after the one that the caller has, up to a last one, and then ends as it is told.
+func events(last int, end func(con net.Conn)) func(net.Conn, *http.Request, []byte) bool {
+	return func(con net.Conn, req *http.Request, _ []byte) bool {
+		head(con, req, http.StatusOK, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+		after, _ := strconv.Atoi(req.Header.Get("X-After"))
+		for num := after + 1; num <= last; num++ {
+			chunk(con, fmt.Sprintf("id: %d\ndata: piece %d\n\n", num, num))
+		}
+		end(con)
+		return false
+	}
+}
+
+func complete(con net.Conn) { _, _ = io.WriteString(con, "0\r\n\r\n") }
+
+func reset(con net.Conn) {
+	_ = con.(*net.TCPConn).SetLinger(0)
+	_ = con.Close()
+}
+
+// watcher notes which units were suspected.
+type watcher struct {
+	suspects atomic.Int64
+}
+
+func (wat *watcher) Suspect(string) { wat.suspects.Add(1) }
+func (wat *watcher) Heard(string)   {}
+
+// budget allows so many repeats.
+type budget struct{ left atomic.Int64 }
+
+func (bud *budget) Request(string)    {}
+func (bud *budget) Force(string)      {}
+func (bud *budget) Allow(string) bool { return bud.left.Add(-1) >= 0 }
+
+// counts keeps how requests ended.
+type counts struct {
+	mux  sync.Mutex
+	seen map[string]int
+}
+
+func (cou *counts) Ended(_ router.Kind, outcome string, _ time.Duration) {
+	cou.mux.Lock()
+	defer cou.mux.Unlock()
+	cou.seen[outcome]++
+}
+
+// world is a gateway with workers behind it and a listener before it.
+type world struct {
+	dis  *dispatcher.Dispatcher
+	bud  *budget
+	wat  *watcher
+	cou  *counts
+	tab  atomic.Pointer[router.Table]
+	ends atomic.Pointer[time.Time]
+	web  *httptest.Server
+	pool string
+}
+
+func newWorld(rou router.Route, workers ...*worker) *world {
+	wor := &world{bud: &budget{}, wat: &watcher{}, cou: &counts{seen: map[string]int{}}, pool: "s"}
+	wor.bud.left.Store(10)
+	clk := clockwork.NewRealClock()
+	wor.dis = dispatcher.New(dispatcher.Options{Zone: "z0", Clock: clk, Breaker: breaker.New(breaker.Options{Clock: clk})})
+	log := logrus.New()
+	log.SetOutput(GinkgoWriter)
+	rou.Name, rou.Host, rou.Prefix, rou.Targets = "r", "h.example", "/p/", []router.Target{{Service: "s", Weight: 1}}
+	wor.table(router.Config{Routes: []router.Route{rou}, Workspaces: []router.Workspace{{Name: "w", Keys: []string{"key"}}}})
+	wor.setUnits(dispatcher.Serving, workers...)
+	gat := gateway.New(gateway.Options{
+		Table: wor.tab.Load, Places: wor.dis, Sender: sender.New(&net.Dialer{}, clk, time.Second), Budget: wor.bud, Detector: wor.wat,
+		Dialect: dialect{}, Meter: wor.cou, Clock: clk, Logger: log.WithField("test", true),
+		Stopping: func() (time.Time, bool) {
+			if at := wor.ends.Load(); at != nil {
+				return *at, true
+			}
+			return time.Time{}, false
+		},
+	})
+	wor.web = httptest.NewServer(gat)
+	DeferCleanup(wor.web.Close)
+	return wor
+}
+
+func (wor *world) table(cfg router.Config) {
+	cfg.Services = map[string]router.Service{"s": {Name: "s"}}
+	tab, err := router.New(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	wor.tab.Store(tab)
+}
+
+// setUnits makes each worker a unit; the first stands in the entry's own zone and so is asked first; it has the given readiness.
+func (wor *world) setUnits(first dispatcher.Readiness, workers ...*worker) {
+	var units []dispatcher.Unit
+	for num, one := range workers {
+		units = append(units, dispatcher.Unit{
+			ID: fmt.Sprint("u", num), Pool: wor.pool, ServerID: fmt.Sprint("i", num), Address: one.lis.Addr().String(),
+			Zone: fmt.Sprint("z", num), Slots: 4,
+		})
+	}
+	if len(units) > 0 {
+		units[0].Readiness = first
+	}
+	wor.dis.SetUnits(units)
+}
+
+// result is what a caller gets.
+type result struct {
+	status int
+	head   http.Header
+	body   string
+	err    error
+}
+
+func (wor *world) call(ctx context.Context, heads ...string) result {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, wor.web.URL+"/p/x?q=1", strings.NewReader("body"))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h.example"
+	req.Header.Set("X-Id", "one")
+	req.Header.Set("X-Key", "key")
+	for num := 0; num+1 < len(heads); num += 2 {
+		req.Header.Set(heads[num], heads[num+1])
+	}
+	res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	return result{status: res.StatusCode, head: res.Header, body: string(data), err: err}
+}
--- a/registrar/server.go
+++ b/registrar/server.go
@@ -14,8 +14,6 @@
 	Draining bool
 	// ColdUntil is when it is warm, by the clock of this entry.
 	ColdUntil time.Time
-	// Orders counts the orders that it has begun since it started.
-	Orders int64
 	// Started is the Unix time in milliseconds of its start; with the ID it names one life of the server.
 	Started int64
 	// Domain is the fabric domain, empty for a server without an engine.
@@ -25,8 +23,6 @@
 	// Loaded names the model that the accelerators hold.
 	Loaded string
 	Group  Membership
-	// Busy says that an order is being carried out.
-	Busy bool
 }
 
 // Membership is a server's own word on the replica group that it is in.
--- /dev/null
+++ b/sharer/sharer_test.go
@@ -0,0 +1,124 @@
+package sharer_test
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lovagelever/lovagelever/sharer"
+)
+
+var full = sharer.Beat{
+	Name: "edge-1", Incarnation: 1 << 60, Seq: 300, Stopping: true, Fresh: true, Ends: []int64{5, 0, 700},
+	Running: map[uint64]int{1: 3, 1 << 63: 20}, Alive: map[uint64]bool{1: true}, Doubts: []uint64{9, 8},
+}
+
+var _ = Describe("Beat", func() {
+	It("survives its encoding", func() {
+		bea, err := sharer.Decode(sharer.Encode(full))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bea).To(Equal(full))
+	})
+
+	It("is refused when it is cut anywhere", func() {
+		data := sharer.Encode(full)
+		for end := range data {
+			_, err := sharer.Decode(data[:end])
+			Expect(err).To(HaveOccurred())
+		}
+	})
+
+	It("stays within a packet", func() {
+		big := sharer.Beat{Name: "n", Running: map[uint64]int{}}
+		for num := range uint64(1000) {
+			big.Running[num<<50] = 20
+			big.Doubts = append(big.Doubts, num)
+		}
+		data := sharer.Encode(big)
+		Expect(len(data)).To(BeNumerically("<=", 1400))
+		bea, err := sharer.Decode(data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(bea.Running)).To(BeNumerically(">", 40))
+	})
+})
+
+func FuzzDecode(f *testing.F) {
+	f.Add(sharer.Encode(full))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		bea, err := sharer.Decode(data)
+		if err != nil {
+			return
+		}
+		if again, err := sharer.Decode(sharer.Encode(bea)); err != nil || again.Name != bea.Name || again.Seq != bea.Seq {
+			t.Errorf("beat %v came back as %v, %v", bea, again, err)
+		}
+	})
+}
+
+// ear keeps what an entry heard.
+type ear struct {
+	mux    sync.Mutex
+	seqs   []uint64
+	silent []string
+}
+
+func (ear *ear) counts() (heard, silent int) {
+	ear.mux.Lock()
+	defer ear.mux.Unlock()
+	return len(ear.seqs), len(ear.silent)
+}
+
+func listen(name string, peers func() []sharer.Peer, address string, ear *ear) (*sharer.Sharer, context.CancelFunc) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	seq := uint64(0)
+	sha, err := sharer.New(sharer.Options{
+		Address: netip.MustParseAddrPort(address), Peers: peers, Clock: clockwork.NewRealClock(), Logger: log.WithField("test", true),
+		Beat: func() sharer.Beat {
+			seq++
+			return sharer.Beat{Name: name, Incarnation: 1, Seq: seq}
+		},
+		OnBeat: func(bea sharer.Beat) {
+			ear.mux.Lock()
+			defer ear.mux.Unlock()
+			ear.seqs = append(ear.seqs, bea.Seq)
+		},
+		OnSilent: func(name string) {
+			ear.mux.Lock()
+			defer ear.mux.Unlock()
+			ear.silent = append(ear.silent, name)
+		},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	go sha.Run(ctx)
+	return sha, cancel
+}
+
+var _ = Describe("Sharer", func() {
+	It("hears another entry, and notices its silence", func() {
+		var one, two ear
+		const first, second = "127.0.0.1:17941", "127.0.0.1:17942"
+		a, stopA := listen("a", func() []sharer.Peer { return []sharer.Peer{{Name: "b", Address: netip.MustParseAddrPort(second)}} }, first, &one)
+		defer stopA()
+		_, stopB := listen("b", func() []sharer.Peer { return []sharer.Peer{{Name: "a", Address: netip.MustParseAddrPort(first)}} }, second, &two)
+		Eventually(func() bool { return a.Heard("b") }, "2s").Should(BeTrue())
+		stopB()
+		Eventually(func() int { _, silent := one.counts(); return silent }, "4s").Should(Equal(1))
+		Expect(a.Heard("b")).To(BeFalse())
+	})
+
+	It("beats more rarely among many entries", func() {
+		Expect(sharer.Every(6)).To(Equal(sharer.DefaultEvery))
+		Expect(sharer.Every(300)).To(Equal(2 * time.Second))
+	})
+})
