Turn groups of a well served model into those of one that runs short

Lives that had ended were planned with over and over, and the lease lay with an entry that no longer wanted it for 1.8 s. Ruled out: waiting for loads from the weight store, 12 to 16 s.

--- a/conductor/order.go
+++ b/conductor/order.go
@@ -77,7 +77,10 @@
 	defer cancel()
 	rep, err := con.opt.Engines.Report(ctx, ser)
 	if err == nil && rep.Started != ser.Started {
-		return rep, errors.WithType(errors.Errorf("conductor: server %s has started again", ser.ID), ErrStranger)
+		err = errors.WithType(errors.Errorf("conductor: server %s has started again", ser.ID), ErrStranger)
+	}
+	if errors.Is(err, ErrStranger) {
+		con.opt.Ended(ser.Life())
 	}
 	return rep, err
 }
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -22,16 +22,18 @@
 	lateFactor = 2
 	// pulse is how long a sign of a unit proves that all its members are well: events are at most about 100 ms apart on a busy unit.
 	pulse = 120 * time.Millisecond
-	// againAfter is the time between two looks at the same unit, and at a server in doubt.
+	// againAfter is the time between two looks at a server in doubt.
 	againAfter = 400 * time.Millisecond
+	// unitAgain is the time between two looks at the same unit.
+	unitAgain = time.Second
 	// doubtFor is how long a doubt lasts unless it is renewed.
 	doubtFor = 3 * againAfter
 	// doubtMost is for how long a server in doubt is asked; the list drops a dead one within three heartbeats.
 	doubtMost = 30 * time.Second
 )
 
-// ErrDown says that the VM answers and no process listens at the address.
-const ErrDown = errors.ConstError("nothing listens at the address")
+// ErrDown says that the VM answers and the life of the server has ended: nothing listens at its address, or something else does.
+const ErrDown = errors.ConstError("the life of the server has ended")
 
 // Asker asks a backend server for a sign of life; it fails with ErrDown or another error.
 type Asker interface {
@@ -114,7 +116,7 @@
 	defer det.mux.Unlock()
 	now := det.opt.Clock.Now()
 	for _, seen := range []map[string]time.Time{det.looked, det.told} {
-		maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) >= againAfter })
+		maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) >= unitAgain })
 	}
 	if now.Sub(det.heard[unit]) < pulse || now.Sub(det.told[unit]) < pulse {
 		return false
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -58,8 +58,10 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		det = detector.New(detector.Options{
-			Members: func(string) []registrar.Server { return []registrar.Server{{ID: "a", Started: 1}, {ID: "b", Started: 1}} },
-			Asker:   ask, Doubts: reg, Clock: clk, Logger: log.WithField("test", true),
+			Members: func(string) []registrar.Server {
+				return []registrar.Server{{ID: "a", Started: 1}, {ID: "b", Started: 1}}
+			},
+			Asker: ask, Doubts: reg, Clock: clk, Logger: log.WithField("test", true),
 		})
 	})
 	doubted := func(id string) func() bool {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -74,6 +74,7 @@
 	self     introducer.Entry
 	zones    sync.Map
 	readers  sync.Map
+	strains  sync.Map
 }
 
 // New makes an entry; it fails with errors.NotValid for an address that is none.
@@ -144,7 +145,7 @@
 	gat.ele = elector.New(elector.Options{Lease: gat.pla.Lease, Stands: gat.reads, TTL: max(leaseTTL, gat.set.Store.ShortestLease), Clock: gat.clk, Logger: gat.log})
 	gat.con = conductor.New(conductor.Options{
 		Records: gat.pla.Records, Engines: gat.pla.Engines, View: gat.reg.View, Table: gat.tab.Load, Leads: gat.ele.Leads,
-		Loads: gat.loads, Early: gat.early, Clock: gat.clk, Logger: gat.log,
+		Loads: gat.loads, Early: gat.early, Strain: gat.strain, Ended: gat.ended, Clock: gat.clk, Logger: gat.log,
 		LoadWindow: gat.set.Bounds.LoadWindow,
 	})
 }
@@ -163,6 +164,13 @@
 	return *at, true
 }
 
+// endedFor is how long a life that has ended is kept out of use; the list drops it within three heartbeats.
+const endedFor = 4 * time.Second
+
+func (gat *Gatekeeper) ended(lif registrar.Life) {
+	gat.reg.Doubt(lif, gat.clk.Now().Add(endedFor), true)
+}
+
 func (gat *Gatekeeper) heard(name string) bool {
 	return gat.sha != nil && gat.sha.Heard(name)
 }
--- a/gatekeeper/peers.go
+++ b/gatekeeper/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/lovagelever/lovagelever/gateway"
 	"github.com/lovagelever/lovagelever/introducer"
 	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/sharer"
@@ -33,13 +34,18 @@
 func (gat *Gatekeeper) beat() sharer.Beat {
 	bea := sharer.Beat{
 		Name: gat.set.Name, Incarnation: gat.self.Incarnation, Seq: gat.beats.Add(1),
-		Stopping: gat.stopping.Load(), Running: map[uint64]int{}, Alive: map[uint64]bool{},
+		Stopping: gat.stopping.Load(), Running: map[uint64]int{}, Alive: map[uint64]bool{}, Strain: map[uint64]uint64{},
 	}
 	alive := gat.det.Alive()
 	bea.Fresh = gat.fresh()
 	for _, topic := range gat.topics() {
 		bea.Ends = append(bea.Ends, gat.tails[topic].End())
 	}
+	for pool, loa := range gat.dis.Loads() {
+		if loa.Strain > 0 {
+			bea.Strain[hash(pool)] = uint64(loa.Strain * hundred)
+		}
+	}
 	for unit, num := range gat.dis.Running() {
 		bea.Running[hash(unit)] = num
 		bea.Alive[hash(unit)] = alive[unit]
@@ -104,8 +110,29 @@
 	return !ask.gat.reads()
 }
 
+// hundred turns parts into hundredths, as beats carry them.
+const hundred = 100
+
+// strain is the mean over all entries that are heard of how much of their objective the first events of a model take.
+func (gat *Gatekeeper) strain(service, model string) float64 {
+	pool := gateway.PoolName(service, model)
+	sum, num := 0.0, 0.0
+	if own := gat.dis.Loads()[pool].Strain; own > 0 {
+		sum, num = own, 1
+	}
+	key := hash(pool)
+	gat.strains.Range(func(_, all any) bool {
+		if val := all.(map[uint64]uint64)[key]; val > 0 {
+			sum, num = sum+float64(val)/hundred, num+1
+		}
+		return true
+	})
+	return sum / max(1, num)
+}
+
 func (gat *Gatekeeper) onBeat(bea sharer.Beat) {
 	gat.noteReader(bea)
+	gat.strains.Store(bea.Name, bea.Strain)
 	names := gat.units.Load().hashes
 	running := map[string]int{}
 	for key, num := range bea.Running {
@@ -153,6 +180,7 @@
 func (gat *Gatekeeper) onSilent(name string) {
 	gat.dis.SetForeign(name, nil)
 	gat.readers.Delete(name)
+	gat.strains.Delete(name)
 }
 
 // Question asks for the records of a topic from an offset on.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 // Places gives out the places of backend servers.
 type Places interface {
 	Acquire(ctx context.Context, req dispatcher.Request) (*dispatcher.Place, error)
+	Note(pool string, strain float64)
 }
 
 // Sender sends one request to one backend server.
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -29,11 +29,13 @@
 	// repeatAfter is after how many objectives without an answer a plain call that may be repeated is sent once more.
 	repeatAfter = 2.5
 	// firstCheck is the part of a stream's objective after which a unit that has sent no first event is checked.
-	firstCheck = 0.75
+	firstCheck = 1.0
 	// pauseCheck is the part of a stream's longest good pause after which a silent unit is checked.
-	pauseCheck = 0.6
+	pauseCheck = 1.0
 	// silenceLimit is how long a stream may be silent before it is resumed elsewhere though its unit answers checks; callers leave after 2 s.
 	silenceLimit = 1300 * time.Millisecond
+	// refusedStrain is what a refused stream counts as, in parts of its objective.
+	refusedStrain = 2.0
 	// eventBytes bounds one event of a stream; the largest in the sites of docs/ADAPTER.md has 390.
 	eventBytes = 256 << 10
 )
