--- a/conductor/order.go
+++ b/conductor/order.go
@@ -37,6 +37,8 @@
 	Orders  int64
 	Started int64
 	Group   registrar.Membership
+	// Pace is a factor on the server's times: above 1 it is slow, zero where it does not say.
+	Pace float64
 }
 
 // ErrMisfit says that an order does not fit the state of the server.
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -108,7 +108,7 @@
 	gat.bud = budgeter.New(budgeter.Options{Ratio: bou.RetryRatio, Slack: bou.RetrySlack, Window: bou.RetryWindow, Clock: gat.clk})
 	gat.sen = sender.New(&net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, KeepAlive: -1}, gat.clk, dialWithin)
 	gat.det = detector.New(detector.Options{
-		Members: gat.members, Asker: gat.pla.Asker, Doubts: gat.reg, Clock: gat.clk, Logger: gat.log,
+		Members: gat.members, Asker: pacing{gat: gat}, Doubts: gat.reg, Clock: gat.clk, Logger: gat.log,
 	})
 	gat.gat = gateway.New(gateway.Options{
 		Table: gat.tab.Load, Places: gat.dis, Sender: gat.sen, Budget: gat.bud, Detector: gat.det,
@@ -150,6 +150,26 @@
 	})
 }
 
+// slowPace is the factor on a server's times from which it is left out: a stream of the sheets in docs/ADAPTER.md lasts about a second of the six to eight that callers wait.
+const slowPace = 2.5
+
+// pacing asks servers for a sign of life and judges their pace.
+type pacing struct {
+	gat *Gatekeeper
+}
+
+// Ask fails as the platform's asker does, and with detector.ErrSlow.
+func (pac pacing) Ask(ctx context.Context, ser registrar.Server) error {
+	rep, err := pac.gat.pla.Engines.Report(ctx, ser)
+	switch {
+	case errors.Is(err, conductor.ErrStranger), err == nil && rep.Started != ser.Started:
+		return errors.WithType(errors.Errorf("gatekeeper: the life of %s has ended", ser.ID), detector.ErrDown)
+	case err == nil && rep.Pace >= slowPace:
+		return errors.WithType(errors.Errorf("gatekeeper: %s works at a pace of %.1f", ser.ID, rep.Pace), detector.ErrSlow)
+	}
+	return err
+}
+
 // ready reports whether the entry takes callers.
 func (gat *Gatekeeper) ready() bool {
 	return gat.tab.Load() != nil && !gat.stopping.Load()
--- a/gatekeeper/platform.go
+++ b/gatekeeper/platform.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/lovagelever/lovagelever/conductor"
-	"github.com/lovagelever/lovagelever/detector"
 	"github.com/lovagelever/lovagelever/elector"
 	"github.com/lovagelever/lovagelever/gateway"
 	"github.com/lovagelever/lovagelever/introducer"
@@ -37,7 +36,6 @@
 	Records conductor.Records
 	Lease   elector.Lease
 	Engines conductor.Engines
-	Asker   detector.Asker
 	Dialect gateway.Dialect
 	// Operation and Server decode one record of their topics.
 	Operation func(rec tailer.Record) (Operation, error)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,7 @@
 // Detector looks after a unit that is silent or does not answer.
 type Detector interface {
 	Suspect(unit string)
+	SuspectSlow(unit string)
 	Heard(unit string)
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -32,6 +32,9 @@
 	firstCheck = 1.0
 	// pauseCheck is the part of a stream's longest good pause after which a silent unit is checked.
 	pauseCheck = 1.0
+	// slowEvents is after how many events the pace of a stream is looked at, each time, and slowFactor how many times the usual pause makes it slow; reading the prompts of others slows a sound unit down up to twice.
+	slowEvents = 4
+	slowFactor = 2.5
 	// silenceLimit is how long a stream may be silent before it is resumed elsewhere though its unit answers checks; callers leave after 2 s.
 	silenceLimit = 1300 * time.Millisecond
 	// refusedStrain is what a refused stream counts as, in parts of its objective.
