Have an entry read the store until it knows registered readers to ask

Test: gatekeeper, 'learns the configuration by itself while it can ask none of the entries that read the store', failed before.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -49,9 +49,7 @@
 	Loads   func(service, model string) grouper.Load
 	Early   func() bool
 	// Ended is told the lives of servers that were found to have ended.
-	Ended func(lif registrar.Life)
-	// Strain returns by how much of its objective the first events of a model come, as a mean; zero where unknown.
-	Strain     func(service, model string) float64
+	Ended      func(lif registrar.Life)
 	Clock      clockwork.Clock
 	Logger     *logrus.Entry
 	LoadWindow time.Duration
@@ -73,8 +71,6 @@
 	servers    map[registrar.Life]registrar.Server
 	loads      []time.Time
 	forming    int
-	weights    map[string]float64
-	weighed    time.Time
 }
 
 // New returns a conductor that knows no decision.
@@ -121,8 +117,6 @@
 	con.orders = map[registrar.Life]int64{}
 	con.retired = nil
 	con.forming = 0
-	con.weights = map[string]float64{}
-	con.weighed = con.opt.Clock.Now()
 }
 
 // step makes and starts one plan for each service with engines.
@@ -234,7 +228,6 @@
 
 func (con *Conductor) conduct(ctx context.Context, ser router.Service) error {
 	vie := con.opt.View()
-	con.weigh(ser)
 	plan := grouper.Make(con.picture(ser, vie))
 	for _, frm := range plan.Dissolve {
 		if con.claim(frm.Name) {
@@ -257,49 +250,12 @@
 	return nil
 }
 
-const (
-	// weighEvery is the time between two shifts of servers from one model to another: a shift takes about 3 s to show.
-	weighEvery = 3 * time.Second
-	// strained and relaxed are the parts of the objective that the first events of a model take above which it gets servers, and below which it gives some.
-	strained = 0.75
-	relaxed  = 0.65
-	// weightStep and weightMost bound by how much one shift changes the share of a model, and all of them together.
-	weightStep = 1.15
-	weightMost = 2.0
-)
-
-// weigh shifts the shares of the models from the one that serves its callers best to the one that serves them worst.
-func (con *Conductor) weigh(ser router.Service) {
-	con.mux.Lock()
-	defer con.mux.Unlock()
-	if con.opt.Clock.Since(con.weighed) < weighEvery || len(ser.Engine.Models) < 2 {
-		return
-	}
-	con.weighed = con.opt.Clock.Now()
-	worst, most, least := "", 0.0, strained
-	for _, mod := range ser.Engine.Models {
-		one := con.opt.Strain(ser.Name, mod.Name)
-		if one > most {
-			worst, most = mod.Name, one
-		}
-		least = min(least, one)
-	}
-	if most < strained || least > relaxed {
-		return
-	}
-	old := con.weights[worst]
-	con.weights[worst] = min(weightMost, max(1, old)*weightStep)
-	if con.weights[worst] != old {
-		con.opt.Logger.WithFields(logrus.Fields{"model": worst, "strain": most, "least": least, "weight": con.weights[worst]}).Info("share of a model raised")
-	}
-}
-
 func (con *Conductor) picture(ser router.Service, vie *registrar.View) grouper.Picture {
 	con.mux.Lock()
 	defer con.mux.Unlock()
 	pic := grouper.Picture{
 		Service: ser.Name, Engine: *ser.Engine, View: vie, Early: con.opt.Early(),
-		Busy: maps.Clone(con.busy), Dissolving: maps.Clone(con.dissolving), Staging: maps.Clone(con.staging), Loads: map[string]grouper.Load{}, Weights: maps.Clone(con.weights),
+		Busy: maps.Clone(con.busy), Dissolving: maps.Clone(con.dissolving), Staging: maps.Clone(con.staging), Loads: map[string]grouper.Load{},
 	}
 	for _, frm := range con.formations {
 		pic.Formations = append(pic.Formations, frm)
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -37,8 +37,6 @@
 	Orders  int64
 	Started int64
 	Group   registrar.Membership
-	// Pace is a factor on the server's times: above 1 it is slow, zero where it does not say.
-	Pace float64
 }
 
 // ErrMisfit says that an order does not fit the state of the server.
@@ -47,7 +45,10 @@
 // ErrStranger says that another server, or another life of it, has the address.
 const ErrStranger = errors.ConstError("another server has the address")
 
-// Engines sends orders and asks for reports; calls fail with ErrMisfit, ErrStranger, detector.ErrDown, or another error when there was no answer.
+// ErrOther says that a server gave an answer that is neither a report nor a verdict on an order.
+const ErrOther = errors.ConstError("server answered otherwise")
+
+// Engines sends orders and asks for reports; calls fail with ErrMisfit, ErrStranger, ErrOther, detector.ErrDown, or another error when there was no answer.
 type Engines interface {
 	Report(ctx context.Context, ser registrar.Server) (Report, error)
 	Order(ctx context.Context, ser registrar.Server, ord Order) error
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -105,9 +105,8 @@
 	con := conductor.New(conductor.Options{
 		Records: wor, Engines: wor, View: wor.reg.View, Table: func() *router.Table { return tab }, Leads: leads.Load,
 		Loads: func(string, string) grouper.Load { return grouper.Load{} }, Early: wor.early.Load,
-		Ended:  func(lif registrar.Life) { wor.reg.Doubt(lif, wor.clk.Now().Add(time.Second), true) },
-		Strain: func(string, string) float64 { return 0 },
-		Clock:  wor.clk, Logger: log.WithField("test", true), LoadWindow: 5 * time.Second,
+		Ended: func(lif registrar.Life) { wor.reg.Doubt(lif, wor.clk.Now().Add(time.Second), true) },
+		Clock: wor.clk, Logger: log.WithField("test", true), LoadWindow: 5 * time.Second,
 	})
 	wor.done.Add(1)
 	go func() {
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -22,25 +22,18 @@
 	lateFactor = 2
 	// pulse is how long a sign of a unit proves that all its members are well: events are at most about 100 ms apart on a busy unit.
 	pulse = 120 * time.Millisecond
-	// againAfter is the time between two looks at a server in doubt.
+	// againAfter is the time between two looks at the same unit, and at a server in doubt.
 	againAfter = 400 * time.Millisecond
-	// unitAgain is the time between two looks at the same unit.
-	unitAgain = time.Second
 	// doubtFor is how long a doubt lasts unless it is renewed.
 	doubtFor = 3 * againAfter
-	// slowShare is the part of a service's servers that may be left out for being slow; beyond it slow ones are better than none.
-	slowShare = 0.25
 	// doubtMost is for how long a server in doubt is asked; the list drops a dead one within three heartbeats.
 	doubtMost = 30 * time.Second
 )
 
-// ErrDown says that the VM answers and the life of the server has ended: nothing listens at its address, or something else does.
-const ErrDown = errors.ConstError("the life of the server has ended")
+// ErrDown says that the VM answers and no process listens at the address.
+const ErrDown = errors.ConstError("nothing listens at the address")
 
-// ErrSlow says that a server answers and works so slowly that what runs on it does not end in time.
-const ErrSlow = errors.ConstError("the server is too slow to use")
-
-// Asker asks a backend server for a sign of life; it fails with ErrDown, ErrSlow or another error.
+// Asker asks a backend server for a sign of life; it fails with ErrDown or another error.
 type Asker interface {
 	Ask(ctx context.Context, ser registrar.Server) error
 }
@@ -116,30 +109,12 @@
 	}
 }
 
-// SuspectSlow has the servers of a unit asked although it gives signs, because these come too slowly, unless that was done just now.
-func (det *Detector) SuspectSlow(unit string) {
-	det.mux.Lock()
-	now := det.opt.Clock.Now()
-	at, recent := det.looked[unit]
-	recent = recent && now.Sub(at) < unitAgain
-	if !recent {
-		det.looked[unit] = now
-	}
-	det.mux.Unlock()
-	if recent {
-		return
-	}
-	for _, ser := range det.opt.Members(unit) {
-		go det.look(ser)
-	}
-}
-
 func (det *Detector) due(unit string) bool {
 	det.mux.Lock()
 	defer det.mux.Unlock()
 	now := det.opt.Clock.Now()
 	for _, seen := range []map[string]time.Time{det.looked, det.told} {
-		maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) >= unitAgain })
+		maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) >= againAfter })
 	}
 	if now.Sub(det.heard[unit]) < pulse || now.Sub(det.told[unit]) < pulse {
 		return false
@@ -175,13 +150,13 @@
 // look asks a server, and once it is in doubt goes on asking until it answers or leaves the list.
 func (det *Detector) look(ser registrar.Server) {
 	err := det.ask(ser)
-	if err == nil || errors.Is(err, ErrSlow) && !det.sparesSlow(ser) || !det.begin(ser, err) {
+	if err == nil || !det.begin(ser, err) {
 		return
 	}
 	defer det.end(ser)
 	began := det.opt.Clock.Now()
 	for det.opt.Clock.Since(began) < doubtMost {
-		det.opt.Doubts.Doubt(ser.Life(), det.opt.Clock.Now().Add(doubtFor), errors.Is(err, ErrDown) || errors.Is(err, ErrSlow))
+		det.opt.Doubts.Doubt(ser.Life(), det.opt.Clock.Now().Add(doubtFor), errors.Is(err, ErrDown))
 		det.opt.Clock.Sleep(againAfter)
 		if now, listed := det.opt.Doubts.View().Servers[ser.ID]; !listed || now.Started != ser.Started {
 			return
@@ -193,22 +168,6 @@
 	}
 }
 
-// sparesSlow reports whether few enough servers of the service are in doubt that a slow one may be left out too.
-func (det *Detector) sparesSlow(slow registrar.Server) bool {
-	vie := det.opt.Doubts.View()
-	all, doubted := 0, 0
-	for _, ser := range vie.Servers {
-		if ser.Service != slow.Service {
-			continue
-		}
-		all++
-		if vie.Doubted(ser.Life()) {
-			doubted++
-		}
-	}
-	return float64(doubted) < slowShare*float64(all)
-}
-
 func (det *Detector) begin(ser registrar.Server, err error) bool {
 	det.mux.Lock()
 	defer det.mux.Unlock()
@@ -234,7 +193,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), askWithin)
 		err = det.opt.Asker.Ask(ctx, ser)
 		cancel()
-		if err == nil || errors.Is(err, ErrDown) || errors.Is(err, ErrSlow) {
+		if err == nil || errors.Is(err, ErrDown) {
 			return err
 		}
 		// An end that is noticed late shows that this entry itself was held up, and counts half.
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -123,37 +122,3 @@
 		Expect(det.Alive()).To(BeEmpty())
 	})
 })
-
-var _ = Describe("Detector with slow servers", func() {
-	slow := errors.WithType(errors.New("pace 12"), detector.ErrSlow)
-	DescribeTable("leaves slow servers out while they are few",
-		func(servers, doubted int, want bool) {
-			clk := clockwork.NewFakeClock()
-			reg := registrar.New(clk)
-			for num := range servers {
-				ser := registrar.Server{ID: fmt.Sprint("s", num), Service: "s", Started: 1}
-				reg.Put(ser)
-				if num > 0 && num <= doubted {
-					reg.Doubt(ser.Life(), clk.Now().Add(time.Hour), true)
-				}
-			}
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			target := registrar.Server{ID: "s0", Service: "s", Started: 1}
-			det := detector.New(detector.Options{
-				Members: func(string) []registrar.Server { return []registrar.Server{target} },
-				Asker:   &asker{fails: map[string]error{"s0": slow}, asked: map[string]int{}}, Doubts: reg, Clock: clk, Logger: log.WithField("test", true),
-			})
-			det.Heard("u")
-			det.SuspectSlow("u")
-			if want {
-				Eventually(func() bool { return reg.View().Confirmed(target.Life()) }).Should(BeTrue())
-			} else {
-				Consistently(func() bool { return reg.View().Doubted(target.Life()) }, "30ms").Should(BeFalse())
-			}
-		},
-		Entry("a single one", 20, 0, true),
-		Entry("a few others", 20, 4, true),
-		Entry("a quarter are in doubt already", 20, 5, false),
-	)
-})
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -81,8 +81,6 @@
 	units   []*unitState
 	queue   *queuer.Queue
 	waiting map[string]*waiter
-	// strain is the mean time to the first event, in parts of the objective.
-	strain float64
 }
 
 type waiter struct {
@@ -267,18 +265,6 @@
 	dis.drop(pla.sta)
 }
 
-// strainRate is the weight of one request in a pool's strain: about the last 25 count.
-const strainRate = 0.04
-
-// Note takes how much of its objective the first event of a request took, and for a refused one a figure above 1.
-func (dis *Dispatcher) Note(pool string, strain float64) {
-	dis.mux.Lock()
-	defer dis.mux.Unlock()
-	if poo := dis.pools[pool]; poo != nil {
-		poo.strain += strainRate * (strain - poo.strain)
-	}
-}
-
 // Pump gives places to those that wait, since places also become free by time.
 func (dis *Dispatcher) Pump() {
 	dis.mux.Lock()
--- a/dispatcher/update.go
+++ b/dispatcher/update.go
@@ -80,8 +80,6 @@
 	Taken int
 	// Waiting counts the requests that wait at this entry.
 	Waiting int
-	// Strain is the mean time to the first event at this entry, in parts of the objective.
-	Strain float64
 }
 
 // Loads returns the state of each pool.
@@ -90,7 +88,7 @@
 	defer dis.mux.Unlock()
 	out := map[string]Load{}
 	for name, poo := range dis.pools {
-		one := Load{Waiting: poo.queue.Len(), Strain: poo.strain}
+		one := Load{Waiting: poo.queue.Len()}
 		for _, sta := range poo.units {
 			one.Taken += sta.running + sta.foreign
 			if sta.Readiness == Serving {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -74,7 +74,6 @@
 	self     introducer.Entry
 	zones    sync.Map
 	readers  sync.Map
-	strains  sync.Map
 }
 
 // New makes an entry; it fails with errors.NotValid for an address that is none.
@@ -108,7 +107,7 @@
 	gat.bud = budgeter.New(budgeter.Options{Ratio: bou.RetryRatio, Slack: bou.RetrySlack, Window: bou.RetryWindow, Clock: gat.clk})
 	gat.sen = sender.New(&net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, KeepAlive: -1}, gat.clk, dialWithin)
 	gat.det = detector.New(detector.Options{
-		Members: gat.members, Asker: pacing{gat: gat}, Doubts: gat.reg, Clock: gat.clk, Logger: gat.log,
+		Members: gat.members, Asker: sounding{gat: gat}, Doubts: gat.reg, Clock: gat.clk, Logger: gat.log,
 	})
 	gat.gat = gateway.New(gateway.Options{
 		Table: gat.tab.Load, Places: gat.dis, Sender: gat.sen, Budget: gat.bud, Detector: gat.det,
@@ -142,30 +141,24 @@
 			Topic: topic, Store: gat.pla.Store, Peers: asking{gat: gat}, Clock: gat.clk, Logger: gat.log, OnChange: change,
 		})
 	}
-	gat.ele = elector.New(elector.Options{Lease: gat.pla.Lease, Stands: gat.reads, TTL: max(leaseTTL, gat.set.Store.ShortestLease), Clock: gat.clk, Logger: gat.log})
+	gat.ele = elector.New(elector.Options{Lease: gat.pla.Lease, Stands: gat.stands, TTL: max(leaseTTL, gat.set.Store.ShortestLease), Clock: gat.clk, Logger: gat.log})
 	gat.con = conductor.New(conductor.Options{
 		Records: gat.pla.Records, Engines: gat.pla.Engines, View: gat.reg.View, Table: gat.tab.Load, Leads: gat.ele.Leads,
-		Loads: gat.loads, Early: gat.early, Strain: gat.strain, Ended: gat.ended, Clock: gat.clk, Logger: gat.log,
+		Loads: gat.loads, Early: gat.early, Ended: gat.ended, Clock: gat.clk, Logger: gat.log,
 		LoadWindow: gat.set.Bounds.LoadWindow,
 	})
 }
 
-// slowPace is the factor on a server's times from which it is left out: a stream of the sheets in docs/ADAPTER.md lasts about a second of the six to eight that callers wait.
-const slowPace = 2.5
-
-// pacing asks servers for a sign of life and judges their pace.
-type pacing struct {
+// sounding asks servers for a sign of life.
+type sounding struct {
 	gat *Gatekeeper
 }
 
-// Ask fails as the platform's asker does, and with detector.ErrSlow.
-func (pac pacing) Ask(ctx context.Context, ser registrar.Server) error {
-	rep, err := pac.gat.pla.Engines.Report(ctx, ser)
-	switch {
-	case errors.Is(err, conductor.ErrStranger), err == nil && rep.Started != ser.Started:
-		return errors.WithType(errors.Errorf("gatekeeper: the life of %s has ended", ser.ID), detector.ErrDown)
-	case err == nil && rep.Pace >= slowPace:
-		return errors.WithType(errors.Errorf("gatekeeper: %s works at a pace of %.1f", ser.ID, rep.Pace), detector.ErrSlow)
+// Ask takes any answer for a sign of life; it fails with detector.ErrDown, or another error when there was none.
+func (sou sounding) Ask(ctx context.Context, ser registrar.Server) error {
+	_, err := sou.gat.pla.Engines.Report(ctx, ser)
+	if errors.Is(err, conductor.ErrStranger) || errors.Is(err, conductor.ErrOther) {
+		return nil
 	}
 	return err
 }
@@ -191,6 +184,20 @@
 	gat.reg.Doubt(lif, gat.clk.Now().Add(endedFor), true)
 }
 
+// candidates is how many entries stand for the lead; a change among them deals the lease anew, so they are few and do not depend on the state of the store.
+const candidates = 2
+
+// stands reports whether this entry is among the candidates, by the rank of its name among those that are heard.
+func (gat *Gatekeeper) stands() bool {
+	before := 0
+	for _, ent := range gat.itr.Others() {
+		if gat.heard(ent.Name) && hash(ent.Name) < hash(gat.set.Name) {
+			before++
+		}
+	}
+	return before < candidates
+}
+
 func (gat *Gatekeeper) heard(name string) bool {
 	return gat.sha != nil && gat.sha.Heard(name)
 }
--- a/gatekeeper/peers.go
+++ b/gatekeeper/peers.go
@@ -10,7 +10,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/lovagelever/lovagelever/gateway"
 	"github.com/lovagelever/lovagelever/introducer"
 	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/sharer"
@@ -34,18 +33,13 @@
 func (gat *Gatekeeper) beat() sharer.Beat {
 	bea := sharer.Beat{
 		Name: gat.set.Name, Incarnation: gat.self.Incarnation, Seq: gat.beats.Add(1),
-		Stopping: gat.stopping.Load(), Running: map[uint64]int{}, Alive: map[uint64]bool{}, Strain: map[uint64]uint64{},
+		Stopping: gat.stopping.Load(), Running: map[uint64]int{}, Alive: map[uint64]bool{},
 	}
 	alive := gat.det.Alive()
 	bea.Fresh = gat.fresh()
 	for _, topic := range gat.topics() {
 		bea.Ends = append(bea.Ends, gat.tails[topic].End())
 	}
-	for pool, loa := range gat.dis.Loads() {
-		if loa.Strain > 0 {
-			bea.Strain[hash(pool)] = uint64(loa.Strain * hundred)
-		}
-	}
 	for unit, num := range gat.dis.Running() {
 		bea.Running[hash(unit)] = num
 		bea.Alive[hash(unit)] = alive[unit]
@@ -92,17 +86,17 @@
 	}
 }
 
-// reads reports whether this entry is one of those that read the store for all.
+// reads reports whether this entry is one of those that read the store for all; only registered ones count as others, since no other can be asked.
 func (gat *Gatekeeper) reads() bool {
 	before := 0
 	own := hash(gat.set.Name)
-	gat.readers.Range(func(name, at any) bool {
-		if gat.clk.Since(at.(time.Time)) < supportFor && hash(name.(string)) < own {
+	for _, ent := range gat.itr.Others() {
+		at, fresh := gat.readers.Load(ent.Name)
+		if fresh && gat.clk.Since(at.(time.Time)) < supportFor && hash(ent.Name) < own {
 			before++
 		}
-		return true
-	})
-	return before < readers
+	}
+	return before < readers || gat.ele != nil && gat.ele.Leads()
 }
 
 // Read reports whether enough others read the store.
@@ -110,29 +104,8 @@
 	return !ask.gat.reads()
 }
 
-// hundred turns parts into hundredths, as beats carry them.
-const hundred = 100
-
-// strain is the mean over all entries that are heard of how much of their objective the first events of a model take.
-func (gat *Gatekeeper) strain(service, model string) float64 {
-	pool := gateway.PoolName(service, model)
-	sum, num := 0.0, 0.0
-	if own := gat.dis.Loads()[pool].Strain; own > 0 {
-		sum, num = own, 1
-	}
-	key := hash(pool)
-	gat.strains.Range(func(_, all any) bool {
-		if val := all.(map[uint64]uint64)[key]; val > 0 {
-			sum, num = sum+float64(val)/hundred, num+1
-		}
-		return true
-	})
-	return sum / max(1, num)
-}
-
 func (gat *Gatekeeper) onBeat(bea sharer.Beat) {
 	gat.noteReader(bea)
-	gat.strains.Store(bea.Name, bea.Strain)
 	names := gat.units.Load().hashes
 	running := map[string]int{}
 	for key, num := range bea.Running {
@@ -180,7 +153,6 @@
 func (gat *Gatekeeper) onSilent(name string) {
 	gat.dis.SetForeign(name, nil)
 	gat.readers.Delete(name)
-	gat.strains.Delete(name)
 }
 
 // Question asks for the records of a topic from an offset on.
--- /dev/null
+++ b/gatekeeper/readers_test.go
@@ -0,0 +1,181 @@
+package gatekeeper_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lovagelever/lovagelever/conductor"
+	"github.com/lovagelever/lovagelever/gateconfigurer"
+	"github.com/lovagelever/lovagelever/gatekeeper"
+	"github.com/lovagelever/lovagelever/introducer"
+	"github.com/lovagelever/lovagelever/registrar"
+	"github.com/lovagelever/lovagelever/router"
+	"github.com/lovagelever/lovagelever/sharer"
+	"github.com/lovagelever/lovagelever/tailer"
+)
+
+var topics = gatekeeper.Topics{Operator: "operator", Servers: "servers", Entries: "entries"}
+
+// store is the platform's store with no backend servers.
+type store struct {
+	mux  sync.Mutex
+	recs map[string][]tailer.Record
+	// down names a topic that does not answer.
+	down string
+}
+
+func (sto *store) put(topic, key string, value []byte) {
+	sto.mux.Lock()
+	defer sto.mux.Unlock()
+	sto.recs[topic] = append(sto.recs[topic], tailer.Record{Key: key, Value: value, Offset: int64(len(sto.recs[topic]))})
+}
+
+func (sto *store) Newest(_ context.Context, topic string) (tailer.Page, error) {
+	sto.mux.Lock()
+	defer sto.mux.Unlock()
+	if topic == sto.down {
+		return tailer.Page{}, errors.New("no answer")
+	}
+	return tailer.Page{End: int64(len(sto.recs[topic])), Records: sto.recs[topic]}, nil
+}
+
+func (sto *store) Read(ctx context.Context, topic string, from int64, _ time.Duration) (tailer.Page, error) {
+	pag, err := sto.Newest(ctx, topic)
+	if err == nil {
+		pag.Records = pag.Records[from:]
+	}
+	return pag, err
+}
+
+// nothing stands for the parts of the platform that the test does not need.
+type nothing struct{}
+
+func (nothing) Claim(context.Context, time.Duration) (bool, error) { return false, nil }
+func (nothing) Leave(context.Context) error                        { return nil }
+func (nothing) Newest(context.Context) ([]conductor.Record, int64, error) {
+	return nil, 0, nil
+}
+func (nothing) Append(context.Context, int64, []conductor.Record) error { return nil }
+func (nothing) Report(context.Context, registrar.Server) (conductor.Report, error) {
+	return conductor.Report{}, nil
+}
+func (nothing) Order(context.Context, registrar.Server, conductor.Order) error { return nil }
+
+func free() string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+func settings(name string) gateconfigurer.Settings {
+	return gateconfigurer.Settings{
+		Name: name, Zone: "z", Region: "r", Address: "127.0.0.1",
+		Listen: gateconfigurer.Listen{Callers: free(), Readiness: free(), Directory: free(), Entries: free(), Metrics: free()},
+		Bounds: gateconfigurer.Bounds{StopGrace: time.Second, RetryWindow: 10 * time.Second, LongestDirectoryValidity: 5 * time.Second},
+	}
+}
+
+func platform(sto *store) gatekeeper.Platform {
+	return gatekeeper.Platform{
+		Topics: topics, Store: sto, Records: nothing{}, Lease: nothing{}, Engines: nothing{},
+		Operation: func(rec tailer.Record) (gatekeeper.Operation, error) {
+			return gatekeeper.Operation{Config: &router.Config{Version: 1}}, nil
+		},
+		Server:   func(tailer.Record, time.Time) (registrar.Server, error) { return registrar.Server{}, nil },
+		Register: func(context.Context, introducer.Entry) error { return nil },
+		Withdraw: func(context.Context, string) error { return nil },
+		Readiness: func(ready func() bool) http.Handler {
+			return http.HandlerFunc(func(wtr http.ResponseWriter, _ *http.Request) {
+				if !ready() {
+					wtr.WriteHeader(http.StatusServiceUnavailable)
+				}
+			})
+		},
+		Directory: func(func(string) []string, time.Duration) http.Handler { return http.NotFoundHandler() },
+	}
+}
+
+func start(set gateconfigurer.Settings, sto *store) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	gat, err := gatekeeper.New(set, platform(sto), clockwork.NewRealClock(), log.WithField("test", true))
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- gat.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(ended, "5s").Should(Receive(BeNil()))
+	})
+}
+
+func ready(set gateconfigurer.Settings) func() bool {
+	return func() bool {
+		res, err := http.Get("http://" + set.Listen.Readiness)
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	}
+}
+
+// beat sends beats of entries that read the store until the test ends.
+func beat(to string, names ...string) {
+	con, err := net.Dial("udp", to)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go func() {
+		defer con.Close()
+		for seq := uint64(1); ctx.Err() == nil; seq++ {
+			for _, name := range names {
+				_, _ = con.Write(sharer.Encode(sharer.Beat{Name: name, Incarnation: 1, Seq: seq, Fresh: true, Ends: []int64{1, 0, 0}}))
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+}
+
+// many are names of which some come before any other by rank.
+var many = []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}
+
+var _ = Describe("Gatekeeper", func() {
+	It("learns the configuration by itself while it can ask none of the entries that read the store", func() {
+		sto := &store{recs: map[string][]tailer.Record{}}
+		set := settings("edge")
+		start(set, sto)
+		beat(set.Listen.Entries, many...)
+		time.Sleep(500 * time.Millisecond)
+		sto.put(topics.Operator, "config", []byte("{}"))
+		Eventually(ready(set), "3s").Should(BeTrue())
+	})
+
+	It("learns the configuration from another entry when the store does not answer", func() {
+		one, two := settings("edge-1"), settings("edge-2")
+		told, silent := &store{recs: map[string][]tailer.Record{}}, &store{recs: map[string][]tailer.Record{}, down: topics.Operator}
+		told.put(topics.Operator, "config", []byte("{}"))
+		for _, set := range []gateconfigurer.Settings{one, two} {
+			data, err := json.Marshal(introducer.Entry{Name: set.Name, Zone: set.Zone, Callers: set.Listen.Callers, Entries: set.Listen.Entries, Incarnation: 1})
+			Expect(err).NotTo(HaveOccurred())
+			told.put(topics.Entries, set.Name, data)
+			silent.put(topics.Entries, set.Name, data)
+		}
+		start(one, told)
+		start(two, silent)
+		Eventually(ready(one), "3s").Should(BeTrue())
+		Eventually(ready(two), "5s").Should(BeTrue())
+	})
+})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,7 +19,6 @@
 // Places gives out the places of backend servers.
 type Places interface {
 	Acquire(ctx context.Context, req dispatcher.Request) (*dispatcher.Place, error)
-	Note(pool string, strain float64)
 }
 
 // Sender sends one request to one backend server.
@@ -37,7 +36,6 @@
 // Detector looks after a unit that is silent or does not answer.
 type Detector interface {
 	Suspect(unit string)
-	SuspectSlow(unit string)
 	Heard(unit string)
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -29,16 +29,11 @@
 	// repeatAfter is after how many objectives without an answer a plain call that may be repeated is sent once more.
 	repeatAfter = 2.5
 	// firstCheck is the part of a stream's objective after which a unit that has sent no first event is checked.
-	firstCheck = 1.0
+	firstCheck = 0.75
 	// pauseCheck is the part of a stream's longest good pause after which a silent unit is checked.
-	pauseCheck = 1.0
-	// slowEvents is after how many events the pace of a stream is looked at, each time, and slowFactor how many times the usual pause makes it slow; reading the prompts of others slows a sound unit down up to twice.
-	slowEvents = 4
-	slowFactor = 2.5
+	pauseCheck = 0.6
 	// silenceLimit is how long a stream may be silent before it is resumed elsewhere though its unit answers checks; callers leave after 2 s.
 	silenceLimit = 1300 * time.Millisecond
-	// refusedStrain is what a refused stream counts as, in parts of its objective.
-	refusedStrain = 2.0
 	// eventBytes bounds one event of a stream; the largest in the sites of docs/ADAPTER.md has 390.
 	eventBytes = 256 << 10
 )
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -41,7 +41,6 @@
 	for {
 		pla, err := job.place(ctx)
 		if err != nil {
-			pas.note(refusedStrain * float64(job.rou.Objective))
 			pas.fail(err)
 			return
 		}
@@ -60,13 +59,6 @@
 	}
 }
 
-// note tells how long the first event took, in parts of the objective.
-func (pas *passing) note(took float64) {
-	if pas.rou.Objective > 0 {
-		pas.gat.opt.Places.Note(pas.pool(), min(refusedStrain, took/float64(pas.rou.Objective)))
-	}
-}
-
 // fail ends a stream that cannot go on; one that has begun is broken off, so that it does not look complete.
 func (pas *passing) fail(err error) {
 	if !pas.begun {
@@ -193,7 +185,6 @@
 func (pas *passing) passEvent(res *http.Response, eve event) error {
 	if !pas.begun {
 		pas.begun = true
-		pas.note(float64(pas.gat.opt.Clock.Since(pas.arrived)))
 		pas.copyHead(res)
 		pas.wtr.WriteHeader(res.StatusCode)
 	}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -15,8 +15,6 @@
 	clk    clockwork.Clock
 	check  func()
 	alive  func()
-	slow   func()
-	usual  time.Duration
 	cancel context.CancelCauseFunc
 	first  time.Duration
 	pause  time.Duration
@@ -27,7 +25,6 @@
 	begun time.Time
 	last  time.Time
 	heard bool
-	num   int
 }
 
 // watch starts to watch the stream on a place.
@@ -37,8 +34,6 @@
 		clk:    pas.gat.opt.Clock,
 		check:  func() { pas.gat.opt.Detector.Suspect(pla.Unit.ID) },
 		alive:  func() { pas.gat.opt.Detector.Heard(pla.Unit.ID) },
-		slow:   func() { pas.gat.opt.Detector.SuspectSlow(pla.Unit.ID) },
-		usual:  pla.Unit.UsualPause,
 		cancel: cancel,
 		first:  time.Duration(float64(pas.rou.Objective) * firstCheck),
 		pause:  time.Duration(float64(pas.rou.LongestPause) * pauseCheck),
@@ -69,12 +64,8 @@
 		wat.heard, wat.begun = true, now
 	}
 	wat.last = now
-	wat.num++
 	wat.timer.Reset(wat.pause)
 	wat.alive()
-	if wat.num%slowEvents == 0 && wat.usual > 0 && now.Sub(wat.begun) > time.Duration(slowFactor*float64(wat.num-1)*float64(wat.usual)) {
-		go wat.slow()
-	}
 }
 
 // silent runs when the unit has sent nothing for a while.
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -150,9 +150,8 @@
 	suspects atomic.Int64
 }
 
-func (wat *watcher) Suspect(string)     { wat.suspects.Add(1) }
-func (wat *watcher) SuspectSlow(string) {}
-func (wat *watcher) Heard(string)       {}
+func (wat *watcher) Suspect(string) { wat.suspects.Add(1) }
+func (wat *watcher) Heard(string)   {}
 
 // budget allows so many repeats.
 type budget struct{ left atomic.Int64 }
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -44,8 +44,6 @@
 	Staging map[registrar.Life]string
 	// Loads holds the load of each model.
 	Loads map[string]Load
-	// Weights scale the shares of the models; one that is missing counts 1.
-	Weights map[string]float64
 	// Early says that no request has come yet.
 	Early bool
 }
@@ -81,31 +79,29 @@
 	active  map[string][]Formation
 	standby map[string][]Formation
 	stands  map[registrar.Life]Formation
-	// serves holds the members of groups that may be closed for another model.
-	serves map[registrar.Life]Formation
-	// waits names the domains in which servers are about to be free for what an earlier plan wants of them.
-	waits  map[string]bool
-	wanted map[string]int
-	out    Plan
+	// waits says that servers which stood by are about to be free for what an earlier plan wants of them.
+	waits bool
+	out   Plan
 }
 
 // Make returns what is to be done now.
 func Make(pic Picture) Plan {
 	rnd := &round{
 		pic: pic, active: map[string][]Formation{}, standby: map[string][]Formation{}, stands: map[registrar.Life]Formation{},
-		serves: map[registrar.Life]Formation{}, waits: map[string]bool{},
 	}
 	rnd.sort()
-	rnd.wanted = rnd.want()
+	wanted := rnd.wanted()
 	given := map[string]bool{}
 	for {
-		mod, short := rnd.shortest(given)
+		mod, short := rnd.shortest(wanted, given)
 		if !short {
 			break
 		}
 		given[mod.Name] = !rnd.open(mod) && !rnd.form(mod)
 	}
-	rnd.standBy()
+	if !rnd.waits {
+		rnd.standBy()
+	}
 	rnd.stage()
 	return rnd.out
 }
@@ -139,9 +135,7 @@
 	vie := rnd.pic.View
 	switch {
 	case rnd.pic.Dissolving[frm.Name]:
-		if frm.Check(vie) == Whole {
-			rnd.waits[vie.Servers[frm.Members[0].ID].Domain] = true
-		}
+		rnd.waits = rnd.waits || frm.Check(vie) == Whole
 	case frm.Check(vie) != Whole:
 		rnd.out.Dissolve = append(rnd.out.Dissolve, frm)
 	case vie.ZoneOut(vie.Servers[frm.Members[0].ID].Zone):
@@ -169,18 +163,18 @@
 	return out
 }
 
-// want returns how many groups of each model should serve.
-func (rnd *round) want() map[string]int {
+// wanted returns how many groups of each model should serve.
+func (rnd *round) wanted() map[string]int {
 	usable := float64(len(rnd.usable()))
 	shares := 0.0
 	for _, mod := range rnd.pic.Engine.Models {
-		shares += rnd.share(mod)
+		shares += mod.Share
 	}
 	out := map[string]int{}
 	for _, mod := range rnd.pic.Engine.Models {
 		share := 1 / float64(len(rnd.pic.Engine.Models))
 		if shares > 0 {
-			share = rnd.share(mod) / shares
+			share = mod.Share / shares
 		}
 		num := int(math.Round(usable * share * groupedShare / float64(mod.Size)))
 		loa := rnd.pic.Loads[mod.Name]
@@ -192,16 +186,12 @@
 	return out
 }
 
-func (rnd *round) share(mod router.Model) float64 {
-	return mod.Share * max(1, rnd.pic.Weights[mod.Name])
-}
-
 // shortest returns the model that lacks the largest part of its groups, but for those that were given up.
-func (rnd *round) shortest(given map[string]bool) (router.Model, bool) {
+func (rnd *round) shortest(wanted map[string]int, given map[string]bool) (router.Model, bool) {
 	var best router.Model
 	lack := 0.0
 	for _, mod := range rnd.pic.Engine.Models {
-		one := 1 - float64(len(rnd.active[mod.Name]))/float64(rnd.wanted[mod.Name])
+		one := 1 - float64(len(rnd.active[mod.Name]))/float64(wanted[mod.Name])
 		if one > lack && !given[mod.Name] {
 			best, lack = mod, one
 		}
@@ -237,13 +227,6 @@
 	}
 }
 
-func (rnd *round) removeActive(frm Formation) {
-	rnd.active[frm.Model] = slices.DeleteFunc(rnd.active[frm.Model], func(oth Formation) bool { return oth.Name == frm.Name })
-	for _, lif := range frm.Members {
-		delete(rnd.serves, lif)
-	}
-}
-
 func (rnd *round) zone(frm Formation) string {
 	return rnd.pic.View.Servers[frm.Members[0].ID].Zone
 }
@@ -258,34 +241,22 @@
 	return num
 }
 
-// form proposes a group of the model where it is ready first; it reports false when no domain has enough servers that may be taken.
+// form proposes a group of the model where it is ready first; it reports false when no domain has enough servers that are free or stand by.
 func (rnd *round) form(mod router.Model) bool {
 	byDomain := map[string][]registrar.Server{}
 	for _, ser := range rnd.free {
 		byDomain[ser.Domain] = append(byDomain[ser.Domain], ser)
 	}
 	for lif := range rnd.stands {
+		if rnd.waits {
+			break
+		}
 		ser := rnd.pic.View.Servers[lif.ID]
 		byDomain[ser.Domain] = append(byDomain[ser.Domain], ser)
 	}
-	best := rnd.best(mod, byDomain)
-	if best == nil || best.ready > mod.StagedIn {
-		if other := rnd.best(mod, rnd.convertible(mod, byDomain)); other != nil && other.ready <= mod.StagedIn {
-			best = other
-		}
-	}
-	if best == nil {
-		return false
-	}
-	rnd.take(mod, *best)
-	return true
-}
-
-// best returns the best choice of one domain, or nil.
-func (rnd *round) best(mod router.Model, byDomain map[string][]registrar.Server) *choice {
 	var best *choice
 	for _, dom := range slices.Sorted(maps.Keys(byDomain)) {
-		if len(byDomain[dom]) < mod.Size || rnd.waits[dom] {
+		if len(byDomain[dom]) < mod.Size {
 			continue
 		}
 		one := rnd.choose(mod, byDomain[dom])
@@ -293,63 +264,36 @@
 			best = &one
 		}
 	}
-	return best
-}
-
-// convertible adds the members of groups of models that are better supplied than the given one, as far as they stay so; their groups are closed once what runs there has ended.
-func (rnd *round) convertible(mod router.Model, byDomain map[string][]registrar.Server) map[string][]registrar.Server {
-	out := map[string][]registrar.Server{}
-	for dom, list := range byDomain {
-		out[dom] = slices.Clone(list)
-	}
-	supply := float64(len(rnd.active[mod.Name])+1) / float64(rnd.wanted[mod.Name])
-	for _, oth := range rnd.pic.Engine.Models {
-		if oth.Name == mod.Name {
-			continue
-		}
-		spare := len(rnd.active[oth.Name]) - int(math.Ceil(supply*float64(rnd.wanted[oth.Name])))
-		if spare*oth.Size < mod.Size {
-			continue
-		}
-		for _, frm := range rnd.active[oth.Name] {
-			if !frm.Opened(rnd.pic.View) || rnd.pic.Busy[frm.Name] {
-				continue
-			}
-			for _, lif := range frm.Members {
-				ser := rnd.pic.View.Servers[lif.ID]
-				out[ser.Domain] = append(out[ser.Domain], ser)
-				rnd.serves[lif] = frm
-			}
-		}
+	if best == nil {
+		return false
 	}
-	return out
+	rnd.take(mod, *best)
+	return true
 }
 
 // choice is one way to form a group.
 type choice struct {
 	members []registrar.Server
 	ready   time.Duration
-	// zone and domain count the model's groups there, broken what taking the members breaks up, and strands the servers that are left over in the domain and make no group of the largest model.
-	zone    int
-	domain  int
-	broken  int
-	strands int
+	// zone and domain count the model's groups there, broken the servers that stand by and would be taken.
+	zone   int
+	domain int
+	broken int
 }
 
 func (rnd *round) choose(mod router.Model, list []registrar.Server) choice {
 	slices.SortStableFunc(list, func(one, two registrar.Server) int {
 		return cmp.Or(
 			cmp.Compare(rnd.readyIn(mod, one), rnd.readyIn(mod, two)),
-			cmp.Compare(rnd.cost(one), rnd.cost(two)),
+			cmp.Compare(rnd.standsBy(one), rnd.standsBy(two)),
 			cmp.Compare(one.Group.Name, two.Group.Name),
 			cmp.Compare(one.ID, two.ID),
 		)
 	})
 	out := choice{members: slices.Clone(list[:mod.Size]), zone: rnd.inZone(mod, list[0].Zone)}
 	out.ready = rnd.readyIn(mod, out.members[mod.Size-1])
-	out.strands = (len(list) - mod.Size) % rnd.largest()
 	for _, ser := range out.members {
-		out.broken += rnd.cost(ser)
+		out.broken += rnd.standsBy(ser)
 	}
 	for _, frm := range rnd.active[mod.Name] {
 		if rnd.pic.View.Servers[frm.Members[0].ID].Domain == list[0].Domain {
@@ -359,33 +303,18 @@
 	return out
 }
 
-func (rnd *round) largest() int {
-	size := 1
-	for _, mod := range rnd.pic.Engine.Models {
-		size = max(size, mod.Size)
-	}
-	return size
-}
-
-// cost ranks a server by what taking it breaks up: nothing, a group that stands by, or one that serves.
-func (rnd *round) cost(ser registrar.Server) int {
+func (rnd *round) standsBy(ser registrar.Server) int {
 	if _, stands := rnd.stands[ser.Life()]; stands {
 		return 1
 	}
-	if _, serves := rnd.serves[ser.Life()]; serves {
-		return servingCost
-	}
 	return 0
 }
 
-// servingCost is how many servers that stand by are as dear to take as one that serves.
-const servingCost = 4
-
 // before reports whether one way is better than another: ready first, then spread over zones and domains.
 func (cho choice) before(oth choice) bool {
 	return cmp.Or(
 		cmp.Compare(cho.ready, oth.ready), cmp.Compare(cho.zone, oth.zone),
-		cmp.Compare(cho.broken, oth.broken), cmp.Compare(cho.strands, oth.strands), cmp.Compare(cho.domain, oth.domain),
+		cmp.Compare(cho.domain, oth.domain), cmp.Compare(cho.broken, oth.broken),
 	) < 0
 }
 
@@ -400,11 +329,6 @@
 			rnd.out.Dissolve = append(rnd.out.Dissolve, frm)
 			rnd.removeStandby(frm)
 		}
-		if frm, serves := rnd.serves[ser.Life()]; serves {
-			waits = true
-			rnd.out.Dissolve = append(rnd.out.Dissolve, frm)
-			rnd.removeActive(frm)
-		}
 	}
 	rnd.free = slices.DeleteFunc(rnd.free, func(ser registrar.Server) bool { return slices.Contains(lives, ser.Life()) })
 	rnd.active[mod.Name] = append(rnd.active[mod.Name], Formation{Model: mod.Name, Members: lives})
@@ -434,7 +358,7 @@
 		byDomain := map[string][]registrar.Server{}
 		for _, ser := range rnd.free {
 			// Small groups fit anywhere, so empty servers join the smallest model.
-			if !rnd.waits[ser.Domain] && (ser.Loaded == mod.Name || ser.Loaded == "" && num == 0) {
+			if ser.Loaded == mod.Name || ser.Loaded == "" && num == 0 {
 				byDomain[ser.Domain] = append(byDomain[ser.Domain], ser)
 			}
 		}
--- a/sharer/beat.go
+++ b/sharer/beat.go
@@ -27,8 +27,6 @@
 	// Fresh says that the entry reads the store and is up to date with it; Ends are the offsets up to which it knows the topics that all entries follow.
 	Fresh bool
 	Ends  []int64
-	// Strain is how much of its objective the first events of each pool take at the entry, in hundredths.
-	Strain map[uint64]uint64
 	// Running counts the requests that the entry runs on each unit.
 	Running map[uint64]int
 	// Alive are those of these units that gave the entry a sign not long ago.
@@ -54,11 +52,6 @@
 	for _, end := range bea.Ends {
 		out = binary.AppendUvarint(out, uint64(max(0, end)))
 	}
-	out = binary.AppendUvarint(out, uint64(len(bea.Strain)))
-	for poo, val := range bea.Strain {
-		out = binary.BigEndian.AppendUint64(out, poo)
-		out = binary.AppendUvarint(out, val)
-	}
 	const doubtBytes, runningBytes = 8, 11
 	doubts := bea.Doubts[:min(len(bea.Doubts), (mostBytes-len(out))/2/doubtBytes)]
 	out = binary.AppendUvarint(out, uint64(len(doubts)))
@@ -95,11 +88,6 @@
 	for num := rea.uvarint(); num > 0 && !rea.bad; num-- {
 		bea.Ends = append(bea.Ends, int64(min(rea.uvarint(), math.MaxInt64)))
 	}
-	bea.Strain = map[uint64]uint64{}
-	for num := rea.uvarint(); num > 0 && !rea.bad; num-- {
-		poo := rea.fixed()
-		bea.Strain[poo] = rea.uvarint()
-	}
 	for num := rea.uvarint(); num > 0 && !rea.bad; num-- {
 		bea.Doubts = append(bea.Doubts, rea.fixed())
 	}
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -18,7 +18,7 @@
 
 var full = sharer.Beat{
 	Name: "edge-1", Incarnation: 1 << 60, Seq: 300, Stopping: true, Fresh: true, Ends: []int64{5, 0, 700},
-	Running: map[uint64]int{1: 3, 1 << 63: 20}, Alive: map[uint64]bool{1: true}, Doubts: []uint64{9, 8}, Strain: map[uint64]uint64{7: 55},
+	Running: map[uint64]int{1: 3, 1 << 63: 20}, Alive: map[uint64]bool{1: true}, Doubts: []uint64{9, 8},
 }
 
 var _ = Describe("Beat", func() {
