--- a/chronicler/chronicler_test.go
+++ b/chronicler/chronicler_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
 
 	"github.com/lovagelever/lovagelever/chronicler"
 )
@@ -37,3 +39,22 @@
 		Expect(out.buf.Len()).To(Equal((100 - int(chr.Dropped())) * len("line\n")))
 	})
 })
+
+var _ = Describe("Numberer", func() {
+	It("numbers the lines of a process", func() {
+		var out bytes.Buffer
+		log := logrus.New()
+		log.SetOutput(&out)
+		log.SetFormatter(&logrus.JSONFormatter{})
+		log.AddHook(chronicler.NewNumberer())
+		entry := log.WithField("entry", "e")
+		entry.Info("one")
+		entry.Warn("two")
+		dec := json.NewDecoder(&out)
+		for want := 1; want <= 2; want++ {
+			var lin struct{ Seq int }
+			Expect(dec.Decode(&lin)).To(Succeed())
+			Expect(lin.Seq).To(Equal(want))
+		}
+	})
+})
--- a/commander/root.go
+++ b/commander/root.go
@@ -47,6 +47,7 @@
 			statusCommand(),
 			locateCommand(),
 			reportCommand(),
+			storyCommand(),
 		},
 	}
 	for _, gate := range gates {
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -93,7 +93,7 @@
 }
 
 // start runs one more conductor; it leads until its flag is cleared.
-func (wor *world) start(ctx context.Context) *atomic.Bool {
+func (wor *world) start(ctx context.Context) {
 	leads := &atomic.Bool{}
 	leads.Store(true)
 	log := logrus.New()
@@ -114,7 +114,6 @@
 		con.Run(ctx)
 	}()
 	wor.leads = append(wor.leads, leads)
-	return leads
 }
 
 // run lets time pass.
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -30,10 +30,11 @@
 	return ask.fails[ser.ID]
 }
 
-func (ask *asker) set(id string, err error) {
+// set says how b answers from now on.
+func (ask *asker) set(err error) {
 	ask.mux.Lock()
 	defer ask.mux.Unlock()
-	ask.fails[id] = err
+	ask.fails["b"] = err
 }
 
 func (ask *asker) count(id string) int {
@@ -69,7 +70,7 @@
 	}
 
 	It("doubts the member that does not answer, and only that", func() {
-		ask.set("b", silent)
+		ask.set(silent)
 		det.Suspect("u")
 		Eventually(doubted("b")).Should(BeTrue())
 		Expect(ask.count("b")).To(BeNumerically(">", 1), "one lost packet is no proof")
@@ -78,23 +79,23 @@
 	})
 
 	It("is certain where nothing listens", func() {
-		ask.set("b", errors.WithType(silent, detector.ErrDown))
+		ask.set(errors.WithType(silent, detector.ErrDown))
 		det.Suspect("u")
 		Eventually(func() bool { return reg.View().Confirmed(registrar.Life{ID: "b", Started: 1}) }).Should(BeTrue())
 		Expect(ask.count("b")).To(Equal(1))
 	})
 
 	It("trusts a server that answers again", func() {
-		ask.set("b", silent)
+		ask.set(silent)
 		det.Suspect("u")
 		Eventually(doubted("b")).Should(BeTrue())
-		ask.set("b", nil)
+		ask.set(nil)
 		Eventually(func() bool { clk.Advance(100 * time.Millisecond); return doubted("b")() }).Should(BeFalse())
 		Eventually(det.Doubted).Should(BeEmpty())
 	})
 
 	It("stops to ask a server that left the list", func() {
-		ask.set("b", silent)
+		ask.set(silent)
 		det.Suspect("u")
 		Eventually(doubted("b")).Should(BeTrue())
 		reg.Remove("b", false)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -138,7 +139,7 @@
 	if poo != nil && poo.waiting[wai.req.ID] == wai {
 		delete(poo.waiting, wai.req.ID)
 		poo.queue.Remove(wai.req.ID)
-		return nil, refuser.NotRun(why, poo.queue.RetryAfter(item(wai.req)))
+		return nil, refuser.NotRun(why+poo.describe(), poo.queue.RetryAfter(item(wai.req)))
 	}
 	ans := <-wai.done
 	return ans.place, ans.err
@@ -281,6 +282,12 @@
 	})
 }
 
+// describe tells the load that a refusal rests on.
+func (poo *pool) describe() string {
+	loa := poo.load()
+	return fmt.Sprintf(" (%d of %d places taken, %d wait here)", loa.Taken, loa.Slots, loa.Waiting)
+}
+
 // ownSlots is how many places of the pool this entry has or could take now.
 func (poo *pool) ownSlots() int {
 	num := 0
--- a/dispatcher/update.go
+++ b/dispatcher/update.go
@@ -88,14 +88,18 @@
 	defer dis.mux.Unlock()
 	out := map[string]Load{}
 	for name, poo := range dis.pools {
-		one := Load{Waiting: poo.queue.Len()}
-		for _, sta := range poo.units {
-			one.Taken += sta.running + sta.foreign
-			if sta.Readiness == Serving {
-				one.Slots += sta.Slots
-			}
+		out[name] = poo.load()
+	}
+	return out
+}
+
+func (poo *pool) load() Load {
+	out := Load{Waiting: poo.queue.Len()}
+	for _, sta := range poo.units {
+		out.Taken += sta.running + sta.foreign
+		if sta.Readiness == Serving {
+			out.Slots += sta.Slots
 		}
-		out[name] = one
 	}
 	return out
 }
--- a/gateconfigurer/gateconfigurer_test.go
+++ b/gateconfigurer/gateconfigurer_test.go
@@ -32,8 +32,8 @@
 	})
 
 	DescribeTable("names the field that is missing or wrong",
-		func(old, new, field string) {
-			text := strings.Replace(settings, old, new, 1)
+		func(old, other, field string) {
+			text := strings.Replace(settings, old, other, 1)
 			Expect(text).NotTo(Equal(settings))
 			_, err := gateconfigurer.Parse([]byte(text))
 			Expect(errors.Is(err, errors.NotValid)).To(BeTrue())
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -22,11 +22,11 @@
 		line, err := rea.ReadSlice('\n')
 		eve.data = append(eve.data, line...)
 		switch {
-		case err == bufio.ErrBufferFull && len(eve.data) <= eventBytes:
+		case errors.Is(err, bufio.ErrBufferFull) && len(eve.data) <= eventBytes:
 			continue
-		case err == io.EOF && len(eve.data) > 0:
+		case errors.Is(err, io.EOF) && len(eve.data) > 0:
 			return eve, io.ErrUnexpectedEOF
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return eve, io.EOF
 		case err != nil:
 			return eve, errors.Trace(err)
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -25,35 +25,35 @@
 type answering = func(net.Conn, *http.Request, []byte) bool
 
 var (
-	full = answering(func(con net.Conn, req *http.Request, _ []byte) bool {
+	full = func(con net.Conn, req *http.Request, _ []byte) bool {
 		_, _ = io.WriteString(con, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		return true
-	})
-	cut = answering(func(con net.Conn, req *http.Request, _ []byte) bool {
+	}
+	cut = func(con net.Conn, req *http.Request, _ []byte) bool {
 		head(con, req, 200, "Content-Length: 100\r\n")
 		_, _ = io.WriteString(con, "half")
 		return false
-	})
-	resets = answering(func(con net.Conn, _ *http.Request, _ []byte) bool {
+	}
+	resets = func(con net.Conn, _ *http.Request, _ []byte) bool {
 		reset(con)
 		return false
-	})
-	unsigned = answering(func(con net.Conn, _ *http.Request, _ []byte) bool {
+	}
+	unsigned = func(con net.Conn, _ *http.Request, _ []byte) bool {
 		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
 		return true
-	})
-	foreign = answering(func(con net.Conn, _ *http.Request, _ []byte) bool {
+	}
+	foreign = func(con net.Conn, _ *http.Request, _ []byte) bool {
 		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nX-Signed: s\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nhi")
 		return true
-	})
-	noise = answering(func(con net.Conn, _ *http.Request, _ []byte) bool {
+	}
+	noise = func(con net.Conn, _ *http.Request, _ []byte) bool {
 		_, _ = io.WriteString(con, "\x00\x01 what\r\n\r\n")
 		return false
-	})
-	silent = answering(func(con net.Conn, _ *http.Request, _ []byte) bool {
+	}
+	silent = func(con net.Conn, _ *http.Request, _ []byte) bool {
 		time.Sleep(3 * time.Second)
 		return false
-	})
+	}
 )
 
 var _ = Describe("Gateway with plain calls", func() {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -78,7 +78,7 @@
 		"why": err.Error(), "route": pas.rou.Name, "workspace": pas.wsp.Name, "after": pas.after, "sends": pas.sends,
 		"after_ms": pas.gat.opt.Clock.Since(pas.arrived).Milliseconds(), "outcome": outcome,
 	}).Info("stream broken off")
-	pas.job.ended(outcome)
+	pas.ended(outcome)
 	panic(http.ErrAbortHandler)
 }
 
@@ -165,7 +165,7 @@
 	num := 0
 	for {
 		eve, err := readEvent(rea)
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return num, nil
 		}
 		if err != nil {
@@ -209,5 +209,5 @@
 	if pas.sends > 1 {
 		pas.log.WithFields(logrus.Fields{"sends": pas.sends, "after_ms": pas.gat.opt.Clock.Since(pas.arrived).Milliseconds()}).Info("stream answered whole")
 	}
-	pas.job.ended(OutcomeServed)
+	pas.ended(OutcomeServed)
 }
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -23,9 +23,10 @@
 	once      = router.Route{Kind: router.Stream, Timeout: 5 * time.Second, Objective: 300 * time.Millisecond, LongestPause: 200 * time.Millisecond, Attempts: 2}
 )
 
-func pieces(first, last int) string {
+// pieces are the events from one to the last, as they come.
+func pieces(first int) string {
 	var out strings.Builder
-	for num := first; num <= last; num++ {
+	for num := first; num <= lastEvent; num++ {
 		fmt.Fprintf(&out, "id: %d\ndata: piece %d\n\n", num, num)
 	}
 	return out.String()
@@ -46,7 +47,7 @@
 			if wantWhole {
 				Expect(res.err).NotTo(HaveOccurred())
 				Expect(res.status).To(Equal(200))
-				Expect(res.body).To(Equal(pieces(1, lastEvent)))
+				Expect(res.body).To(Equal(pieces(1)))
 			} else {
 				Expect(res.err != nil || res.status >= 500).To(BeTrue(), "an answer that ends early must not look complete")
 			}
@@ -69,7 +70,7 @@
 	It("goes on after the event that the caller has", func() {
 		one, two := newWorker(events(7, reset)), newWorker(events(lastEvent, complete))
 		res := newWorld(resumable, one, two).call(context.Background(), "X-After", "5")
-		Expect(res.body).To(Equal(pieces(6, lastEvent)))
+		Expect(res.body).To(Equal(pieces(6)))
 	})
 
 	It("skips events that the caller has when a unit repeats them", func() {
@@ -78,7 +79,7 @@
 			return events(lastEvent, complete)(con, req, body)
 		})
 		res := newWorld(resumable, newWorker(events(7, reset)), two).call(context.Background())
-		Expect(res.body).To(Equal(pieces(1, lastEvent)))
+		Expect(res.body).To(Equal(pieces(1)))
 	})
 
 	It("resumes at once when the unit is found broken", func() {
@@ -91,7 +92,7 @@
 		}()
 		res := wor.call(context.Background())
 		Expect(res.status).To(Equal(200))
-		Expect(res.body).To(Equal(pieces(1, lastEvent)))
+		Expect(res.body).To(Equal(pieces(1)))
 		Expect(time.Since(began)).To(BeNumerically("<", 700*time.Millisecond))
 	})
 
@@ -101,7 +102,7 @@
 			return events(3, func(con net.Conn) {
 				close(begun)
 				time.Sleep(150 * time.Millisecond)
-				chunk(con, pieces(4, lastEvent))
+				chunk(con, pieces(4))
 				complete(con)
 			})(con, req, body)
 		})
@@ -110,7 +111,7 @@
 			<-begun
 			wor.dis.SetUnits(nil)
 		}()
-		Expect(wor.call(context.Background()).body).To(Equal(pieces(1, lastEvent)))
+		Expect(wor.call(context.Background()).body).To(Equal(pieces(1)))
 		Expect(one.runs()).To(Equal(1))
 	})
 
--- a/grouper/plan_test.go
+++ b/grouper/plan_test.go
@@ -42,7 +42,7 @@
 }
 
 // group adds a group of which all members report the state.
-func (sce *scene) group(name, model, domain string, standby bool, sta registrar.State) grouper.Formation {
+func (sce *scene) group(name, model, domain string, standby bool, sta registrar.State) {
 	frm := grouper.Formation{Name: name, Epoch: int64(len(sce.frms)), Service: "s", Model: model, Standby: standby}
 	size := 2
 	if model == "large" {
@@ -60,7 +60,6 @@
 		frm.Members = append(frm.Members, registrar.Life{ID: id, Started: 1})
 	}
 	sce.frms = append(sce.frms, frm)
-	return frm
 }
 
 func (sce *scene) plan() grouper.Plan {
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -26,6 +26,7 @@
 	whole   bool
 }
 
+// readHead reads the head of the final answer, past interim ones.
 func (exc *Exchange) readHead(method string) error {
 	for range interimLimit {
 		res, err := http.ReadResponse(exc.con.buf, &http.Request{Method: method})
@@ -34,10 +35,13 @@
 		}
 		if res.StatusCode >= http.StatusOK {
 			exc.whole = res.ContentLength == 0
-			res.Body = &body{exc: exc, src: res.Body}
+			res.Body = &body{ReadCloser: res.Body, exc: exc}
 			exc.Response = res
 			return nil
 		}
+		if err := res.Body.Close(); err != nil {
+			return errors.Trace(err)
+		}
 	}
 	return errors.NotValidf("row of interim answers")
 }
@@ -85,20 +89,15 @@
 
 // body notes when the answer was read to its complete end.
 type body struct {
+	io.ReadCloser
 	exc *Exchange
-	src io.ReadCloser
 }
 
 // Read reads the body of the answer.
 func (bod *body) Read(buf []byte) (int, error) {
-	num, err := bod.src.Read(buf)
-	if err == io.EOF {
+	num, err := bod.ReadCloser.Read(buf)
+	if errors.Is(err, io.EOF) {
 		bod.exc.whole = true
 	}
 	return num, err
 }
-
-// Close does nothing: the exchange ends the connection.
-func (bod *body) Close() error {
-	return nil
-}
--- /dev/null
+++ b/storyteller/doc.go
@@ -0,0 +1,2 @@
+// Package storyteller tells the story of one request from the logs of several entries.
+package storyteller
