Plan and look servers up in the same view of the list

Ruled out: the store's leader changing, late orders. Test: conductor, 'forms groups of servers that come onto the list while it plans', failed before.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -125,7 +125,9 @@
 	if tab == nil {
 		return nil
 	}
-	con.noteServers()
+	// One view serves the whole step: a server that is planned with must be known.
+	vie := con.opt.View()
+	con.noteServers(vie)
 	if err := con.load(ctx); err != nil {
 		return err
 	}
@@ -136,15 +138,14 @@
 		if ser.Engine == nil {
 			continue
 		}
-		if err := con.conduct(ctx, ser); err != nil {
+		if err := con.conduct(ctx, ser, vie); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (con *Conductor) noteServers() {
-	vie := con.opt.View()
+func (con *Conductor) noteServers(vie *registrar.View) {
 	con.mux.Lock()
 	defer con.mux.Unlock()
 	for _, ser := range vie.Servers {
@@ -226,8 +227,7 @@
 	return nil
 }
 
-func (con *Conductor) conduct(ctx context.Context, ser router.Service) error {
-	vie := con.opt.View()
+func (con *Conductor) conduct(ctx context.Context, ser router.Service, vie *registrar.View) error {
 	plan := grouper.Make(con.picture(ser, vie))
 	for _, frm := range plan.Dissolve {
 		if con.claim(frm.Name) {
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -33,6 +33,42 @@
 		Expect(wor.wrong()).To(BeEmpty())
 	})
 
+	It("forms groups of servers that come onto the list while it plans", func() {
+		wor := newWorld(5, 2, 10)
+		for _, eng := range wor.engines {
+			eng.unlisted = true
+		}
+		wor.list()
+		wor.early.Store(true)
+		wor.looked = func() {
+			wor.mux.Lock()
+			for _, eng := range wor.engines {
+				if eng.unlisted {
+					eng.unlisted = false
+					break
+				}
+			}
+			wor.mux.Unlock()
+			wor.list()
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		wor.cancel = cancel
+		DeferCleanup(wor.stop)
+		wor.start(ctx)
+		wor.run(10 * time.Second)
+		grouped, staged := 0, 0
+		for _, ser := range wor.reg.View().Servers {
+			if ser.Group.State == registrar.Ready || ser.Group.State == registrar.Open {
+				grouped++
+			}
+			if !slices.Equal(ser.Staged, []string{ser.Loaded}) {
+				staged++
+			}
+		}
+		Expect(grouped).To(Equal(20))
+		Expect(staged).To(Equal(20), "hosts hold the other model")
+	})
+
 	It("opens a group that stands by when one is lost, and mends one from its survivors", func() {
 		wor := startWorld(2)
 		head := wor.heads("large")[0]
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -69,6 +69,8 @@
 	done   sync.WaitGroup
 	engine router.Engine
 	early  atomic.Bool
+	// looked is called before each look at the list, unless it is nil.
+	looked func()
 }
 
 func newWorld(seed uint64, domains, each int) *world {
@@ -103,7 +105,7 @@
 		panic(err)
 	}
 	con := conductor.New(conductor.Options{
-		Records: wor, Engines: wor, View: wor.reg.View, Table: func() *router.Table { return tab }, Leads: leads.Load,
+		Records: wor, Engines: wor, View: wor.view, Table: func() *router.Table { return tab }, Leads: leads.Load,
 		Loads: func(string, string) grouper.Load { return grouper.Load{} }, Early: wor.early.Load,
 		Ended: func(lif registrar.Life) { wor.reg.Doubt(lif, wor.clk.Now().Add(time.Second), true) },
 		Clock: wor.clk, Logger: log.WithField("test", true), LoadWindow: 5 * time.Second,
@@ -116,6 +118,13 @@
 	wor.leads = append(wor.leads, leads)
 }
 
+func (wor *world) view() *registrar.View {
+	if wor.looked != nil {
+		wor.looked()
+	}
+	return wor.reg.View()
+}
+
 // run lets time pass.
 func (wor *world) run(dur time.Duration) {
 	for range dur / tick {
@@ -285,6 +294,9 @@
 
 // reach returns the engine that answers and holds the lock, or fails without it.
 func (wor *world) reach(ctx context.Context, ser registrar.Server) (*engine, error) {
+	if ser.Address == "" {
+		return nil, errNoAnswer
+	}
 	wor.mux.Lock()
 	eng := wor.engines[ser.ID]
 	if eng != nil && !eng.dark && !eng.deaf {
