--- a/conductor/order.go
+++ b/conductor/order.go
@@ -82,9 +82,6 @@
 	if err == nil && rep.Started != ser.Started {
 		err = errors.WithType(errors.Errorf("conductor: server %s has started again", ser.ID), ErrStranger)
 	}
-	if errors.Is(err, ErrStranger) {
-		con.opt.Ended(ser.Life())
-	}
 	return rep, err
 }
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -31,9 +31,8 @@
 
 // Elector knows whether this entry leads; it is safe for concurrent use.
 type Elector struct {
-	opt    Options
-	until  atomic.Pointer[time.Time]
-	member bool
+	opt   Options
+	until atomic.Pointer[time.Time]
 }
 
 // New returns an elector that does not lead.
@@ -65,10 +64,8 @@
 func (ele *Elector) Step(ctx context.Context) {
 	led := ele.Leads()
 	if !led && !ele.opt.Stands() {
-		ele.withdraw(ctx)
 		return
 	}
-	ele.member = true
 	now := ele.opt.Clock.Now()
 	held, err := ele.opt.Lease.Claim(ctx, ele.opt.TTL)
 	if err != nil {
@@ -87,18 +84,6 @@
 	}
 }
 
-// withdraw ends a candidacy, so that the lease is not dealt to an entry that does not want it.
-func (ele *Elector) withdraw(ctx context.Context) {
-	if !ele.member {
-		return
-	}
-	if err := ele.opt.Lease.Leave(ctx); err != nil {
-		ele.opt.Logger.WithError(err).Debug("candidacy could not be ended")
-		return
-	}
-	ele.member = false
-}
-
 // Resign gives the lease up.
 func (ele *Elector) Resign(ctx context.Context) {
 	ele.until.Store(nil)
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -141,10 +141,10 @@
 			Topic: topic, Store: gat.pla.Store, Peers: asking{gat: gat}, Clock: gat.clk, Logger: gat.log, OnChange: change,
 		})
 	}
-	gat.ele = elector.New(elector.Options{Lease: gat.pla.Lease, Stands: gat.stands, TTL: max(leaseTTL, gat.set.Store.ShortestLease), Clock: gat.clk, Logger: gat.log})
+	gat.ele = elector.New(elector.Options{Lease: gat.pla.Lease, Stands: gat.reads, TTL: max(leaseTTL, gat.set.Store.ShortestLease), Clock: gat.clk, Logger: gat.log})
 	gat.con = conductor.New(conductor.Options{
 		Records: gat.pla.Records, Engines: gat.pla.Engines, View: gat.reg.View, Table: gat.tab.Load, Leads: gat.ele.Leads,
-		Loads: gat.loads, Early: gat.early, Ended: gat.ended, Clock: gat.clk, Logger: gat.log,
+		Loads: gat.loads, Early: gat.early, Clock: gat.clk, Logger: gat.log,
 		LoadWindow: gat.set.Bounds.LoadWindow,
 	})
 }
@@ -177,27 +177,6 @@
 	return *at, true
 }
 
-// endedFor is how long a life that has ended is kept out of use; the list drops it within three heartbeats.
-const endedFor = 4 * time.Second
-
-func (gat *Gatekeeper) ended(lif registrar.Life) {
-	gat.reg.Doubt(lif, gat.clk.Now().Add(endedFor), true)
-}
-
-// candidates is how many entries stand for the lead; a change among them deals the lease anew, so they are few and do not depend on the state of the store.
-const candidates = 2
-
-// stands reports whether this entry is among the candidates, by the rank of its name among those that are heard.
-func (gat *Gatekeeper) stands() bool {
-	before := 0
-	for _, ent := range gat.itr.Others() {
-		if gat.heard(ent.Name) && hash(ent.Name) < hash(gat.set.Name) {
-			before++
-		}
-	}
-	return before < candidates
-}
-
 func (gat *Gatekeeper) heard(name string) bool {
 	return gat.sha != nil && gat.sha.Heard(name)
 }
--- a/gatekeeper/run.go
+++ b/gatekeeper/run.go
@@ -24,7 +24,7 @@
 	// stopMargin is left of the grace for the end of the process itself.
 	stopMargin = 700 * time.Millisecond
 	// lingerFor is how long a stopping entry stays for callers that still believe in its address, though it runs nothing.
-	lingerFor = 1500 * time.Millisecond
+	lingerFor = 3 * time.Second
 	// stopLook is the time between two looks whether anything still runs.
 	stopLook = 50 * time.Millisecond
 	// directoryValidity is how long callers keep an address list; some keep it three times as long.
