Keep a stopping entry registered until it ends

Ruled out: lost datagrams, all six fell silent at once. Test: gatekeeper, 'stays registered until it ends'.

--- a/gatekeeper/readers_test.go
+++ b/gatekeeper/readers_test.go
@@ -33,6 +33,8 @@
 	recs map[string][]tailer.Record
 	// down names a topic that does not answer.
 	down string
+	// withdrawn is when the entry ended its registration.
+	withdrawn time.Time
 }
 
 func (sto *store) put(topic, key string, value []byte) {
@@ -95,7 +97,12 @@
 		},
 		Server:   func(tailer.Record, time.Time) (registrar.Server, error) { return registrar.Server{}, nil },
 		Register: func(context.Context, introducer.Entry) error { return nil },
-		Withdraw: func(context.Context, string) error { return nil },
+		Withdraw: func(context.Context, string) error {
+			sto.mux.Lock()
+			defer sto.mux.Unlock()
+			sto.withdrawn = time.Now()
+			return nil
+		},
 		Readiness: func(ready func() bool) http.Handler {
 			return http.HandlerFunc(func(wtr http.ResponseWriter, _ *http.Request) {
 				if !ready() {
@@ -107,7 +114,7 @@
 	}
 }
 
-func start(set gateconfigurer.Settings, sto *store) {
+func start(set gateconfigurer.Settings, sto *store) context.CancelFunc {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	gat, err := gatekeeper.New(set, platform(sto), clockwork.NewRealClock(), log.WithField("test", true))
@@ -119,6 +126,7 @@
 		cancel()
 		Eventually(ended, "5s").Should(Receive(BeNil()))
 	})
+	return cancel
 }
 
 func ready(set gateconfigurer.Settings) func() bool {
@@ -163,6 +171,28 @@
 		Eventually(ready(set), "3s").Should(BeTrue())
 	})
 
+	It("stays registered until it ends, so that the others go on telling it what they run", func() {
+		sto := &store{recs: map[string][]tailer.Record{}}
+		set := settings("edge")
+		set.Bounds.StopGrace = 2 * time.Second
+		stop := start(set, sto)
+		Eventually(func() error {
+			res, err := http.Get("http://" + set.Listen.Readiness)
+			if err == nil {
+				err = res.Body.Close()
+			}
+			return err
+		}, "3s").Should(Succeed())
+		stopped := time.Now()
+		stop()
+		Eventually(func() time.Time {
+			sto.mux.Lock()
+			defer sto.mux.Unlock()
+			return sto.withdrawn
+		}, "4s").ShouldNot(BeZero())
+		Expect(sto.withdrawn.Sub(stopped)).To(BeNumerically(">", time.Second))
+	})
+
 	It("learns the configuration from another entry when the store does not answer", func() {
 		one, two := settings("edge-1"), settings("edge-2")
 		told, silent := &store{recs: map[string][]tailer.Record{}}, &store{recs: map[string][]tailer.Record{}, down: topics.Operator}
--- a/gatekeeper/run.go
+++ b/gatekeeper/run.go
@@ -29,6 +29,8 @@
 	stopLook = 50 * time.Millisecond
 	// directoryValidity is how long callers keep an address list; some keep it three times as long.
 	directoryValidity = 2 * time.Second
+	// withdrawWithin bounds the end of the registration, within stopMargin.
+	withdrawWithin = 200 * time.Millisecond
 	// registerRetry is the pause after a registration that failed.
 	registerRetry = 300 * time.Millisecond
 )
@@ -131,11 +133,6 @@
 	gat.stopping.Store(true)
 	gat.log.WithField("running", gat.running.Load()).Info("entry stops")
 	go gat.ele.Resign(ctx)
-	go func() {
-		if err := gat.pla.Withdraw(ctx, gat.set.Name); err != nil {
-			gat.log.WithError(err).Info("registration could not be withdrawn")
-		}
-	}()
 	for {
 		since := gat.clk.Since(began)
 		if gat.clk.Until(ends) <= 0 || since >= lingerFor && gat.running.Load() == 0 {
@@ -143,5 +140,15 @@
 		}
 		gat.clk.Sleep(stopLook)
 	}
+	gat.withdraw(ctx)
 	gat.log.WithFields(logrus.Fields{"running": gat.running.Load(), "after_ms": gat.clk.Since(began).Milliseconds()}).Info("entry stopped")
 }
+
+// withdraw ends the registration; until then the others go on telling this entry what they run, and its beats say that it stops.
+func (gat *Gatekeeper) withdraw(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, withdrawWithin)
+	defer cancel()
+	if err := gat.pla.Withdraw(ctx, gat.set.Name); err != nil {
+		gat.log.WithError(err).Info("registration could not be withdrawn, the entry falls silent")
+	}
+}
