--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -81,14 +81,6 @@
 	return true
 }
 
-// Force counts a repeat that happened without leave.
-func (bud *Budgeter) Force(service string) {
-	bud.mux.Lock()
-	defer bud.mux.Unlock()
-	win, pos := bud.current(service)
-	win.repeats[pos]++
-}
-
 // current returns the window of a service with its running bucket, and forgets what has slid out.
 func (bud *Budgeter) current(service string) (*window, int) {
 	win := bud.services[service]
--- a/gateconfigurer/gateconfigurer_test.go
+++ b/gateconfigurer/gateconfigurer_test.go
@@ -18,9 +18,7 @@
 listen: {callers: "127.0.0.1:1", readiness: "127.0.0.1:2", directory: "127.0.0.1:3", entries: "127.0.0.1:4", metrics: "127.0.0.1:5"}
 store: {address: "127.0.0.1:6", shortest_lease: 1000ms}
 memory_mb: 284
-processor_share: 0.4
-heartbeat_every: 1200ms
-bounds: {stop_grace: 8s, longest_directory_validity: 5s, engine_stall: 6000ms, retry_ratio: 0.2, retry_slack: 105, retry_window: 10s, cold_ratio: 1.5, cold_slack: 5, load_window: 5s, load_ratio: 1.1}
+bounds: {stop_grace: 8s, longest_directory_validity: 5s, retry_ratio: 0.2, retry_slack: 105, retry_window: 10s, load_window: 5s}
 `
 
 var _ = Describe("Parse", func() {
--- a/gateconfigurer/load.go
+++ b/gateconfigurer/load.go
@@ -81,9 +81,9 @@
 		key string
 		val time.Duration
 	}{
-		{"store.shortest_lease", set.Store.ShortestLease}, {"heartbeat_every", set.HeartbeatEvery},
+		{"store.shortest_lease", set.Store.ShortestLease},
 		{"bounds.stop_grace", set.Bounds.StopGrace}, {"bounds.longest_directory_validity", set.Bounds.LongestDirectoryValidity},
-		{"bounds.engine_stall", set.Bounds.EngineStall}, {"bounds.retry_window", set.Bounds.RetryWindow},
+		{"bounds.retry_window", set.Bounds.RetryWindow},
 		{"bounds.load_window", set.Bounds.LoadWindow},
 	}
 	for _, one := range durations {
@@ -95,9 +95,7 @@
 		key string
 		val float64
 	}{
-		{"memory_mb", float64(set.MemoryMB)}, {"processor_share", set.ProcessorShare},
-		{"bounds.retry_ratio", set.Bounds.RetryRatio}, {"bounds.cold_ratio", set.Bounds.ColdRatio},
-		{"bounds.load_ratio", set.Bounds.LoadRatio},
+		{"memory_mb", float64(set.MemoryMB)}, {"bounds.retry_ratio", set.Bounds.RetryRatio},
 	}
 	for _, one := range numbers {
 		if one.val <= 0 {
--- a/gateconfigurer/settings.go
+++ b/gateconfigurer/settings.go
@@ -4,16 +4,14 @@
 
 // Settings is what a platform tells one entry; addresses are IP:PORT, Address is the IP of the entry's own VM.
 type Settings struct {
-	Name           string        `yaml:"name"`
-	Zone           string        `yaml:"availability_zone"`
-	Region         string        `yaml:"region"`
-	Address        string        `yaml:"address"`
-	Listen         Listen        `yaml:"listen"`
-	Store          Store         `yaml:"store"`
-	MemoryMB       int           `yaml:"memory_mb"`
-	ProcessorShare float64       `yaml:"processor_share"`
-	HeartbeatEvery time.Duration `yaml:"heartbeat_every"`
-	Bounds         Bounds        `yaml:"bounds"`
+	Name     string `yaml:"name"`
+	Zone     string `yaml:"availability_zone"`
+	Region   string `yaml:"region"`
+	Address  string `yaml:"address"`
+	Listen   Listen `yaml:"listen"`
+	Store    Store  `yaml:"store"`
+	MemoryMB int    `yaml:"memory_mb"`
+	Bounds   Bounds `yaml:"bounds"`
 }
 
 // Listen holds the addresses that the entry serves, by who calls them.
@@ -35,12 +33,8 @@
 type Bounds struct {
 	StopGrace                time.Duration `yaml:"stop_grace"`
 	LongestDirectoryValidity time.Duration `yaml:"longest_directory_validity"`
-	EngineStall              time.Duration `yaml:"engine_stall"`
 	RetryRatio               float64       `yaml:"retry_ratio"`
 	RetrySlack               float64       `yaml:"retry_slack"`
 	RetryWindow              time.Duration `yaml:"retry_window"`
-	ColdRatio                float64       `yaml:"cold_ratio"`
-	ColdSlack                float64       `yaml:"cold_slack"`
 	LoadWindow               time.Duration `yaml:"load_window"`
-	LoadRatio                float64       `yaml:"load_ratio"`
 }
--- a/gatekeeper/run.go
+++ b/gatekeeper/run.go
@@ -17,8 +17,8 @@
 const (
 	// headerWithin bounds the headers of a request; the configurations of docs/ADAPTER.md allow 3 s.
 	headerWithin = 5 * time.Second
-	// idleWithin bounds an idle connection of a caller; the configurations of docs/ADAPTER.md allow 15 s.
-	idleWithin = 30 * time.Second
+	// idleWithin bounds an idle connection of a caller; the configurations of docs/ADAPTER.md let callers keep one for 15 s, and others may let them longer.
+	idleWithin = 2 * time.Minute
 	// mostHeaderBytes bounds the headers of a request before the configuration's own limit is looked at.
 	mostHeaderBytes = 64 << 10
 	// stopMargin is left of the grace for the end of the process itself.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,7 +30,6 @@
 type Budget interface {
 	Request(service string)
 	Allow(service string) bool
-	Force(service string)
 }
 
 // Detector looks after a unit that is silent or does not answer.
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -157,7 +157,6 @@
 type budget struct{ left atomic.Int64 }
 
 func (bud *budget) Request(string)    {}
-func (bud *budget) Force(string)      {}
 func (bud *budget) Allow(string) bool { return bud.left.Add(-1) >= 0 }
 
 // counts keeps how requests ended.
--- a/router/config.go
+++ b/router/config.go
@@ -55,11 +55,8 @@
 
 // Service is what the backend servers of one name have in common.
 type Service struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int
-	// ColdFor is how long a backend server stays cold after its start, and ColdPerSecond how many requests a second it bears then.
-	ColdFor       time.Duration
+	Name string
+	// ColdPerSecond is how many requests a second a backend server bears while it is cold.
 	ColdPerSecond float64
 	// Engine is nil for a plain service.
 	Engine *Engine
@@ -68,10 +65,8 @@
 // Engine describes the model engines of a service; times are for one group of pace 1.
 type Engine struct {
 	// Slots is how many requests one replica group runs at once.
-	Slots int
-	// MemoryTokens is how many tokens of context one replica group holds.
-	MemoryTokens int
-	Models       []Model
+	Slots  int
+	Models []Model
 	// StrideSteps is how many token steps one pass makes.
 	StrideSteps int
 	Step        time.Duration
@@ -79,12 +74,8 @@
 	StepPerRequest time.Duration
 	// ReadPerSecond is how many prompt tokens are read in a second.
 	ReadPerSecond float64
-	// LoadsPerSecond and LoadsAtOnce bound the loads from the weight store, over all backend servers.
+	// LoadsPerSecond bounds the loads from the weight store that begin, over all backend servers.
 	LoadsPerSecond float64
-	LoadsAtOnce    int
-	// UsualPrompt and UsualAnswer are mean token counts of a request.
-	UsualPrompt int
-	UsualAnswer int
 }
 
 // Model is what the replica groups of one model have in common.
@@ -112,8 +103,4 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	// HeaderWithin is how long the headers of a request may take.
-	HeaderWithin time.Duration
-	// IdleFor is how long a connection may stay without a request.
-	IdleFor time.Duration
 }
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -211,7 +211,7 @@
 	defer cancel()
 	pag, err := tai.opt.Peers.Ask(ctx, tai.opt.Topic, from)
 	if err != nil {
-		tai.opt.Logger.WithError(err).WithField("topic", tai.opt.Topic).Debug("no entry could tell the newest records")
+		tai.opt.Logger.WithError(err).WithField("topic", tai.opt.Topic).Info("no entry could tell the newest records")
 		return
 	}
 	tai.take(pag, false)
