--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -35,7 +35,7 @@
 // hang stays silent with the connection open.
 func hang(net.Conn) { time.Sleep(4 * time.Second) }
 
-func close1(net.Conn) {}
+func closing(net.Conn) {}
 
 func half(con net.Conn) { chunk(con, "id: 8\nda") }
 
@@ -55,7 +55,7 @@
 		},
 		Entry("whole at once", resumable, events(lastEvent, complete), true, 0),
 		Entry("reset in the middle", resumable, events(7, reset), true, 1),
-		Entry("closed in the middle", resumable, events(7, close1), true, 1),
+		Entry("closed in the middle", resumable, events(7, closing), true, 1),
 		Entry("closed within an event", resumable, events(7, half), true, 1),
 		Entry("silent in the middle", resumable, events(7, hang), true, 1),
 		Entry("silent before the first event", resumable, silent, true, 1),
