--- a/gatekeeper/peers.go
+++ b/gatekeeper/peers.go
@@ -68,8 +68,8 @@
 const (
 	// readers is how many entries read the store for all: two, so that one may stop answering.
 	readers = 2
-	// freshFor is how old the last answer of the store may be; a reader asks again after 0.7 s.
-	freshFor = 1500 * time.Millisecond
+	// freshFor is how old the last answer of the store may be; a reader gets one each 0.8 s, and another must take over well within the 2 s that changes may take.
+	freshFor = 1100 * time.Millisecond
 )
 
 // noteReader keeps which other entries are up to date with the store.
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -191,11 +191,11 @@
 	return out, nil
 }
 
-// Age is how long ago the store last confirmed that the state is up to date; known is false before it ever did.
+// Age is how long ago the store last confirmed that the state is up to date; known is false before it ever did, and when its last answer was none.
 func (tai *Tailer) Age() (age time.Duration, known bool) {
 	tai.mux.Lock()
 	defer tai.mux.Unlock()
-	return tai.opt.Clock.Since(tai.contact), !tai.contact.IsZero()
+	return tai.opt.Clock.Since(tai.contact), !tai.contact.IsZero() && !tai.failed
 }
 
 // inOutage reports whether removals may be leases that ran out while the store was away.
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -161,6 +161,16 @@
 		Expect(fol.outages).To(HaveKeyWithValue("b", false))
 	})
 
+	It("is not up to date from the first failed read on", func() {
+		_, known := fol.Age()
+		Expect(known).To(BeTrue())
+		sto.down = true
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go fol.Run(ctx)
+		Eventually(func() bool { _, known := fol.Age(); return known }).Should(BeFalse())
+	})
+
 	It("learns from another entry what the store does not tell, once", func() {
 		sto.put("a", "2")
 		sto.put("b", "")
