--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -44,7 +44,9 @@
 	if wat.pause <= 0 {
 		wat.pause = wat.first
 	}
+	wat.mux.Lock()
 	wat.timer = wat.clk.AfterFunc(wat.first, wat.silent)
+	wat.mux.Unlock()
 	go func() {
 		select {
 		case <-pla.Broken:
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -20,6 +22,7 @@
 
 // store is a topic whose older records may have expired.
 type store struct {
+	mux   sync.Mutex
 	recs  []tailer.Record
 	first int64
 	down  bool
@@ -27,6 +30,8 @@
 }
 
 func (sto *store) put(key, value string) {
+	sto.mux.Lock()
+	defer sto.mux.Unlock()
 	rec := tailer.Record{Key: key, Offset: int64(len(sto.recs))}
 	if value != "" {
 		rec.Value = []byte(value)
@@ -34,7 +39,15 @@
 	sto.recs = append(sto.recs, rec)
 }
 
+func (sto *store) setDown(down bool) {
+	sto.mux.Lock()
+	defer sto.mux.Unlock()
+	sto.down = down
+}
+
 func (sto *store) Newest(context.Context, string) (tailer.Page, error) {
+	sto.mux.Lock()
+	defer sto.mux.Unlock()
 	if sto.down {
 		return tailer.Page{}, errDown
 	}
@@ -52,6 +65,8 @@
 }
 
 func (sto *store) Read(_ context.Context, _ string, from int64, _ time.Duration) (tailer.Page, error) {
+	sto.mux.Lock()
+	defer sto.mux.Unlock()
 	sto.reads++
 	switch {
 	case sto.down:
@@ -80,10 +95,23 @@
 // follower is a tailer with what it told.
 type follower struct {
 	*tailer.Tailer
+	mux     sync.Mutex
 	state   map[string]string
 	outages map[string]bool
 }
 
+func (fol *follower) told() map[string]string {
+	fol.mux.Lock()
+	defer fol.mux.Unlock()
+	return maps.Clone(fol.state)
+}
+
+func (fol *follower) outage(key string) bool {
+	fol.mux.Lock()
+	defer fol.mux.Unlock()
+	return fol.outages[key]
+}
+
 func follow(sto tailer.Store, pee *peer, clk clockwork.Clock) *follower {
 	fol := &follower{state: map[string]string{}, outages: map[string]bool{}}
 	log := logrus.New()
@@ -91,6 +119,8 @@
 	fol.Tailer = tailer.New(tailer.Options{
 		Topic: topic, Store: sto, Peers: pee, Clock: clk, Logger: log.WithField("test", true),
 		OnChange: func(cha tailer.Change) {
+			fol.mux.Lock()
+			defer fol.mux.Unlock()
 			if cha.Whole {
 				clear(fol.state)
 			}
@@ -124,8 +154,8 @@
 		sto.put("a", "2")
 		sto.put("b", "")
 		step()
-		Expect(fol.state).To(Equal(map[string]string{"a": "2"}))
-		Expect(fol.outages).To(HaveKeyWithValue("b", false))
+		Expect(fol.told()).To(Equal(map[string]string{"a": "2"}))
+		Expect(fol.outage("b")).To(BeFalse())
 	})
 
 	It("reads the whole topic when records have expired, and misses no removal", func() {
@@ -133,7 +163,7 @@
 		sto.put("c", "1")
 		sto.first = 4
 		step()
-		Expect(fol.state).To(Equal(map[string]string{"a": "1", "c": "1"}))
+		Expect(fol.told()).To(Equal(map[string]string{"a": "1", "c": "1"}))
 	})
 
 	It("takes no older page for the state of now", func() {
@@ -142,29 +172,29 @@
 		sto.first = 100
 		sto.recs = sto.recs[:2]
 		_ = fol.Step(context.Background())
-		Expect(fol.state).To(HaveKeyWithValue("a", "2"))
+		Expect(fol.told()).To(HaveKeyWithValue("a", "2"))
 	})
 
 	It("marks removals around an outage, and later ones not", func() {
-		sto.down = true
+		sto.setDown(true)
 		ctx, cancel := context.WithCancel(context.Background())
 		go fol.Run(ctx)
 		Eventually(func() error { return clk.BlockUntilContext(ctx, 1) }).Should(Succeed())
-		sto.down = false
+		sto.setDown(false)
 		sto.put("a", "")
 		clk.Advance(time.Second)
-		Eventually(func() bool { return fol.outages["a"] }).Should(BeTrue())
+		Eventually(func() bool { return fol.outage("a") }).Should(BeTrue())
 		cancel()
 		clk.Advance(time.Minute)
 		sto.put("b", "")
 		step()
-		Expect(fol.outages).To(HaveKeyWithValue("b", false))
+		Expect(fol.outage("b")).To(BeFalse())
 	})
 
 	It("is not up to date from the first failed read on", func() {
 		_, known := fol.Age()
 		Expect(known).To(BeTrue())
-		sto.down = true
+		sto.setDown(true)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go fol.Run(ctx)
@@ -181,7 +211,7 @@
 		go behind.Run(ctx)
 		behind.Poke(fol.End())
 		Eventually(func() int64 { return behind.End() }).Should(Equal(fol.End()))
-		Expect(behind.state).To(Equal(map[string]string{"a": "2"}))
+		Eventually(behind.told).Should(Equal(map[string]string{"a": "2"}))
 	})
 
 	It("asks the store for nothing while others read it", func() {
