--- a/gatekeeper/peers.go
+++ b/gatekeeper/peers.go
@@ -195,5 +195,5 @@
 			return messenger.Call[Question, tailer.Page](ctx, ask.gat.mes, ent.Entries, "Records", Question{Topic: topic, From: from})
 		}
 	}
-	return tailer.Page{}, errors.WithType(errors.New("gatekeeper: no entry to ask"), ErrNoPeer)
+	return tailer.Page{}, errors.Annotate(ErrNoPeer, "gatekeeper: ask for records")
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -123,7 +123,7 @@
 		return dispatcher.Fault, errors.WithType(errors.Annotate(err, "gateway: answer broke off"), sender.ErrLost)
 	}
 	if !rep.ver.Own {
-		return dispatcher.Fault, errors.WithType(errors.New("gateway: answer without a signature or of another request"), sender.ErrLost)
+		return dispatcher.Fault, errors.Annotate(sender.ErrLost, "gateway: answer without a signature or of another request")
 	}
 	if rep.res.StatusCode >= http.StatusInternalServerError {
 		return dispatcher.Fault, nil
