Let requests carry the cold limit to the backend server

Cause: a warm engine may turn cold after its last load report, and the home went on to start requests up to the warm limit until the next report. No sender can know better: the report lags and the turn comes without warning. Ruled out: faster probes (any lag leaves the race open), running no more than the cold limit on warm engines (a quarter of their places). Change: a request names the cold limit of the inventory in X-Cold-Limit, and a cold engine or service VM refuses above it before anything ran, as it does for the fence. Without the header it falls over as before.

--- a/completer/attempt.go
+++ b/completer/attempt.go
@@ -118,6 +118,7 @@
 		RequestID:  one.cal.RequestID,
 		ResumeFrom: one.sink.tokens,
 		Priority:   vie.Catalog.Rules.Workspaces[one.cal.Workspace].Priority,
+		ColdLimit:  vie.Catalog.Inventory.Models[one.cal.Model].ColdLimit,
 		Body:       one.cal.Body,
 	}
 	begun := opt.Clock.Now()
--- a/enginefaker/bench_test.go
+++ b/enginefaker/bench_test.go
@@ -128,6 +128,11 @@
 
 // chat sends a request to a VM for the group g with fence 5.
 func (ben *bench) chat(vm, id, text string, resume int) reply {
+	return ben.chatWithin(0, vm, id, text, resume)
+}
+
+// chatWithin sends a request that a cold engine may run beside at most limit-1 others.
+func (ben *bench) chatWithin(limit int, vm, id, text string, resume int) reply {
 	body, err := json.Marshal(chatRequest{Model: "m", Messages: messages(text), Stream: true})
 	Expect(err).NotTo(HaveOccurred())
 	req, err := http.NewRequest(http.MethodPost, ben.url(vm)+"/v1/chat/completions", bytes.NewReader(body))
@@ -136,6 +141,7 @@
 	req.Header.Set("X-Group", "g")
 	req.Header.Set("X-Fence", "5")
 	req.Header.Set("X-Resume-From", strconv.Itoa(resume))
+	req.Header.Set("X-Cold-Limit", strconv.Itoa(limit))
 	rsp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
 		return reply{broken: true}
--- a/enginefaker/chat.go
+++ b/enginefaker/chat.go
@@ -33,6 +33,7 @@
 	}
 	jb := newJob(req.Context(), req.Header.Get("X-Request-Id"), int(headerNumber(req, "X-Priority")),
 		int(headerNumber(req, "X-Resume-From")), body.Messages, body.MaxTokens, eng.fkr.opt.CrashMarker)
+	jb.coldLimit = int(headerNumber(req, "X-Cold-Limit"))
 	ver := eng.accept(jb, req.Header.Get("X-Group"), headerNumber(req, "X-Fence"))
 	switch ver.reason {
 	case "":
@@ -74,6 +75,9 @@
 	if len(eng.queue) >= eng.fkr.opt.QueueLimit {
 		return eng.refuse(refusedOverloaded)
 	}
+	if jb.coldLimit > 0 && !eng.warm() && len(eng.running)+len(eng.queue) >= jb.coldLimit {
+		return eng.refuse(refusedCold)
+	}
 	eng.start(jb, ord)
 	return verdict{}
 }
--- a/enginefaker/enginefaker_test.go
+++ b/enginefaker/enginefaker_test.go
@@ -170,6 +170,25 @@
 		})
 	}
 
+	It("refuses what its caller lets it run only when warm, and runs on", func() {
+		ben := newBench(Options{})
+		ben.load("g", 5, "a1", "a2")
+		ben.warm("a1")
+		var outs []chan reply
+		for idx := range 6 {
+			outs = append(outs, ben.later("r", "hello"))
+			Eventually(func() int { return ben.count("a1").Started }).Should(Equal(idx + 1))
+		}
+		ben.faults(`{"vms":{"a1":{"turn_cold":true}}}`)
+		Expect(ben.chatWithin(4, "a1", "late", "hello", 0).status).To(Equal(503))
+		Expect(ben.count("a1").Refused).To(Equal(map[string]int{refusedCold: 1}))
+		ben.flow()
+		for _, out := range outs {
+			Expect((<-out).broken).To(BeFalse())
+		}
+		Expect(ben.count("a1").FellOver).To(BeZero())
+	})
+
 	twists := []struct {
 		name   string
 		faults string
--- a/enginefaker/job.go
+++ b/enginefaker/job.go
@@ -13,10 +13,12 @@
 	caller   context.Context
 	id       string
 	priority int
-	marked   bool
-	key      string
-	prompt   int
-	tokens   []string
+	// coldLimit is how many requests the caller lets a cold engine run at once, 0 for any number.
+	coldLimit int
+	marked    bool
+	key       string
+	prompt    int
+	tokens    []string
 	// next is the index of the next token, prefill what is left of the prompt, and chunk what the current step does of it.
 	next    int
 	prefill int
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -209,6 +209,7 @@
 		Header:     cal.Header,
 		Body:       cal.Body,
 		RequestID:  cal.RequestID,
+		ColdLimit:  fwd.opt.View().Catalog.Inventory.Services[cal.Service].ColdLimit,
 		Repeatable: repeatable,
 	})
 	out, err := judge(err)
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +25,7 @@
 const (
 	HeaderRequestID = "X-Request-Id"
 	HeaderNotRun    = "X-Not-Run"
+	HeaderColdLimit = "X-Cold-Limit"
 )
 
 // Dialer opens connections, from the local address that it was made with.
@@ -31,7 +33,7 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// Call is a request to a plain service; a Repeatable call may be sent again when a kept connection breaks.
+// Call is a request to a plain service; a Repeatable call may be sent again when a kept connection breaks, and a VM that is cold refuses the call when it would run more than ColdLimit calls at once.
 type Call struct {
 	Method     string
 	Address    string
@@ -39,6 +41,7 @@
 	Header     http.Header
 	Body       []byte
 	RequestID  string
+	ColdLimit  int
 	Repeatable bool
 }
 
@@ -109,6 +112,7 @@
 	}
 	req.Header = passedOn(cal.Header)
 	req.Header.Set(HeaderRequestID, cal.RequestID)
+	req.Header.Set(HeaderColdLimit, strconv.Itoa(cal.ColdLimit))
 	if len(cal.Body) == 0 {
 		return req, nil
 	}
--- a/invoker/invoker_test.go
+++ b/invoker/invoker_test.go
@@ -160,6 +160,7 @@
 		srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 			calls++
 			Expect(req.Header.Get("X-Request-Id")).To(Equal("r1"))
+			Expect(req.Header.Get(HeaderColdLimit)).To(Equal("3"))
 			Expect(req.Header.Get("Secret")).To(BeEmpty())
 			wri.Header().Set("Location", "/again")
 			wri.Header().Set("Keep-Alive", "timeout=5")
@@ -168,7 +169,7 @@
 		}))
 		defer srv.Close()
 		hdr := http.Header{"Connection": {"Secret"}, "Secret": {"1"}}
-		res, err := New(&net.Dialer{}, 0).Invoke(ctx, Call{Method: http.MethodPost, Address: srv.Listener.Addr().String(), Path: "/", Header: hdr, RequestID: "r1", Body: []byte("1")})
+		res, err := New(&net.Dialer{}, 0).Invoke(ctx, Call{Method: http.MethodPost, Address: srv.Listener.Addr().String(), Path: "/", Header: hdr, RequestID: "r1", ColdLimit: 3, Body: []byte("1")})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(res.Status).To(Equal(http.StatusTemporaryRedirect))
 		Expect(string(res.Body)).To(Equal("moved"))
--- a/servicefaker/call.go
+++ b/servicefaker/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/juju/errors"
 
@@ -40,7 +41,7 @@
 		Service: srv.fkr.opt.Service, VM: srv.name, RequestID: req.Header.Get("X-Request-Id"),
 		Method: req.Method, Path: req.URL.Path, Key: req.Header.Get("Idempotency-Key"), Body: string(body),
 	}
-	if !srv.begin(cal, &ans) {
+	if !srv.begin(cal, &ans, callerLimit(req)) {
 		wtr.Header().Set("X-Not-Run", "true")
 		jsoncoder.Fail(wtr, http.StatusServiceUnavailable, errors.QuotaLimitExceededf("servicefaker: calls at once"))
 		return
@@ -52,11 +53,18 @@
 	jsoncoder.Write(wtr, http.StatusOK, ans)
 }
 
+// callerLimit returns how many calls the caller lets a cold VM run at once, 0 for any number.
+func callerLimit(req *http.Request) int {
+	lim, _ := strconv.Atoi(req.Header.Get("X-Cold-Limit"))
+	return lim
+}
+
 // begin runs the call's effect and reports whether it was taken.
-func (srv *server) begin(cal *call, ans *answer) bool {
+func (srv *server) begin(cal *call, ans *answer, callerLimit int) bool {
 	srv.fkr.mut.Lock()
 	defer srv.fkr.mut.Unlock()
-	if len(srv.calls) >= srv.fkr.opt.WarmLimit {
+	tooCold := callerLimit > 0 && !srv.warm() && len(srv.calls) >= callerLimit
+	if tooCold || len(srv.calls) >= srv.fkr.opt.WarmLimit {
 		srv.cnt.Refused++
 		return false
 	}
--- a/servicefaker/servicefaker_test.go
+++ b/servicefaker/servicefaker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"time"
 
@@ -38,10 +39,12 @@
 		fkr.ControlHandler().ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/v1/faults", strings.NewReader(body)))
 		Expect(rec.Code).To(Equal(200), rec.Body.String())
 	}
+	limit := 0
 	send := func(key string) chan int {
 		req, err := http.NewRequest(http.MethodPost, "http://"+fkr.Address("s1")+"/seats", nil)
 		Expect(err).NotTo(HaveOccurred())
 		req.Header.Set("Idempotency-Key", key)
+		req.Header.Set("X-Cold-Limit", strconv.Itoa(limit))
 		out := make(chan int, 1)
 		go func() {
 			// Without kept connections the transport never sends a request again.
@@ -98,6 +101,20 @@
 		})
 	}
 
+	It("does not run a call that its caller lets it run only when warm", func() {
+		fkr.servers["s1"].busy = time.Minute
+		for range 3 {
+			send("k")
+		}
+		working(3)
+		faults(`{"vms":{"s1":{"turn_cold":true}}}`)
+		limit = 2
+		DeferCleanup(func() { limit = 0 })
+		Expect(<-send("other")).To(Equal(503))
+		Expect(now().Runs).To(Equal(map[string]int{"k": 3}))
+		Expect(now().VMs["s1"].FellOver).To(BeZero())
+	})
+
 	It("does not run a call above its warm limit", func() {
 		fkr.servers["s1"].busy = time.Minute
 		for range 4 {
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -15,7 +15,7 @@
 // MaxRefusal bounds what is read of an engine's refusal, in bytes.
 const MaxRefusal = 4 << 10
 
-// Call is a chat completion to be streamed; ResumeFrom counts the tokens that the caller has already.
+// Call is a chat completion to be streamed; ResumeFrom counts the tokens that the caller has already, and an engine that is cold refuses the call when it would run more than ColdLimit requests at once.
 type Call struct {
 	Address    string
 	Group      string
@@ -23,6 +23,7 @@
 	RequestID  string
 	ResumeFrom int
 	Priority   int
+	ColdLimit  int
 	Body       []byte
 }
 
@@ -89,6 +90,7 @@
 	req.Header.Set("X-Fence", strconv.FormatInt(cal.Fence, 10))
 	req.Header.Set("X-Resume-From", strconv.Itoa(cal.ResumeFrom))
 	req.Header.Set("X-Priority", strconv.Itoa(cal.Priority))
+	req.Header.Set("X-Cold-Limit", strconv.Itoa(cal.ColdLimit))
 	return req, nil
 }
 
--- a/streamer/streamer_test.go
+++ b/streamer/streamer_test.go
@@ -69,11 +69,12 @@
 		str, adr := serve(func(wri http.ResponseWriter, req *http.Request) {
 			Expect(req.Header).To(HaveKeyWithValue("X-Resume-From", []string{"1"}))
 			Expect(req.Header).To(HaveKeyWithValue("X-Fence", []string{"7"}))
+			Expect(req.Header).To(HaveKeyWithValue("X-Cold-Limit", []string{"4"}))
 			Expect(req.Header).To(HaveKeyWithValue("X-Group", []string{"g"}))
 			io.WriteString(wri, ": comment\r\n"+event("r", 1, "b\n\"ü")+"event: x\n"+event("r", 2, "c")+last("r", 3, 3)+done)
 		})
 		tok := &tokens{next: 1}
-		res, err := str.Stream(ctx, Call{Address: adr, Group: "g", Fence: 7, RequestID: "r", ResumeFrom: 1}, tok)
+		res, err := str.Stream(ctx, Call{Address: adr, Group: "g", Fence: 7, ColdLimit: 4, RequestID: "r", ResumeFrom: 1}, tok)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(res).To(Equal(Result{Tokens: 3, PromptTokens: 3, Finish: "stop"}))
 		Expect(tok.text.String()).To(Equal("b\n\"üc"))
