Pause health checks of an entry that is too slow to judge

Change: a late end ends the questions without a verdict, and the entry asks nobody for 1.6 s; the others go on, and their doubts reach it. Test: detector "neither judges nor asks on while the entry itself is held up", failed first with 6 questions.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -20,6 +20,8 @@
 	questions = 3
 	// lateFactor times the bound of a question is how late its end may be noticed before this entry itself counts as too slow to judge.
 	lateFactor = 2
+	// heldUpFor is how long an entry that was too slow to judge asks nobody: the others go on, and their doubts reach it.
+	heldUpFor = 4 * againAfter
 	// pulse is how long a sign of a unit proves that all its members are well: events are at most about 100 ms apart on a busy unit.
 	pulse = 120 * time.Millisecond
 	// againAfter is the time between two looks at the same unit, and at a server in doubt.
@@ -33,6 +35,9 @@
 // ErrDown says that the VM answers and no process listens at the address.
 const ErrDown = errors.ConstError("nothing listens at the address")
 
+// errHeldUp says that this entry was too slow to tell whether a backend server answers.
+const errHeldUp = errors.ConstError("this entry was held up")
+
 // Asker asks a backend server for a sign of life; it fails with ErrDown or another error.
 type Asker interface {
 	Ask(ctx context.Context, ser registrar.Server) error
@@ -62,6 +67,8 @@
 	heard   map[string]time.Time
 	told    map[string]time.Time
 	doubted map[registrar.Life]bool
+	// heldUp is until when this entry asks nobody.
+	heldUp time.Time
 }
 
 // New returns a detector.
@@ -116,7 +123,7 @@
 	for _, seen := range []map[string]time.Time{det.looked, det.told} {
 		maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) >= againAfter })
 	}
-	if now.Sub(det.heard[unit]) < pulse || now.Sub(det.told[unit]) < pulse {
+	if now.Before(det.heldUp) || now.Sub(det.heard[unit]) < pulse || now.Sub(det.told[unit]) < pulse {
 		return false
 	}
 	if _, recent := det.looked[unit]; recent {
@@ -129,9 +136,9 @@
 // SuspectServer has one server asked, because another entry doubts it.
 func (det *Detector) SuspectServer(ser registrar.Server) {
 	det.mux.Lock()
-	known := det.doubted[ser.Life()]
+	skip := det.doubted[ser.Life()] || det.opt.Clock.Now().Before(det.heldUp)
 	det.mux.Unlock()
-	if !known {
+	if !skip {
 		go det.look(ser)
 	}
 }
@@ -150,7 +157,7 @@
 // look asks a server, and once it is in doubt goes on asking until it answers or leaves the list.
 func (det *Detector) look(ser registrar.Server) {
 	err := det.ask(ser)
-	if err == nil || !det.begin(ser, err) {
+	if err == nil || errors.Is(err, errHeldUp) || !det.begin(ser, err) {
 		return
 	}
 	defer det.end(ser)
@@ -188,7 +195,7 @@
 
 func (det *Detector) ask(ser registrar.Server) error {
 	var err error
-	for unanswered := 0; unanswered < 2*questions; {
+	for range questions {
 		began := det.opt.Clock.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), askWithin)
 		err = det.opt.Asker.Ask(ctx, ser)
@@ -196,11 +203,20 @@
 		if err == nil || errors.Is(err, ErrDown) {
 			return err
 		}
-		// An end that is noticed late shows that this entry itself was held up, and counts half.
-		unanswered += 2
 		if det.opt.Clock.Since(began) > lateFactor*askWithin {
-			unanswered--
+			det.holdUp()
+			return errHeldUp
 		}
 	}
 	return err
 }
+
+func (det *Detector) holdUp() {
+	det.mux.Lock()
+	defer det.mux.Unlock()
+	now := det.opt.Clock.Now()
+	if !now.Before(det.heldUp) {
+		det.opt.Logger.WithField("pause_ms", heldUpFor.Milliseconds()).Info("entry held up, health checks paused")
+	}
+	det.heldUp = now.Add(heldUpFor)
+}
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -21,12 +21,16 @@
 	mux   sync.Mutex
 	fails map[string]error
 	asked map[string]int
+	// takes is how long a question lasts by the clock of the entry.
+	takes time.Duration
+	clk   *clockwork.FakeClock
 }
 
 func (ask *asker) Ask(_ context.Context, ser registrar.Server) error {
 	ask.mux.Lock()
 	defer ask.mux.Unlock()
 	ask.asked[ser.ID]++
+	ask.clk.Advance(ask.takes)
 	return ask.fails[ser.ID]
 }
 
@@ -52,7 +56,7 @@
 	BeforeEach(func() {
 		clk = clockwork.NewFakeClock()
 		reg = registrar.New(clk)
-		ask = &asker{fails: map[string]error{}, asked: map[string]int{}}
+		ask = &asker{fails: map[string]error{}, asked: map[string]int{}, clk: clk}
 		for _, id := range []string{"a", "b"} {
 			reg.Put(registrar.Server{ID: id, Started: 1})
 		}
@@ -102,6 +106,23 @@
 		Eventually(func() int { clk.Advance(100 * time.Millisecond); return len(det.Doubted()) }).Should(BeZero())
 	})
 
+	It("neither judges nor asks on while the entry itself is held up", func() {
+		ask.set(silent)
+		ask.takes = 300 * time.Millisecond
+		det.Suspect("u")
+		Eventually(func() int { return ask.count("b") }).Should(Equal(1))
+		Consistently(func() int { return ask.count("b") }, "20ms").Should(Equal(1))
+		clk.Advance(500 * time.Millisecond)
+		det.Suspect("u")
+		Consistently(func() int { return ask.count("b") }, "20ms").Should(Equal(1))
+		Expect(doubted("b")()).To(BeFalse())
+
+		ask.takes = 0
+		clk.Advance(2 * time.Second)
+		det.Suspect("u")
+		Eventually(doubted("b")).Should(BeTrue())
+	})
+
 	DescribeTable("asks nobody about a unit that gave a sign just now",
 		func(sign func()) {
 			sign()
