--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/rpc"
 	"testing"
@@ -110,6 +111,49 @@
 		Expect(ans).To(Equal("two"))
 	})
 
+	It("dials anew after a connection went silent, and leaves the calls on it alone", func() {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = silent.Close() }()
+		go func() {
+			first, err := silent.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = first.Close() }()
+			for {
+				con, err := silent.Accept()
+				if err != nil {
+					return
+				}
+				out, err := net.Dial("tcp", lis.Address())
+				if err != nil {
+					return
+				}
+				go func() { _, _ = io.Copy(out, con) }()
+				go func() { _, _ = io.Copy(con, out) }()
+			}
+		}()
+		long, end := context.WithCancel(context.Background())
+		waiting := make(chan error, 1)
+		go func() {
+			_, err := Call[string, string](long, mes, silent.Addr().String(), "Echo", "long")
+			waiting <- err
+		}()
+		Consistently(waiting, "50ms").ShouldNot(Receive())
+		call := func() error {
+			ctx, stop := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer stop()
+			_, err := Call[string, string](ctx, mes, silent.Addr().String(), "Echo", "hello")
+			return err
+		}
+		Expect(errors.Is(call(), ErrUnreachable)).To(BeTrue())
+		Expect(call()).To(Succeed())
+		Consistently(waiting, "50ms").ShouldNot(Receive())
+		end()
+		Eventually(waiting).Should(Receive())
+	})
+
 	It("ends with its context when the entry reads nothing", func() {
 		deaf, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
