--- a/prover/break_test.go
+++ b/prover/break_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -29,7 +30,7 @@
 	stopCompletions := dep.load(rng, tly, completers, (*caller).complete)
 	stopCalls := dep.load(rng, tly, reservers, func(cal *caller) { cal.reserve(led) })
 	stopFetches := dep.load(rng, tly, fetchers, (*caller).fetch)
-	dep.disturb(rng, soakFor(), makers...)
+	disturb(dep, rng, soakFor(), slices.Concat(makers...))
 	time.Sleep(settleAfter)
 	stopCompletions()
 	stopCalls()
--- a/prover/fault_test.go
+++ b/prover/fault_test.go
@@ -22,17 +22,16 @@
 }
 
 // maker draws a fault.
-type maker func(dep *deployment, rng *rand.Rand) fault
+type maker = func(dep *deployment, rng *rand.Rand) fault
 
 type fields map[string]any
 
 // disturb breaks one or two things at once, again and again, and mends all at the end.
-func (dep *deployment) disturb(rng *rand.Rand, limit time.Duration, lists ...[]maker) {
-	makers := slices.Concat(lists...)
+func disturb[D any](dep D, rng *rand.Rand, limit time.Duration, makers []func(D, *rand.Rand) fault) {
 	defer GinkgoRecover()
 	until := time.Now().Add(limit)
 	for time.Now().Before(until) {
-		flts := dep.draw(rng, 1+rng.IntN(2), makers)
+		flts := draw(dep, rng, 1+rng.IntN(2), makers)
 		for _, flt := range flts {
 			report("begin %s", flt.name)
 			flt.begin()
@@ -47,7 +46,7 @@
 	}
 }
 
-func (dep *deployment) draw(rng *rand.Rand, count int, makers []maker) []fault {
+func draw[D any](dep D, rng *rand.Rand, count int, makers []func(D, *rand.Rand) fault) []fault {
 	var out []fault
 	for range count {
 		flt := makers[rng.IntN(len(makers))](dep, rng)
--- a/prover/force_test.go
+++ b/prover/force_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +38,7 @@
 			})
 		}
 		stop := dep.load(rng, tly, 4, func(cal *caller) { cal.reserve(newLedger()) })
-		dep.disturb(rng, soakFor(), entryFaults, logFaults, []maker{killEntry, pauseEntry, logDown})
+		disturb(dep, rng, soakFor(), slices.Concat(entryFaults, logFaults, []maker{killEntry, pauseEntry, logDown}))
 		time.Sleep(settleAfter)
 		stop()
 		close(done)
--- /dev/null
+++ b/prover/gate_deployment_test.go
@@ -0,0 +1,296 @@
+//go:build soak
+
+package prover
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/platform/callerfaker"
+	"github.com/lovagelever/lovagelever/platform/operatorfaker"
+	"github.com/lovagelever/lovagelever/platform/storefaker"
+	"github.com/lovagelever/lovagelever/platform/workerfaker"
+	"github.com/lovagelever/lovagelever/router"
+)
+
+const (
+	gateCount    = 5
+	gateZones    = 3
+	enginesEach  = 6
+	desksEach    = 1
+	gateCallers  = 12
+	storeIP      = "127.31.9.1"
+	storePort    = "7000"
+	storeLink    = "127.31.9.2:7000"
+	gateHost     = "gate.example"
+	gateKey      = "key-1"
+	poolService  = "pool"
+	deskService  = "desk"
+	gateGrace    = 8 * time.Second
+	gateStarts   = 15 * time.Second
+	streamWork   = 30 * time.Millisecond
+	deskWork     = 40 * time.Millisecond
+	coldPerS     = 8
+	coldAtOnce   = coldPerS*3/2 + 5
+	configWithin = 2 * time.Second
+)
+
+// gates is a deployment of entries on the platform: the entries are processes, and what they meet runs in the test.
+type gates struct {
+	dir string
+	ntw *network
+	sto *storefaker.Faker
+	wor *workerfaker.Faker
+	ope *operatorfaker.Operator
+	cfg router.Config
+
+	mtx   sync.Mutex
+	procs map[int]*process
+	upset map[int][]span
+	sends []gateSend
+}
+
+// gateSend is one send of a call and what became of it.
+type gateSend struct {
+	callerfaker.Attempt
+	kind router.Kind
+}
+
+func gateIP(num int) string { return fmt.Sprintf("127.31.0.%d", num) }
+
+func gateZone(num int) string { return fmt.Sprintf("zone-%d", num%gateZones) }
+
+func workerIP(zone, num int) string { return fmt.Sprintf("127.32.%d.%d", zone, num+1) }
+
+func workerID(zone, num int) string { return fmt.Sprintf("worker-%d-%d", zone, num) }
+
+// gateConfig is the first configuration; routes named later are added to it.
+func gateConfig() router.Config {
+	route := func(name string, kind router.Kind, service string) router.Route {
+		return router.Route{
+			Name: name, Host: gateHost, Prefix: "/" + name + "/", Kind: kind, Resumable: kind == router.Stream, Timeout: 6 * time.Second,
+			Objective: 400 * time.Millisecond, LongestPause: 300 * time.Millisecond, Priority: 1, Attempts: 3,
+			Targets: []router.Target{{Service: service, Weight: 1}},
+		}
+	}
+	engine := router.Engine{
+		Slots: 16, StrideSteps: 5, Step: 8 * time.Millisecond, StepPerRequest: 100 * time.Microsecond, ReadPerSecond: 45000, LoadsPerSecond: 5,
+		Models: []router.Model{
+			{Name: "large", Size: 3, Share: 0.5, Pace: 1, LoadIn: workerfaker.DefaultLoad, StagedIn: workerfaker.DefaultStaged},
+			{Name: "small", Size: 2, Share: 0.5, Pace: 0.6, LoadIn: workerfaker.DefaultLoad, StagedIn: workerfaker.DefaultStaged},
+		},
+	}
+	return router.Config{
+		Version: 1,
+		Routes:  []router.Route{route("chat", router.Stream, poolService), route("book", router.Unsafe, deskService), route("look", router.Safe, deskService)},
+		Services: map[string]router.Service{
+			poolService: {Name: poolService, ColdPerSecond: coldPerS, Engine: &engine},
+			deskService: {Name: deskService, ColdPerSecond: coldPerS},
+		},
+		Workspaces: []router.Workspace{{Name: "w", Keys: []string{gateKey}}},
+		Limits:     router.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
+	}
+}
+
+// newGates starts everything and waits until both models are served.
+func newGates(rng *rand.Rand) *gates {
+	dir, err := filepath.Abs(filepath.Join("..", "run", "prover", strings.ReplaceAll(CurrentSpecReport().LeafNodeText, " ", "_")))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(os.RemoveAll(dir)).To(Succeed())
+	Expect(os.MkdirAll(dir, 0o755)).To(Succeed())
+	gts := &gates{dir: dir, ntw: newNetwork(), cfg: gateConfig(), procs: map[int]*process{}, upset: map[int][]span{}}
+	DeferCleanup(gts.close)
+	gts.sto = storefaker.New(storefaker.Options{Address: storeIP + ":" + storePort, Retain: 2000})
+	Expect(gts.sto.Start()).To(Succeed())
+	gts.ntw.forward(storeLink, storeIP, storePort)
+	gts.ope = operatorfaker.New(gts.sto)
+	Expect(gts.ope.Publish(gts.cfg)).To(Succeed())
+	gts.startWorkers(rng)
+	for num := 1; num <= gateCount; num++ {
+		gts.startGate(num)
+	}
+	gts.awaitServing()
+	return gts
+}
+
+func (gts *gates) startWorkers(rng *rand.Rand) {
+	gts.wor = workerfaker.New(workerfaker.Options{
+		List:  func(id string, entry []byte) { gts.sto.Put("keyed.servers", id, entry) },
+		Sizes: map[string]int{"large": 3, "small": 2}, ColdAtOnce: coldAtOnce, Random: rand.New(rand.NewPCG(rng.Uint64(), 2)),
+	})
+	for zone := range gateZones {
+		for num := range enginesEach + desksEach {
+			ip := workerIP(zone, num)
+			link := strings.Replace(ip, "127.32.", "127.33.", 1)
+			gts.ntw.forward(link+":9000", ip, "9000")
+			spc := workerfaker.Spec{
+				ID: workerID(zone, num), Service: poolService, Zone: gateZone(zone), Domain: fmt.Sprintf("domain-%d", zone),
+				Address: ip + ":9000", Advertised: link + ":9000", Slots: 16, Work: streamWork,
+			}
+			if num >= enginesEach {
+				spc.Service, spc.Domain, spc.Work = deskService, "", deskWork
+			}
+			Expect(gts.wor.Add(spc)).To(Succeed())
+		}
+	}
+}
+
+func (gts *gates) startGate(num int) {
+	ip := gateIP(num)
+	text := fmt.Sprintf(`name: gate-%d
+availability_zone: %s
+region: r
+address: %s
+listen: {callers: "%[3]s:8000", readiness: "%[3]s:8001", directory: "%[3]s:8002", entries: "%[3]s:8003", metrics: "%[3]s:8004"}
+store: {address: %q, shortest_lease: 1000ms}
+memory_mb: 284
+bounds: {stop_grace: %v, longest_directory_validity: 5s, retry_ratio: 0.2, retry_slack: 105, retry_window: 10s, load_window: 5s}
+`, num, gateZone(num), ip, storeLink, gateGrace)
+	file := filepath.Join(gts.dir, fmt.Sprintf("gate-%d.yaml", num))
+	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+	pro := startProcess(gts.dir, fmt.Sprintf("gate-%d", num), "lovagelever", "gate", "--settings", file)
+	gts.mtx.Lock()
+	defer gts.mtx.Unlock()
+	gts.procs[num] = pro
+}
+
+func (gts *gates) gate(num int) *process {
+	gts.mtx.Lock()
+	defer gts.mtx.Unlock()
+	return gts.procs[num]
+}
+
+func (gts *gates) ready(num int) bool {
+	cli := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := cli.Get("http://" + gateIP(num) + ":8001/readyz")
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+func (gts *gates) awaitReady(num int) {
+	Eventually(func() bool { return gts.ready(num) }, gateStarts, 50*time.Millisecond).Should(BeTrue(), "gate-%d ready", num)
+}
+
+func (gts *gates) awaitServing() {
+	for num := 1; num <= gateCount; num++ {
+		gts.awaitReady(num)
+	}
+	Eventually(gts.wor.OpenGroups, gateStarts, 100*time.Millisecond).Should(And(HaveKey("large"), HaveKey("small")))
+}
+
+// load has callers send calls until the end of the returned function; a third of them stay at one entry as long as it is there.
+func (gts *gates) load(rng *rand.Rand) func() {
+	done := make(chan struct{})
+	calls := []callerfaker.Call{
+		{Kind: router.Stream, Path: "/chat/x", Model: "large", Body: "prompt", Within: 5 * time.Second},
+		{Kind: router.Stream, Path: "/chat/x", Model: "small", Body: "prompt", Within: 5 * time.Second},
+		{Kind: router.Unsafe, Path: "/book/x", Body: "seat", Within: 3 * time.Second},
+		{Kind: router.Safe, Path: "/look/x", Body: "seat", Within: 3 * time.Second},
+	}
+	var all sync.WaitGroup
+	for num := range gateCallers {
+		own := rand.New(rand.NewPCG(rng.Uint64(), 3))
+		var dirs []string
+		for _, idx := range own.Perm(gateCount)[:3] {
+			dirs = append(dirs, gateIP(idx+1)+":8002")
+		}
+		cal := callerfaker.New(callerfaker.Options{
+			Name: fmt.Sprintf("%s-%d", newUUID(), num), Directories: dirs, Zone: gateZone(num), Host: gateHost, Key: gateKey, Stays: num%3 == 0, Random: own,
+		})
+		one := calls[num%len(calls)]
+		all.Go(func() { gts.call(done, cal, one, own) })
+	}
+	return func() {
+		close(done)
+		all.Wait()
+	}
+}
+
+func (gts *gates) call(done chan struct{}, cal *callerfaker.Caller, one callerfaker.Call, own *rand.Rand) {
+	for {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		out := cal.Do(GinkgoT().Context(), one)
+		gts.mtx.Lock()
+		for _, att := range out {
+			gts.sends = append(gts.sends, gateSend{Attempt: att, kind: one.Kind})
+		}
+		gts.mtx.Unlock()
+		time.Sleep(between(own, 0, 60*time.Millisecond))
+	}
+}
+
+// expectPromises checks what callers and backend servers saw.
+func (gts *gates) expectPromises() {
+	gts.mtx.Lock()
+	defer gts.mtx.Unlock()
+	counts := map[string]int{}
+	var broken []string
+	for _, snd := range gts.sends {
+		runs := gts.wor.Runs(snd.ID)
+		counts[fmt.Sprintf("%s %d", snd.kind, snd.Status)]++
+		if snd.Wrong != "" {
+			broken = append(broken, fmt.Sprintf("%s at %s: %s", snd.ID, snd.Entry, snd.Wrong))
+		}
+		if snd.Refused() && runs > 0 {
+			broken = append(broken, fmt.Sprintf("%s at %s was refused with %d and ran", snd.ID, snd.Entry, snd.Status))
+		}
+		if snd.kind == router.Unsafe && runs > 1 {
+			broken = append(broken, fmt.Sprintf("%s at %s ran %d times", snd.ID, snd.Entry, runs))
+		}
+	}
+	report("sends by kind and status: %v", counts)
+	Expect(broken).To(BeEmpty())
+	Expect(gts.wor.Broken()).To(BeEmpty())
+}
+
+// servedSince returns which share of the sends that began at or after a time got their whole answer.
+func (gts *gates) servedSince(since time.Time) float64 {
+	gts.mtx.Lock()
+	defer gts.mtx.Unlock()
+	all, whole := 0, 0
+	for _, snd := range gts.sends {
+		if snd.Began.Before(since) {
+			continue
+		}
+		all++
+		if snd.Whole {
+			whole++
+		}
+	}
+	return float64(whole) / float64(max(1, all))
+}
+
+func (gts *gates) close() {
+	gts.mtx.Lock()
+	procs := maps.Clone(gts.procs)
+	gts.mtx.Unlock()
+	for _, pro := range procs {
+		pro.signal(syscall.SIGKILL)
+	}
+	for _, pro := range procs {
+		Eventually(pro.done, endTimeout).Should(BeClosed(), "end of "+pro.name)
+	}
+	gts.ntw.close()
+	if gts.wor != nil {
+		gts.wor.Close()
+	}
+	gts.sto.Close()
+}
--- a/prover/network_test.go
+++ b/prover/network_test.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -16,13 +17,15 @@
 type network struct {
 	mtx       sync.Mutex
 	cuts      map[[2]string]int
+	delay     time.Duration
+	carried   map[net.Conn]string
 	changed   chan struct{}
 	closed    chan struct{}
 	listeners []net.Listener
 }
 
 func newNetwork() *network {
-	return &network{cuts: map[[2]string]int{}, changed: make(chan struct{}), closed: make(chan struct{})}
+	return &network{cuts: map[[2]string]int{}, carried: map[net.Conn]string{}, changed: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // forward passes connections to one address on to the entry with the IP address and port.
@@ -47,11 +50,15 @@
 	if !ntw.await(from, ip) {
 		return
 	}
-	out, err := net.Dial("tcp", net.JoinHostPort(ip, port))
+	// The receiver sees the sender's own address.
+	dia := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	out, err := dia.Dial("tcp", net.JoinHostPort(ip, port))
 	if err != nil {
 		return
 	}
 	defer out.Close()
+	ntw.hold(out, ip)
+	defer ntw.release(out)
 	ended := make(chan struct{}, 2)
 	go ntw.pass(con, out, from, ip, ended)
 	go ntw.pass(out, con, ip, from, ended)
@@ -69,6 +76,7 @@
 		if !ntw.await(from, to) || err != nil {
 			return
 		}
+		ntw.lag()
 		if _, err := dst.Write(buf[:num]); err != nil {
 			return
 		}
@@ -100,6 +108,43 @@
 	ntw.changed = make(chan struct{})
 }
 
+// slow delays all bytes by so much.
+func (ntw *network) slow(delay time.Duration) {
+	ntw.mtx.Lock()
+	defer ntw.mtx.Unlock()
+	ntw.delay = delay
+}
+
+func (ntw *network) lag() {
+	ntw.mtx.Lock()
+	delay := ntw.delay
+	ntw.mtx.Unlock()
+	time.Sleep(delay)
+}
+
+func (ntw *network) hold(con net.Conn, ip string) {
+	ntw.mtx.Lock()
+	defer ntw.mtx.Unlock()
+	ntw.carried[con] = ip
+}
+
+func (ntw *network) release(con net.Conn) {
+	ntw.mtx.Lock()
+	defer ntw.mtx.Unlock()
+	delete(ntw.carried, con)
+}
+
+// reset breaks all connections to an IP address.
+func (ntw *network) reset(ip string) {
+	ntw.mtx.Lock()
+	defer ntw.mtx.Unlock()
+	for con, to := range ntw.carried {
+		if to == ip {
+			_ = con.Close()
+		}
+	}
+}
+
 func (ntw *network) close() {
 	close(ntw.closed)
 	for _, lis := range ntw.listeners {
