End requests whose body does not come in time, and answer nobody who left

Cause, found by the tests asked for bad input: a body had no time limit, so a slow sender held its handler, and its buffer, for ever. And a caller who closed its sending side got an empty 200, because the handler returned without an answer when its context had ended: a success that no backend server gave. Change: the body is read by the request's deadline, then 408, which says that nothing ran; the caller who left gets its connection closed. Test: gateway "ends a request whose body does not come by its deadline" and "sends no answer to a caller who closed its side", both failed first.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -24,9 +24,11 @@
 // refuse answers a request without the answer of a backend server.
 func (job *job) refuse(err error) {
 	ref := refuser.From(err)
-	if job.req.Context().Err() != nil {
+	// A body that did not come in time ends the request's context too, and its caller is there.
+	if job.req.Context().Err() != nil && ref.Status != http.StatusRequestTimeout {
 		job.ended(OutcomeLeft)
-		return
+		// To return would send an empty success.
+		panic(http.ErrAbortHandler)
 	}
 	if ref.Type == refuser.TypeNotRun && job.ran > 0 {
 		ref = refuser.OutcomeUnknown(ref.Message)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -188,11 +190,13 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := readAll(http.MaxBytesReader(job.wtr, job.req.Body, limit), job.req.ContentLength)
+	body, err := job.readInTime(http.MaxBytesReader(job.wtr, job.req.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return refuser.TooLarge("the body is too large")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuser.TooSlow("the body did not come by the request's deadline")
 	case err != nil:
 		return refuser.Invalid("the body could not be read: " + err.Error())
 	}
@@ -200,6 +204,22 @@
 	return nil
 }
 
+// readInTime reads the body by the request's deadline; later reads of the connection have none.
+func (job *job) readInTime(src io.Reader) ([]byte, error) {
+	if job.req.ContentLength == 0 {
+		return nil, nil
+	}
+	ctl := http.NewResponseController(job.wtr)
+	if err := ctl.SetReadDeadline(job.deadline); err != nil {
+		return nil, errors.Annotate(err, "gateway: bound the body")
+	}
+	body, err := readAll(src, job.req.ContentLength)
+	if err != nil {
+		return nil, err
+	}
+	return body, errors.Annotate(ctl.SetReadDeadline(time.Time{}), "gateway: unbound the connection")
+}
+
 func (job *job) headerBytes() int {
 	sum := len(job.req.RequestURI)
 	for name, vals := range job.req.Header {
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -157,6 +158,49 @@
 		}, 413, false),
 	)
 
+	DescribeTable("ends a request whose body does not come by its deadline, and serves the others meanwhile",
+		func(sent string) {
+			one := newWorker(whole(200, "ok"))
+			wor := newWorld(unsafe, one)
+			con, err := net.Dial("tcp", wor.web.Listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = con.Close() }()
+			Expect(con.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+			_, err = io.WriteString(con, "POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: slow\r\nX-Key: key\r\nX-Within: 300\r\n"+sent)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(wor.call(context.Background()).status).To(Equal(200))
+			res, err := http.ReadResponse(bufio.NewReader(con), nil)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = res.Body.Close() }()
+			Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
+			Expect(one.runs()).To(Equal(1))
+		},
+		Entry("with a length", "Content-Length: 10\r\n\r\nabc"),
+		Entry("in chunks", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"),
+	)
+
+	It("keeps the connection of a caller whose body came slowly and in time", func() {
+		wor := newWorld(unsafe, newWorker(whole(200, "ok")))
+		con, err := net.Dial("tcp", wor.web.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = con.Close() }()
+		Expect(con.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		buf := bufio.NewReader(con)
+		for range 2 {
+			_, err = io.WriteString(con, "POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: slow\r\nX-Key: key\r\nX-Within: 300\r\nContent-Length: 4\r\n\r\nab")
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(100 * time.Millisecond)
+			_, err = io.WriteString(con, "cd")
+			Expect(err).NotTo(HaveOccurred())
+			res, err := http.ReadResponse(buf, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(res.StatusCode).To(Equal(200))
+			_, err = io.Copy(io.Discard, res.Body)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(400 * time.Millisecond)
+		}
+	})
+
 	It("says nothing of what ran when the budget for repeats is used up", func() {
 		one, two := newWorker(resets), newWorker(whole(200, "good"))
 		wor := newWorld(safe, one, two)
@@ -186,6 +230,20 @@
 		Eventually(ended, "500ms").Should(BeClosed())
 	})
 
+	It("sends no answer to a caller who closed its side", func() {
+		wor := newWorld(unsafe, newWorker(silent))
+		con, err := net.Dial("tcp", wor.web.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = con.Close() }()
+		Expect(con.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = io.WriteString(con, "POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: one\r\nX-Key: key\r\nContent-Length: 0\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(con.(*net.TCPConn).CloseWrite()).To(Succeed())
+		got, err := io.ReadAll(con)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(got)).To(BeEmpty())
+	})
+
 	It("ends its connections while it stops, and still serves", func() {
 		wor := newWorld(unsafe, newWorker(whole(200, "ok")))
 		at := time.Now().Add(10 * time.Second)
--- a/prover/gate_deployment_test.go
+++ b/prover/gate_deployment_test.go
@@ -30,9 +30,7 @@
 	enginesEach  = 6
 	desksEach    = 1
 	gateCallers  = 12
-	storeIP      = "127.31.9.1"
 	storePort    = "7000"
-	storeLink    = "127.31.9.2:7000"
 	gateHost     = "gate.example"
 	gateKey      = "key-1"
 	poolService  = "pool"
@@ -67,11 +65,21 @@
 	kind router.Kind
 }
 
-func gateIP(num int) string { return fmt.Sprintf("127.31.0.%d", num) }
+// gateNet is the second number of the loopback addresses of entries and store; workers have the next, and their links the one after.
+var gateNet = netNumber()
+
+var (
+	storeIP   = fmt.Sprintf("127.%d.9.1", gateNet)
+	storeLink = fmt.Sprintf("127.%d.9.2:7000", gateNet)
+)
+
+func gateIP(num int) string { return fmt.Sprintf("127.%d.0.%d", gateNet, num) }
 
 func gateZone(num int) string { return fmt.Sprintf("zone-%d", num%gateZones) }
 
-func workerIP(zone, num int) string { return fmt.Sprintf("127.32.%d.%d", zone, num+1) }
+func workerIP(zone, num int) string { return fmt.Sprintf("127.%d.%d.%d", gateNet+1, zone, num+1) }
+
+func workerLink(zone, num int) string { return fmt.Sprintf("127.%d.%d.%d", gateNet+2, zone, num+1) }
 
 func workerID(zone, num int) string { return fmt.Sprintf("worker-%d-%d", zone, num) }
 
@@ -105,7 +113,7 @@
 
 // newGates starts everything and waits until both models are served.
 func newGates(rng *rand.Rand) *gates {
-	dir, err := filepath.Abs(filepath.Join("..", "run", "prover", strings.ReplaceAll(CurrentSpecReport().LeafNodeText, " ", "_")))
+	dir, err := filepath.Abs(filepath.Join("..", "run", "prover", fmt.Sprint(gateNet), strings.ReplaceAll(CurrentSpecReport().LeafNodeText, " ", "_")))
 	Expect(err).NotTo(HaveOccurred())
 	Expect(os.RemoveAll(dir)).To(Succeed())
 	Expect(os.MkdirAll(dir, 0o755)).To(Succeed())
@@ -131,8 +139,7 @@
 	})
 	for zone := range gateZones {
 		for num := range enginesEach + desksEach {
-			ip := workerIP(zone, num)
-			link := strings.Replace(ip, "127.32.", "127.33.", 1)
+			ip, link := workerIP(zone, num), workerLink(zone, num)
 			gts.ntw.forward(link+":9000", ip, "9000")
 			spc := workerfaker.Spec{
 				ID: workerID(zone, num), Service: poolService, Zone: gateZone(zone), Domain: fmt.Sprintf("domain-%d", zone),
--- a/prover/suite_test.go
+++ b/prover/suite_test.go
@@ -17,6 +17,8 @@
 const (
 	seedVariable     = "LOVAGELEVER_SEED"
 	durationVariable = "LOVAGELEVER_SOAK"
+	netVariable      = "LOVAGELEVER_NET"
+	defaultNet       = 31
 	defaultDuration  = 25 * time.Second
 )
 
@@ -48,6 +50,15 @@
 	return dur
 }
 
+// netNumber tells runs apart that go on at once; three numbers from it on are taken.
+func netNumber() int {
+	num, err := strconv.Atoi(os.Getenv(netVariable))
+	if err != nil {
+		return defaultNet
+	}
+	return num
+}
+
 func report(format string, args ...any) {
 	fmt.Printf(time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 }
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -54,6 +54,11 @@
 	return Refusal{Type: TypeNotRun, Message: message, RetryAfter: retryAfter, Status: http.StatusTooManyRequests}
 }
 
+// TooSlow says that the request was not run because it did not arrive in time.
+func TooSlow(message string) Refusal {
+	return Refusal{Type: TypeNotRun, Message: message, Status: http.StatusRequestTimeout}
+}
+
 // OutcomeUnknown says that the request may have run and is not run again.
 func OutcomeUnknown(message string) Refusal {
 	return Refusal{Type: TypeOutcomeUnknown, Message: message, Status: http.StatusBadGateway}
