Start no more loads than the weight store serves at full speed

Cause: loads share the weight store's speed beyond seven. Change: a group is formed only when its loads fit beside those under way; the model that lacks most keeps the rest of the store for itself; of several ways the one with fewer loads goes first, so survivors come first.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -351,10 +351,10 @@
 
 // mayLoad keeps the loads from the weight store within what may begin in one window, and counts those that a proposal needs.
 func (con *Conductor) mayLoad(ser router.Service, pro grouper.Proposal) bool {
-	if con.opt.Early() || pro.ReadyIn <= pro.Model.StagedIn {
+	if con.opt.Early() || pro.Loads == 0 {
 		return true
 	}
-	return con.takeLoads(ser, len(pro.Members))
+	return con.takeLoads(ser, pro.Loads)
 }
 
 // loadMargin is the part of the allowed loads that is used, since loads that were ordered late may begin in any window.
--- a/grouper/formation.go
+++ b/grouper/formation.go
@@ -60,16 +60,18 @@
 	ready := 0
 	for rank, lif := range frm.Members {
 		ser := vie.Servers[lif.ID]
-		if ser.Life() != lif || ser.Group.Name != frm.Name || ser.Group.Epoch != frm.Epoch || ser.Group.Rank != rank {
-			continue
-		}
-		if ser.Group.State == registrar.Ready || ser.Group.State == registrar.Open {
+		if ser.Life() == lif && ser.Group.Rank == rank && frm.readyAt(ser) {
 			ready++
 		}
 	}
 	return ready
 }
 
+// readyAt reports whether a server says that it is ready under the group's own name and epoch.
+func (frm Formation) readyAt(ser registrar.Server) bool {
+	return ser.Group.Name == frm.Name && ser.Group.Epoch == frm.Epoch && (ser.Group.State == registrar.Ready || ser.Group.State == registrar.Open)
+}
+
 // Opened reports whether the head says that it takes requests.
 func (frm Formation) Opened(vie *registrar.View) bool {
 	head, listed := vie.Servers[frm.Members[0].ID]
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -54,6 +54,8 @@
 	Members []registrar.Server
 	// ReadyIn is how long the slowest member takes.
 	ReadyIn time.Duration
+	// Loads is how many members load from the weight store.
+	Loads int
 	// Standby says that the group is not to be opened yet.
 	Standby bool
 }
@@ -81,7 +83,11 @@
 	stands  map[registrar.Life]Formation
 	// waits says that servers which stood by are about to be free for what an earlier plan wants of them.
 	waits bool
-	out   Plan
+	// loading counts the loads from the weight store that are under way or proposed.
+	loading int
+	// kept says that the rest of the weight store is kept for a group that is wanted more.
+	kept bool
+	out  Plan
 }
 
 // Make returns what is to be done now.
@@ -90,6 +96,7 @@
 		pic: pic, active: map[string][]Formation{}, standby: map[string][]Formation{}, stands: map[registrar.Life]Formation{},
 	}
 	rnd.sort()
+	rnd.loading = rnd.countLoading()
 	wanted := rnd.wanted()
 	given := map[string]bool{}
 	for {
@@ -264,7 +271,7 @@
 			best = &one
 		}
 	}
-	if best == nil {
+	if best == nil || !rnd.mayLoad(best.loads) {
 		return false
 	}
 	rnd.take(mod, *best)
@@ -275,6 +282,8 @@
 type choice struct {
 	members []registrar.Server
 	ready   time.Duration
+	// loads counts the members that load from the weight store.
+	loads int
 	// zone and domain count the model's groups there, broken the servers that stand by and would be taken.
 	zone   int
 	domain int
@@ -294,6 +303,9 @@
 	out.ready = rnd.readyIn(mod, out.members[mod.Size-1])
 	for _, ser := range out.members {
 		out.broken += rnd.standsBy(ser)
+		if rnd.readyIn(mod, ser) > mod.StagedIn {
+			out.loads++
+		}
 	}
 	for _, frm := range rnd.active[mod.Name] {
 		if rnd.pic.View.Servers[frm.Members[0].ID].Domain == list[0].Domain {
@@ -313,7 +325,7 @@
 // before reports whether one way is better than another: ready first, then spread over zones and domains.
 func (cho choice) before(oth choice) bool {
 	return cmp.Or(
-		cmp.Compare(cho.ready, oth.ready), cmp.Compare(cho.zone, oth.zone),
+		cmp.Compare(cho.ready, oth.ready), cmp.Compare(cho.loads, oth.loads), cmp.Compare(cho.zone, oth.zone),
 		cmp.Compare(cho.domain, oth.domain), cmp.Compare(cho.broken, oth.broken),
 	) < 0
 }
@@ -333,8 +345,48 @@
 	rnd.free = slices.DeleteFunc(rnd.free, func(ser registrar.Server) bool { return slices.Contains(lives, ser.Life()) })
 	rnd.active[mod.Name] = append(rnd.active[mod.Name], Formation{Model: mod.Name, Members: lives})
 	if !waits {
-		rnd.out.Form = append(rnd.out.Form, Proposal{Model: mod, Members: cho.members, ReadyIn: cho.ready})
+		rnd.loading += cho.loads
+		rnd.out.Form = append(rnd.out.Form, Proposal{Model: mod, Members: cho.members, ReadyIn: cho.ready, Loads: cho.loads})
+	}
+}
+
+// mayLoad reports whether so many more loads leave the weight store its full speed: those that share it end together and late, and until then none of their groups serves. What does not fit keeps the rest of the store for itself, so that small groups do not pass it by for ever.
+func (rnd *round) mayLoad(loads int) bool {
+	most := rnd.pic.Engine.LoadsAtOnce
+	if loads == 0 || most == 0 || rnd.pic.Early {
+		return true
+	}
+	if rnd.kept || rnd.loading > 0 && rnd.loading+loads > most {
+		rnd.kept = true
+		return false
+	}
+	return true
+}
+
+// countLoading counts the members of groups in the making, and the hosts, that load from the weight store.
+func (rnd *round) countLoading() int {
+	num := len(rnd.pic.Staging)
+	for _, frm := range rnd.pic.Formations {
+		mod, known := rnd.model(frm.Model)
+		if frm.Service != rnd.pic.Service || !known || rnd.pic.Dissolving[frm.Name] {
+			continue
+		}
+		for _, lif := range frm.Members {
+			ser := rnd.pic.View.Servers[lif.ID]
+			if ser.Life() == lif && !frm.readyAt(ser) && rnd.readyIn(mod, ser) > mod.StagedIn {
+				num++
+			}
+		}
+	}
+	return num
+}
+
+func (rnd *round) model(name string) (router.Model, bool) {
+	num := slices.IndexFunc(rnd.pic.Engine.Models, func(mod router.Model) bool { return mod.Name == name })
+	if num < 0 {
+		return router.Model{}, false
 	}
+	return rnd.pic.Engine.Models[num], true
 }
 
 // readyIn is how long a server takes to have a model's weights in its accelerators.
@@ -365,7 +417,11 @@
 		for _, dom := range slices.Sorted(maps.Keys(byDomain)) {
 			for list := byDomain[dom]; len(list) >= mod.Size; list = list[mod.Size:] {
 				cho := rnd.choose(mod, list[:mod.Size])
-				rnd.out.Form = append(rnd.out.Form, Proposal{Model: mod, Members: cho.members, ReadyIn: cho.ready, Standby: true})
+				if !rnd.mayLoad(cho.loads) {
+					continue
+				}
+				rnd.loading += cho.loads
+				rnd.out.Form = append(rnd.out.Form, Proposal{Model: mod, Members: cho.members, ReadyIn: cho.ready, Loads: cho.loads, Standby: true})
 				rnd.free = slices.DeleteFunc(rnd.free, func(ser registrar.Server) bool {
 					return slices.ContainsFunc(cho.members, func(mem registrar.Server) bool { return mem.ID == ser.ID })
 				})
--- a/router/config.go
+++ b/router/config.go
@@ -76,6 +76,8 @@
 	ReadPerSecond float64
 	// LoadsPerSecond bounds the loads from the weight store that begin, over all backend servers.
 	LoadsPerSecond float64
+	// LoadsAtOnce is how many loads the weight store serves at full speed; more share that speed. Zero is no bound.
+	LoadsAtOnce int
 }
 
 // Model is what the replica groups of one model have in common.
