Give surplus groups of one model to another that is short

Change: when a model's places are nine tenths taken, open groups of another whose servers hold its weights are dissolved, after what runs on them, as long as the giver fills at most 0.7 of what it keeps; that comes before loads from the weight store. Test: grouper convert_test, among them "has the large model served without a load from the weight store"; they failed before, as nothing was given.

--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -104,7 +104,7 @@
 		if !short {
 			break
 		}
-		given[mod.Name] = !rnd.open(mod) && !rnd.form(mod)
+		given[mod.Name] = !rnd.supply(mod)
 	}
 	if !rnd.waits {
 		rnd.standBy()
@@ -113,6 +113,14 @@
 	return rnd.out
 }
 
+// supply proposes one more group of a model, the soonest that can be had; it reports false when there is none, or when it has to wait for servers.
+func (rnd *round) supply(mod router.Model) bool {
+	if rnd.open(mod) || rnd.form(mod, false) {
+		return true
+	}
+	return !rnd.convert(mod) && rnd.form(mod, true)
+}
+
 // sort tells formations that stand from those to dissolve, and finds the free servers.
 func (rnd *round) sort() {
 	taken := map[registrar.Life]bool{}
@@ -248,19 +256,9 @@
 	return num
 }
 
-// form proposes a group of the model where it is ready first; it reports false when no domain has enough servers that are free or stand by.
-func (rnd *round) form(mod router.Model) bool {
-	byDomain := map[string][]registrar.Server{}
-	for _, ser := range rnd.free {
-		byDomain[ser.Domain] = append(byDomain[ser.Domain], ser)
-	}
-	for lif := range rnd.stands {
-		if rnd.waits {
-			break
-		}
-		ser := rnd.pic.View.Servers[lif.ID]
-		byDomain[ser.Domain] = append(byDomain[ser.Domain], ser)
-	}
+// form proposes a group of the model where it is ready first, and where asked to one that needs loads from the weight store; it reports false when no domain has enough servers that are free or stand by.
+func (rnd *round) form(mod router.Model, loads bool) bool {
+	byDomain := rnd.idleByDomain()
 	var best *choice
 	for _, dom := range slices.Sorted(maps.Keys(byDomain)) {
 		if len(byDomain[dom]) < mod.Size {
@@ -271,7 +269,7 @@
 			best = &one
 		}
 	}
-	if best == nil || !rnd.mayLoad(best.loads) {
+	if best == nil || best.loads > 0 && !loads || !rnd.mayLoad(best.loads) {
 		return false
 	}
 	rnd.take(mod, *best)
