--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -26,6 +26,10 @@
 	ref := refuser.From(err)
 	// A body that did not come in time ends the request's context too, and its caller is there.
 	if job.req.Context().Err() != nil && ref.Status != http.StatusRequestTimeout {
+		job.log.WithFields(logrus.Fields{
+			"why": ref.Message, "route": job.rou.Name, "workspace": job.wsp.Name, "pool": job.pool(), "sends": job.sends,
+			"may_have_run": job.ran, "after_ms": job.gat.opt.Clock.Since(job.arrived).Milliseconds(),
+		}).Info("caller left without an answer")
 		job.ended(OutcomeLeft)
 		// To return would send an empty success.
 		panic(http.ErrAbortHandler)
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -226,8 +226,15 @@
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { time.Sleep(50 * time.Millisecond); cancel() }()
-		newWorld(safe, one).call(ctx)
+		wor := newWorld(safe, one)
+		wor.call(ctx)
 		Eventually(ended, "500ms").Should(BeClosed())
+		Eventually(func() string {
+			if ent := wor.log.LastEntry(); ent != nil {
+				return fmt.Sprint(ent.Message, " ", ent.Data["request"], " ", ent.Data["sends"])
+			}
+			return ""
+		}).Should(Equal("caller left without an answer one 1"))
 	})
 
 	It("sends no answer to a caller who closed its side", func() {
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/lovagelever/lovagelever/breaker"
 	"github.com/lovagelever/lovagelever/dispatcher"
@@ -181,6 +182,7 @@
 	ends atomic.Pointer[time.Time]
 	web  *httptest.Server
 	pool string
+	log  *logtest.Hook
 }
 
 func newWorld(rou router.Route, workers ...*worker) *world {
@@ -190,6 +192,7 @@
 	wor.dis = dispatcher.New(dispatcher.Options{Zone: "z0", Clock: clk, Breaker: breaker.New(breaker.Options{Clock: clk})})
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
+	wor.log = logtest.NewLocal(log)
 	rou.Name, rou.Host, rou.Prefix, rou.Targets = "r", "h.example", "/p/", []router.Target{{Service: "s", Weight: 1}}
 	wor.table(router.Config{Routes: []router.Route{rou}, Workspaces: []router.Workspace{{Name: "w", Keys: []string{"key"}}}})
 	wor.setUnits(dispatcher.Serving, workers...)
