Go back to 150 datagrams a second of beats, and keep the longer support

Change: the rate and the test of the interval are as before; what an entry tells counts for three beats, 1.3 s at 67 entries. Open: beats go from each entry to each other one and have to be replaced before 300 entries.

--- a/gatekeeper/peers.go
+++ b/gatekeeper/peers.go
@@ -142,8 +142,8 @@
 }
 
 const (
-	// supportBeats is for how many beats what another entry tells counts: three in a row are hardly ever lost, and a reader must be missed well within the 2 s that changes may take.
-	supportBeats = 4
+	// supportBeats is for how many beats what another entry tells counts: two in a row are hardly ever lost, and at 70 entries a lost reader must be missed well within the 3 s that changes may take.
+	supportBeats = 3
 	// leastSupport is what it counts at least; entries that are held up for a moment send nothing.
 	leastSupport = 500 * time.Millisecond
 	// pulseSlack is how late a beat may come and still be the next one.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -14,8 +14,8 @@
 const (
 	// DefaultEvery is the time between two beats among few entries: requests of the sheets in docs/ADAPTER.md last about a second.
 	DefaultEvery = 100 * time.Millisecond
-	// mostPerSecond bounds the datagrams that one entry sends; above it beats become rarer. One costs about 15 us, so that sending and receiving take about 1% of a core.
-	mostPerSecond = 400
+	// mostPerSecond bounds the datagrams that one entry sends; above it beats become rarer.
+	mostPerSecond = 150
 	// SilentAfter is after how many beats without a sign an entry counts as gone.
 	SilentAfter = 10
 )
