--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -99,8 +99,13 @@
 
 // Run follows the topic until the context ends.
 func (tai *Tailer) Run(ctx context.Context) {
+	relays := true
 	for ctx.Err() == nil {
-		if tai.opt.Peers.Read() {
+		if now := tai.opt.Peers.Read(); now != relays {
+			relays = now
+			tai.opt.Logger.WithFields(logrus.Fields{"topic": tai.opt.Topic, "reads": !relays}).Info("source of a topic changed")
+		}
+		if relays {
 			tai.relay(ctx)
 			continue
 		}
