Give each entry of the gatekeeper tests its own loopback address

Cause: the tests picked a free port, closed it and listened at it later; in between another process may take it. Seen once in a run of three packages and then in 3 of 158 runs of up to 24 at once; one trace shows "listen tcp 127.0.0.1:39643: bind: address already in use" (and an entry that so never became ready). Ruled out: the code under test; no failure had another start. Change: an address of its own for each entry of each test process, with fixed ports. The checks are as they were.

--- a/gatekeeper/readers_test.go
+++ b/gatekeeper/readers_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -74,17 +77,22 @@
 }
 func (nothing) Order(context.Context, registrar.Server, conductor.Order) error { return nil }
 
-func free() string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer lis.Close()
-	return lis.Addr().String()
+// entries counts the entries that the tests have started.
+var entries atomic.Int64
+
+// ownIP returns a loopback address that no other entry of this process or another test process has, so that ports need not be looked for: one that was free a moment ago may be taken.
+func ownIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 100+pid>>8%100, pid%256, 1+entries.Add(1)%250)
 }
 
 func settings(name string) gateconfigurer.Settings {
+	ip := ownIP()
 	return gateconfigurer.Settings{
-		Name: name, Zone: "z", Region: "r", Address: "127.0.0.1",
-		Listen: gateconfigurer.Listen{Callers: free(), Readiness: free(), Directory: free(), Entries: free(), Metrics: free()},
+		Name: name, Zone: "z", Region: "r", Address: ip,
+		Listen: gateconfigurer.Listen{
+			Callers: ip + ":9001", Readiness: ip + ":9002", Directory: ip + ":9003", Entries: ip + ":9004", Metrics: ip + ":9005",
+		},
 		Bounds: gateconfigurer.Bounds{StopGrace: time.Second, RetryWindow: 10 * time.Second, LongestDirectoryValidity: 5 * time.Second},
 	}
 }
