Split the plan of groups into files, and keep a topic's name in its stand-in

Loads from the weight store and what idle servers do have files of their own; nothing but places changed. The soak writes the list of backend servers through the stand-in of the store.

--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -348,45 +348,6 @@
 	}
 }
 
-// mayLoad reports whether so many more loads leave the weight store its full speed: those that share it end together and late, and until then none of their groups serves. What does not fit keeps the rest of the store for itself, so that small groups do not pass it by for ever.
-func (rnd *round) mayLoad(loads int) bool {
-	most := rnd.pic.Engine.LoadsAtOnce
-	if loads == 0 || most == 0 || rnd.pic.Early {
-		return true
-	}
-	if rnd.kept || rnd.loading > 0 && rnd.loading+loads > most {
-		rnd.kept = true
-		return false
-	}
-	return true
-}
-
-// countLoading counts the members of groups in the making, and the hosts, that load from the weight store.
-func (rnd *round) countLoading() int {
-	num := len(rnd.pic.Staging)
-	for _, frm := range rnd.pic.Formations {
-		mod, known := rnd.model(frm.Model)
-		if frm.Service != rnd.pic.Service || !known || rnd.pic.Dissolving[frm.Name] {
-			continue
-		}
-		for _, lif := range frm.Members {
-			ser := rnd.pic.View.Servers[lif.ID]
-			if ser.Life() == lif && !frm.readyAt(ser) && rnd.readyIn(mod, ser) > mod.StagedIn {
-				num++
-			}
-		}
-	}
-	return num
-}
-
-func (rnd *round) model(name string) (router.Model, bool) {
-	num := slices.IndexFunc(rnd.pic.Engine.Models, func(mod router.Model) bool { return mod.Name == name })
-	if num < 0 {
-		return router.Model{}, false
-	}
-	return rnd.pic.Engine.Models[num], true
-}
-
 // readyIn is how long a server takes to have a model's weights in its accelerators.
 func (rnd *round) readyIn(mod router.Model, ser registrar.Server) time.Duration {
 	switch {
@@ -399,60 +360,3 @@
 	}
 	return mod.LoadIn
 }
-
-// standBy groups what is left over, so that a whole group only has to be opened when one is lost.
-func (rnd *round) standBy() {
-	models := slices.Clone(rnd.pic.Engine.Models)
-	slices.SortFunc(models, func(one, two router.Model) int { return cmp.Compare(one.Size, two.Size) })
-	for num, mod := range models {
-		byDomain := map[string][]registrar.Server{}
-		for _, ser := range rnd.free {
-			// Small groups fit anywhere, so empty servers join the smallest model.
-			if ser.Loaded == mod.Name || ser.Loaded == "" && num == 0 {
-				byDomain[ser.Domain] = append(byDomain[ser.Domain], ser)
-			}
-		}
-		for _, dom := range slices.Sorted(maps.Keys(byDomain)) {
-			for list := byDomain[dom]; len(list) >= mod.Size; list = list[mod.Size:] {
-				cho := rnd.choose(mod, list[:mod.Size])
-				if !rnd.mayLoad(cho.loads) {
-					continue
-				}
-				rnd.loading += cho.loads
-				rnd.out.Form = append(rnd.out.Form, Proposal{Model: mod, Members: cho.members, ReadyIn: cho.ready, Loads: cho.loads, Standby: true})
-				rnd.free = slices.DeleteFunc(rnd.free, func(ser registrar.Server) bool {
-					return slices.ContainsFunc(cho.members, func(mem registrar.Server) bool { return mem.ID == ser.ID })
-				})
-			}
-		}
-	}
-}
-
-// stage has servers hold on their hosts the weights of another model than the one that they serve, so that they can change over quickly: all before the first request, and later those that serve nothing.
-func (rnd *round) stage() {
-	for _, ser := range rnd.usable() {
-		_, stands := rnd.stands[ser.Life()]
-		idle := stands || slices.ContainsFunc(rnd.free, func(oth registrar.Server) bool { return oth.ID == ser.ID })
-		if ser.Loaded == "" || rnd.pic.Staging[ser.Life()] != "" || !idle && !rnd.pic.Early {
-			continue
-		}
-		if mod, found := rnd.other(ser); found {
-			rnd.out.Stage = append(rnd.out.Stage, Staging{Server: ser, Model: mod})
-		}
-	}
-	slices.SortFunc(rnd.out.Stage, func(one, two Staging) int { return cmp.Compare(one.Server.ID, two.Server.ID) })
-}
-
-// other returns the model that a server should hold on its host; found is false when it holds it.
-func (rnd *round) other(ser registrar.Server) (model string, found bool) {
-	for _, mod := range rnd.pic.Engine.Models {
-		if mod.Name == ser.Loaded {
-			continue
-		}
-		if slices.Contains(ser.Staged, mod.Name) {
-			return "", false
-		}
-		model = mod.Name
-	}
-	return model, model != ""
-}
--- a/prover/gate_deployment_test.go
+++ b/prover/gate_deployment_test.go
@@ -134,8 +134,7 @@
 
 func (gts *gates) startWorkers(rng *rand.Rand) {
 	gts.wor = workerfaker.New(workerfaker.Options{
-		List:  func(id string, entry []byte) { gts.sto.Put("keyed.servers", id, entry) },
-		Sizes: map[string]int{"large": 3, "small": 2}, ColdAtOnce: coldAtOnce, Random: rand.New(rand.NewPCG(rng.Uint64(), 2)),
+		List: gts.sto.List, Sizes: map[string]int{"large": 3, "small": 2}, ColdAtOnce: coldAtOnce, Random: rand.New(rand.NewPCG(rng.Uint64(), 2)),
 	})
 	for zone := range gateZones {
 		for num := range enginesEach + desksEach {
