--- a/conductor/build.go
+++ b/conductor/build.go
@@ -81,21 +81,21 @@
 	return ctx, cancel
 }
 
-func (con *Conductor) server(lif registrar.Instance) registrar.Server {
+func (con *Conductor) server(ins registrar.Instance) registrar.Server {
 	con.mux.Lock()
 	defer con.mux.Unlock()
-	return con.servers[lif]
+	return con.servers[ins]
 }
 
 func (con *Conductor) joinAll(ctx context.Context, frm grouper.Formation) error {
 	var names []string
-	for _, lif := range frm.Members {
-		names = append(names, lif.ID)
+	for _, ins := range frm.Members {
+		names = append(names, ins.ID)
 	}
 	var wgr sync.WaitGroup
 	failed := make(chan error, len(frm.Members))
-	for _, lif := range frm.Members {
-		ser := con.server(lif)
+	for _, ins := range frm.Members {
+		ser := con.server(ins)
 		if ser.Group.Name == frm.Name && ser.Group.Epoch == frm.Epoch {
 			continue
 		}
@@ -252,19 +252,19 @@
 )
 
 func (con *Conductor) stageOne(ctx context.Context, sta grouper.Staging) {
-	lif := sta.Server.Instance()
+	ins := sta.Server.Instance()
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
 	err := con.send(ctx, sta.Server, Order{Kind: Stage, Model: sta.Model})
 	con.opt.Logger.WithError(err).WithFields(logrus.Fields{"server": sta.Server.ID, "model": sta.Model}).Info("staging weights")
 	for err == nil {
-		now, listed := con.opt.View().Servers[lif.ID]
-		if !listed || now.Instance() != lif || slices.Contains(now.Staged, sta.Model) {
+		now, listed := con.opt.View().Servers[ins.ID]
+		if !listed || now.Instance() != ins || slices.Contains(now.Staged, sta.Model) {
 			break
 		}
 		err = con.sleep(ctx, pollInterval)
 	}
 	con.mux.Lock()
 	defer con.mux.Unlock()
-	delete(con.staging, lif)
+	delete(con.staging, ins)
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -49,7 +49,7 @@
 	Loads              func(service, model string) grouper.Load
 	BeforeFirstRequest func() bool
 	// Ended receives the instances of servers that were found to have ended.
-	Ended      func(lif registrar.Instance)
+	Ended      func(ins registrar.Instance)
 	Clock      clockwork.Clock
 	Logger     *logrus.Entry
 	LoadWindow time.Duration
@@ -253,17 +253,17 @@
 func (con *Conductor) planInput(ser router.Service, vie *registrar.View) grouper.Input {
 	con.mux.Lock()
 	defer con.mux.Unlock()
-	pic := grouper.Input{
+	inp := grouper.Input{
 		Service: ser.Name, Engine: *ser.Engine, View: vie, BeforeFirstRequest: con.opt.BeforeFirstRequest(),
 		Busy: maps.Clone(con.busy), Dissolving: maps.Clone(con.dissolving), Staging: maps.Clone(con.staging), Loads: map[string]grouper.Load{},
 	}
 	for _, frm := range con.formations {
-		pic.Formations = append(pic.Formations, frm)
+		inp.Formations = append(inp.Formations, frm)
 	}
 	for _, mod := range ser.Engine.Models {
-		pic.Loads[mod.Name] = con.opt.Loads(ser.Name, mod.Name)
+		inp.Loads[mod.Name] = con.opt.Loads(ser.Name, mod.Name)
 	}
-	return pic
+	return inp
 }
 
 // markBusy marks a group as having an operation in progress. It reports false when one is in progress already.
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -45,8 +45,8 @@
 
 // Registrar records which instances of backend servers this entry suspects, and holds the server list.
 type Registrar interface {
-	Suspect(lif registrar.Instance, until time.Time, certain bool)
-	ClearSuspicion(lif registrar.Instance)
+	Suspect(ins registrar.Instance, until time.Time, certain bool)
+	ClearSuspicion(ins registrar.Instance)
 	View() *registrar.View
 }
 
@@ -150,8 +150,8 @@
 	det.mux.Lock()
 	defer det.mux.Unlock()
 	out := make([]registrar.Instance, 0, len(det.suspected))
-	for lif := range det.suspected {
-		out = append(out, lif)
+	for ins := range det.suspected {
+		out = append(out, ins)
 	}
 	return out
 }
--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -45,8 +45,8 @@
 		bea.Running[hash(unit)] = num
 		bea.Alive[hash(unit)] = alive[unit]
 	}
-	for _, lif := range gat.det.Suspected() {
-		bea.Suspects = append(bea.Suspects, instanceHash(lif))
+	for _, ins := range gat.det.Suspected() {
+		bea.Suspects = append(bea.Suspects, instanceHash(ins))
 	}
 	return bea
 }
--- a/gateserver/units.go
+++ b/gateserver/units.go
@@ -158,6 +158,6 @@
 	return xxhash.Sum64String(text)
 }
 
-func instanceHash(lif registrar.Instance) uint64 {
-	return hash(fmt.Sprintf("%s@%d", lif.ID, lif.Started))
+func instanceHash(ins registrar.Instance) uint64 {
+	return hash(fmt.Sprintf("%s@%d", ins.ID, ins.Started))
 }
--- a/grouper/bench_test.go
+++ b/grouper/bench_test.go
@@ -22,11 +22,11 @@
 				}
 			}
 			fix.reg.Remove("l0-3", false)
-			fix.pic.View, fix.pic.Formations = fix.reg.View(), fix.frms
-			fix.pic.Loads = map[string]grouper.Load{"large": {Slots: 60, InUse: 58}, "small": {Slots: 120, InUse: 60}}
+			fix.inp.View, fix.inp.Formations = fix.reg.View(), fix.frms
+			fix.inp.Loads = map[string]grouper.Load{"large": {Slots: 60, InUse: 58}, "small": {Slots: 120, InUse: 60}}
 			ben.ReportAllocs()
 			for ben.Loop() {
-				grouper.NewPlan(fix.pic)
+				grouper.NewPlan(fix.inp)
 			}
 		})
 	}
--- a/grouper/convert.go
+++ b/grouper/convert.go
@@ -18,14 +18,14 @@
 
 // reassign dissolves surplus groups of other models where their servers, together with idle ones, can form a group of an overloaded model without any load from the weight store. The new group is formed in a later round, once the servers are free. reassign reports false when there are no such groups.
 func (rnd *round) reassign(mod router.Model) bool {
-	loa := rnd.pic.Loads[mod.Name]
-	if rnd.pic.BeforeFirstRequest || rnd.awaitsRelease || float64(loa.InUse+loa.Waiting) < reassignUtilization*float64(loa.Slots) {
+	loa := rnd.inp.Loads[mod.Name]
+	if rnd.inp.BeforeFirstRequest || rnd.awaitsRelease || float64(loa.InUse+loa.Waiting) < reassignUtilization*float64(loa.Slots) {
 		return false
 	}
 	donors := rnd.donors(mod)
 	byDomain := rnd.idleByDomain()
-	for lif := range donors {
-		ser := rnd.pic.View.Servers[lif.ID]
+	for ins := range donors {
+		ser := rnd.inp.View.Servers[ins.ID]
 		byDomain[ser.Domain] = append(byDomain[ser.Domain], ser)
 	}
 	var best *choice
@@ -54,11 +54,11 @@
 	for _, ser := range rnd.free {
 		out[ser.Domain] = append(out[ser.Domain], ser)
 	}
-	for lif := range rnd.standbyMembers {
+	for ins := range rnd.standbyMembers {
 		if rnd.awaitsRelease {
 			break
 		}
-		ser := rnd.pic.View.Servers[lif.ID]
+		ser := rnd.inp.View.Servers[ins.ID]
 		out[ser.Domain] = append(out[ser.Domain], ser)
 	}
 	return out
@@ -69,11 +69,11 @@
 	out := map[registrar.Instance]Formation{}
 	for name, frms := range rnd.active {
 		for _, frm := range frms {
-			if name == mod.Name || rnd.pic.Busy[frm.Name] || !frm.IsOpen(rnd.pic.View) {
+			if name == mod.Name || rnd.inp.Busy[frm.Name] || !frm.IsOpen(rnd.inp.View) {
 				continue
 			}
-			for _, lif := range frm.Members {
-				out[lif] = frm
+			for _, ins := range frm.Members {
+				out[ins] = frm
 			}
 		}
 	}
@@ -108,7 +108,7 @@
 
 // surplusGroups returns how many open groups a model can give up while the rest handle its load.
 func (rnd *round) surplusGroups(model string) int {
-	loa, slots := rnd.pic.Loads[model], rnd.pic.Engine.Slots
+	loa, slots := rnd.inp.Loads[model], rnd.inp.Engine.Slots
 	if slots == 0 {
 		return 0
 	}
--- a/grouper/convert_test.go
+++ b/grouper/convert_test.go
@@ -45,15 +45,15 @@
 				fix.reg.Put(ser)
 			}
 		}, 0},
-		{"dissolves none before the first request", grouper.Load{Slots: 10, InUse: 10}, grouper.Load{Slots: 60, InUse: 20}, func(fix *fixture) { fix.pic.BeforeFirstRequest = true }, 0},
+		{"dissolves none before the first request", grouper.Load{Slots: 10, InUse: 10}, grouper.Load{Slots: 60, InUse: 20}, func(fix *fixture) { fix.inp.BeforeFirstRequest = true }, 0},
 		{"dissolves none while another group is being dissolved", grouper.Load{Slots: 10, InUse: 10}, grouper.Load{Slots: 60, InUse: 20}, func(fix *fixture) {
-			fix.pic.Dissolving = map[string]bool{"s00": true}
+			fix.inp.Dissolving = map[string]bool{"s00": true}
 		}, 0},
 	}
 	for _, cas := range cases {
 		It(cas.name, func() {
 			fix := unevenFleet()
-			fix.pic.Loads = map[string]grouper.Load{"large": cas.large, "small": cas.small}
+			fix.inp.Loads = map[string]grouper.Load{"large": cas.large, "small": cas.small}
 			if cas.setup != nil {
 				cas.setup(fix)
 			}
@@ -70,7 +70,7 @@
 
 	It("forms a large group without a load from the weight store", func() {
 		fix := unevenFleet()
-		fix.pic.Loads = map[string]grouper.Load{"large": {Slots: 10, InUse: 10}, "small": {Slots: 60, InUse: 20}}
+		fix.inp.Loads = map[string]grouper.Load{"large": {Slots: 10, InUse: 10}, "small": {Slots: 60, InUse: 20}}
 		for _, frm := range fix.plan().Dissolve {
 			fix.removeGroup(frm.Name)
 		}
--- a/grouper/formation.go
+++ b/grouper/formation.go
@@ -30,10 +30,10 @@
 // Check returns the health of the formation according to the server list.
 func (frm Formation) Check(vie *registrar.View) Health {
 	out := Healthy
-	for _, lif := range frm.Members {
-		ser, listed := vie.Servers[lif.ID]
+	for _, ins := range frm.Members {
+		ser, listed := vie.Servers[ins.ID]
 		switch {
-		case listed && ser.Started != lif.Started, vie.SuspicionConfirmed(lif):
+		case listed && ser.Started != ins.Started, vie.SuspicionConfirmed(ins):
 			return Lost
 		case !listed, ser.Draining:
 			out = Leaving
@@ -46,8 +46,8 @@
 }
 
 // Has reports whether the given instance of a server is a member.
-func (frm Formation) Has(lif registrar.Instance) bool {
-	return slices.Contains(frm.Members, lif)
+func (frm Formation) Has(ins registrar.Instance) bool {
+	return slices.Contains(frm.Members, ins)
 }
 
 // isReady reports whether every member reports ready under the group's name and epoch.
@@ -58,9 +58,9 @@
 // ReadyMembers returns the number of members that report ready under the group's name, epoch and their rank.
 func (frm Formation) ReadyMembers(vie *registrar.View) int {
 	ready := 0
-	for rank, lif := range frm.Members {
-		ser := vie.Servers[lif.ID]
-		if ser.Instance() == lif && ser.Group.Rank == rank && frm.readyAt(ser) {
+	for rank, ins := range frm.Members {
+		ser := vie.Servers[ins.ID]
+		if ser.Instance() == ins && ser.Group.Rank == rank && frm.readyAt(ser) {
 			ready++
 		}
 	}
--- a/grouper/idle.go
+++ b/grouper/idle.go
@@ -11,7 +11,7 @@
 
 // formStandby forms standby groups of the remaining free servers, so that replacing a lost group only takes opening one.
 func (rnd *round) formStandby() {
-	models := slices.Clone(rnd.pic.Engine.Models)
+	models := slices.Clone(rnd.inp.Engine.Models)
 	slices.SortFunc(models, func(one, two router.Model) int { return cmp.Compare(one.Size, two.Size) })
 	for num, mod := range models {
 		byDomain := map[string][]registrar.Server{}
@@ -42,7 +42,7 @@
 	for _, ser := range rnd.usable() {
 		_, onStandby := rnd.standbyMembers[ser.Instance()]
 		idle := onStandby || slices.ContainsFunc(rnd.free, func(oth registrar.Server) bool { return oth.ID == ser.ID })
-		if ser.Loaded == "" || rnd.pic.Staging[ser.Instance()] != "" || !idle && !rnd.pic.BeforeFirstRequest {
+		if ser.Loaded == "" || rnd.inp.Staging[ser.Instance()] != "" || !idle && !rnd.inp.BeforeFirstRequest {
 			continue
 		}
 		if mod, found := rnd.modelToStage(ser); found {
@@ -54,7 +54,7 @@
 
 // modelToStage returns the model that a server should stage on its host. found is false when it is staged already.
 func (rnd *round) modelToStage(ser registrar.Server) (model string, found bool) {
-	for _, mod := range rnd.pic.Engine.Models {
+	for _, mod := range rnd.inp.Engine.Models {
 		if mod.Name == ser.Loaded {
 			continue
 		}
--- a/grouper/loading_test.go
+++ b/grouper/loading_test.go
@@ -30,11 +30,11 @@
 func (sto *weightStore) advance() map[registrar.Instance]string {
 	speed := math.Min(1, float64(sto.fullSpeed)/float64(max(1, len(sto.loads))))
 	out := map[registrar.Instance]string{}
-	for lif, loa := range sto.loads {
+	for ins, loa := range sto.loads {
 		loa.remaining -= speed * tick.Seconds()
 		if loa.remaining <= 0 {
-			out[lif] = loa.model
-			delete(sto.loads, lif)
+			out[ins] = loa.model
+			delete(sto.loads, ins)
 		}
 	}
 	return out
@@ -47,8 +47,8 @@
 		for _, pro := range fix.plan().Form {
 			fix.startLoading(sto, pro)
 		}
-		for lif, model := range sto.advance() {
-			ser := fix.reg.View().Servers[lif.ID]
+		for ins, model := range sto.advance() {
+			ser := fix.reg.View().Servers[ins.ID]
 			ser.Loaded, ser.Staged, ser.Group.State = model, []string{model}, registrar.Ready
 			fix.reg.Put(ser)
 		}
@@ -80,7 +80,7 @@
 		head := vie.Servers[frm.Members[0].ID]
 		head.Group.State = registrar.Open
 		fix.reg.Put(head)
-		num += fix.pic.Engine.Slots
+		num += fix.inp.Engine.Slots
 	}
 	return float64(num)
 }
@@ -89,7 +89,7 @@
 var _ = Describe("plans with concurrent loads from the weight store", func() {
 	emptyFleet := func(fullSpeed int) (*fixture, *weightStore) {
 		fix := newFixture()
-		fix.pic.Engine.FullSpeedLoads = fullSpeed
+		fix.inp.Engine.FullSpeedLoads = fullSpeed
 		for dom := range 2 {
 			for num := range 10 {
 				fix.addServer(fmt.Sprintf("e%d-%d", dom, num), fmt.Sprint("d", dom), nil)
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -76,7 +76,7 @@
 
 // round is the state of one planning round.
 type round struct {
-	pic            Input
+	inp            Input
 	free           []registrar.Server
 	active         map[string][]Formation
 	standby        map[string][]Formation
@@ -91,9 +91,9 @@
 }
 
 // NewPlan returns the operations to start now.
-func NewPlan(pic Input) Plan {
+func NewPlan(inp Input) Plan {
 	rnd := &round{
-		pic: pic, active: map[string][]Formation{}, standby: map[string][]Formation{}, standbyMembers: map[registrar.Instance]Formation{},
+		inp: inp, active: map[string][]Formation{}, standby: map[string][]Formation{}, standbyMembers: map[registrar.Instance]Formation{},
 	}
 	rnd.classify()
 	rnd.loading = rnd.countLoading()
@@ -124,12 +124,12 @@
 // classify sorts the formations into active, standby and those to dissolve, and collects the free servers.
 func (rnd *round) classify() {
 	taken := map[registrar.Instance]bool{}
-	for _, frm := range rnd.pic.Formations {
-		if frm.Service != rnd.pic.Service {
+	for _, frm := range rnd.inp.Formations {
+		if frm.Service != rnd.inp.Service {
 			continue
 		}
-		for _, lif := range frm.Members {
-			taken[lif] = true
+		for _, ins := range frm.Members {
+			taken[ins] = true
 		}
 		rnd.classifyGroup(frm)
 	}
@@ -147,18 +147,18 @@
 }
 
 func (rnd *round) classifyGroup(frm Formation) {
-	vie := rnd.pic.View
+	vie := rnd.inp.View
 	switch {
-	case rnd.pic.Dissolving[frm.Name]:
+	case rnd.inp.Dissolving[frm.Name]:
 		rnd.awaitsRelease = rnd.awaitsRelease || frm.Check(vie) == Healthy
 	case frm.Check(vie) != Healthy:
 		rnd.out.Dissolve = append(rnd.out.Dissolve, frm)
 	case vie.ZoneOut(vie.Servers[frm.Members[0].ID].Zone):
 		// It serves again when its availability zone is back.
-	case frm.Standby && !frm.IsOpen(vie) && !rnd.pic.Busy[frm.Name]:
+	case frm.Standby && !frm.IsOpen(vie) && !rnd.inp.Busy[frm.Name]:
 		rnd.standby[frm.Model] = append(rnd.standby[frm.Model], frm)
-		for _, lif := range frm.Members {
-			rnd.standbyMembers[lif] = frm
+		for _, ins := range frm.Members {
+			rnd.standbyMembers[ins] = frm
 		}
 	case frm.Standby && !frm.IsOpen(vie) && !frm.isReady(vie):
 		// A standby group that is still being formed does not count yet.
@@ -170,8 +170,8 @@
 // usable returns the servers of the service that have an engine and may get work.
 func (rnd *round) usable() []registrar.Server {
 	var out []registrar.Server
-	for _, ser := range rnd.pic.View.Servers {
-		if ser.Service == rnd.pic.Service && ser.Domain != "" && rnd.pic.View.Usable(ser) {
+	for _, ser := range rnd.inp.View.Servers {
+		if ser.Service == rnd.inp.Service && ser.Domain != "" && rnd.inp.View.Usable(ser) {
 			out = append(out, ser)
 		}
 	}
@@ -182,17 +182,17 @@
 func (rnd *round) targetCounts() map[string]int {
 	usable := float64(len(rnd.usable()))
 	shares := 0.0
-	for _, mod := range rnd.pic.Engine.Models {
+	for _, mod := range rnd.inp.Engine.Models {
 		shares += mod.Share
 	}
 	out := map[string]int{}
-	for _, mod := range rnd.pic.Engine.Models {
-		share := 1 / float64(len(rnd.pic.Engine.Models))
+	for _, mod := range rnd.inp.Engine.Models {
+		share := 1 / float64(len(rnd.inp.Engine.Models))
 		if shares > 0 {
 			share = mod.Share / shares
 		}
 		num := int(math.Round(usable * share * servingShare / float64(mod.Size)))
-		loa := rnd.pic.Loads[mod.Name]
+		loa := rnd.inp.Loads[mod.Name]
 		if loa.InUse+loa.Waiting > 0 && float64(loa.InUse+loa.Waiting) > scaleUpUtilization*float64(loa.Slots) {
 			num = max(num, len(rnd.active[mod.Name])+1)
 		}
@@ -205,7 +205,7 @@
 func (rnd *round) mostLacking(targets map[string]int, skipped map[string]bool) (router.Model, bool) {
 	var best router.Model
 	largest := 0.0
-	for _, mod := range rnd.pic.Engine.Models {
+	for _, mod := range rnd.inp.Engine.Models {
 		missing := 1 - float64(len(rnd.active[mod.Name]))/float64(targets[mod.Name])
 		if missing > largest && !skipped[mod.Name] {
 			best, largest = mod, missing
@@ -219,7 +219,7 @@
 	var best *Formation
 	fewest := 0
 	for _, frm := range rnd.standby[mod.Name] {
-		if !frm.isReady(rnd.pic.View) {
+		if !frm.isReady(rnd.inp.View) {
 			continue
 		}
 		if num := rnd.groupsInZone(mod, rnd.zone(frm)); best == nil || num < fewest {
@@ -237,13 +237,13 @@
 
 func (rnd *round) removeStandby(frm Formation) {
 	rnd.standby[frm.Model] = slices.DeleteFunc(rnd.standby[frm.Model], func(oth Formation) bool { return oth.Name == frm.Name })
-	for _, lif := range frm.Members {
-		delete(rnd.standbyMembers, lif)
+	for _, ins := range frm.Members {
+		delete(rnd.standbyMembers, ins)
 	}
 }
 
 func (rnd *round) zone(frm Formation) string {
-	return rnd.pic.View.Servers[frm.Members[0].ID].Zone
+	return rnd.inp.View.Servers[frm.Members[0].ID].Zone
 }
 
 func (rnd *round) groupsInZone(mod router.Model, zone string) int {
@@ -307,7 +307,7 @@
 		}
 	}
 	for _, frm := range rnd.active[mod.Name] {
-		if rnd.pic.View.Servers[frm.Members[0].ID].Domain == list[0].Domain {
+		if rnd.inp.View.Servers[frm.Members[0].ID].Domain == list[0].Domain {
 			out.domainGroups++
 		}
 	}
@@ -354,9 +354,9 @@
 	switch {
 	case ser.Loaded == mod.Name:
 		return rejoinTime
-	case slices.Contains(ser.Staged, mod.Name) && rnd.pic.Staging[ser.Instance()] == "":
+	case slices.Contains(ser.Staged, mod.Name) && rnd.inp.Staging[ser.Instance()] == "":
 		return mod.HostLoadTime
-	case rnd.pic.BeforeFirstRequest:
+	case rnd.inp.BeforeFirstRequest:
 		return time.Duration(float64(mod.StoreLoadTime) * earlyLoadFactor)
 	}
 	return mod.StoreLoadTime
--- a/grouper/plan_test.go
+++ b/grouper/plan_test.go
@@ -23,13 +23,13 @@
 type fixture struct {
 	reg  *registrar.Registrar
 	frms []grouper.Formation
-	pic  grouper.Input
+	inp  grouper.Input
 }
 
 func newFixture() *fixture {
 	return &fixture{
 		reg: registrar.New(clockwork.NewFakeClock()),
-		pic: grouper.Input{Service: "s", Engine: router.Engine{Slots: 10, Models: models}},
+		inp: grouper.Input{Service: "s", Engine: router.Engine{Slots: 10, Models: models}},
 	}
 }
 
@@ -63,8 +63,8 @@
 }
 
 func (fix *fixture) plan() grouper.Plan {
-	fix.pic.View, fix.pic.Formations = fix.reg.View(), fix.frms
-	return grouper.NewPlan(fix.pic)
+	fix.inp.View, fix.inp.Formations = fix.reg.View(), fix.frms
+	return grouper.NewPlan(fix.inp)
 }
 
 // addServingGroups adds enough serving groups of both models, and a standby group in each domain.
@@ -88,7 +88,7 @@
 var _ = Describe("a plan", func() {
 	It("spreads the groups of an empty fleet over domains and forms some on standby", func() {
 		fix := newFixture()
-		fix.pic.BeforeFirstRequest = true
+		fix.inp.BeforeFirstRequest = true
 		for dom := range 6 {
 			for num := range 10 {
 				fix.addServer(fmt.Sprintf("e%d-%d", dom, num), fmt.Sprint("d", dom), nil)
@@ -144,8 +144,8 @@
 	It("plans nothing more while servers are about to be released", func() {
 		fix := newFixture()
 		fix.addServingGroups()
-		fix.pic.Dissolving = map[string]bool{"x0": true}
-		fix.pic.Loads = map[string]grouper.Load{"large": {Slots: 30, InUse: 29}}
+		fix.inp.Dissolving = map[string]bool{"x0": true}
+		fix.inp.Loads = map[string]grouper.Load{"large": {Slots: 30, InUse: 29}}
 		plan := fix.plan()
 		Expect(plan.Dissolve).To(BeEmpty())
 		Expect(plan.Form).To(BeEmpty())
@@ -154,7 +154,7 @@
 	It("opens one more group of a model with high utilization", func() {
 		fix := newFixture()
 		fix.addServingGroups()
-		fix.pic.Loads = map[string]grouper.Load{"small": {Slots: 60, InUse: 40, Waiting: 10}}
+		fix.inp.Loads = map[string]grouper.Load{"small": {Slots: 60, InUse: 40, Waiting: 10}}
 		Expect(fix.plan().Open).To(HaveLen(1))
 	})
 
@@ -180,9 +180,9 @@
 			ser.Staged = []string{ser.Loaded}
 			fix.reg.Put(ser)
 		}
-		fix.pic.BeforeFirstRequest = true
+		fix.inp.BeforeFirstRequest = true
 		Expect(fix.plan().Stage).To(HaveLen(30))
-		fix.pic.BeforeFirstRequest = false
+		fix.inp.BeforeFirstRequest = false
 		Expect(fix.plan().Stage).To(HaveLen(6))
 	})
 })
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -102,19 +102,19 @@
 }
 
 // Suspect records until when this entry suspects a server instance because it did not answer; certain means that its VM answered that nothing listens at the address.
-func (reg *Registrar) Suspect(lif Instance, until time.Time, certain bool) {
-	reg.update(func() { reg.suspicions[lif] = suspicion{until: until, certain: certain} })
+func (reg *Registrar) Suspect(ins Instance, until time.Time, certain bool) {
+	reg.update(func() { reg.suspicions[ins] = suspicion{until: until, certain: certain} })
 }
 
 // AddRemoteSuspicion records until when another entry suspects a server instance.
-func (reg *Registrar) AddRemoteSuspicion(lif Instance, until time.Time) {
+func (reg *Registrar) AddRemoteSuspicion(ins Instance, until time.Time) {
 	reg.mux.Lock()
-	old, known := reg.remoteSuspicions[lif]
+	old, known := reg.remoteSuspicions[ins]
 	reg.mux.Unlock()
 	if known && until.Sub(old) < minRemoteExtension {
 		return
 	}
-	reg.update(func() { reg.remoteSuspicions[lif] = until })
+	reg.update(func() { reg.remoteSuspicions[ins] = until })
 }
 
 // SetNoPeers records whether this entry hears from no other entry that could confirm a suspicion.
@@ -128,12 +128,12 @@
 }
 
 // ClearSuspicion clears the suspicion of a server instance that answered.
-func (reg *Registrar) ClearSuspicion(lif Instance) {
+func (reg *Registrar) ClearSuspicion(ins Instance) {
 	reg.mux.Lock()
-	_, suspected := reg.suspicions[lif]
+	_, suspected := reg.suspicions[ins]
 	reg.mux.Unlock()
 	if suspected {
-		reg.update(func() { delete(reg.suspicions, lif) })
+		reg.update(func() { delete(reg.suspicions, ins) })
 	}
 }
 
@@ -150,8 +150,8 @@
 	for _, until := range reg.removeAt {
 		due = due || !now.Before(until)
 	}
-	for _, dou := range reg.suspicions {
-		due = due || !now.Before(dou.until)
+	for _, sus := range reg.suspicions {
+		due = due || !now.Before(sus.until)
 	}
 	for _, until := range reg.remoteSuspicions {
 		due = due || !now.Before(until)
@@ -172,7 +172,7 @@
 			reg.deleteServer(id)
 		}
 	}
-	maps.DeleteFunc(reg.suspicions, func(_ Instance, dou suspicion) bool { return !now.Before(dou.until) })
+	maps.DeleteFunc(reg.suspicions, func(_ Instance, sus suspicion) bool { return !now.Before(sus.until) })
 	maps.DeleteFunc(reg.remoteSuspicions, func(_ Instance, until time.Time) bool { return !now.Before(until) })
 	reg.publish()
 }
@@ -184,9 +184,9 @@
 
 func (reg *Registrar) publish() {
 	vie := newView(reg.servers, reg.zonesOut)
-	for lif, dou := range reg.suspicions {
-		_, corroborated := reg.remoteSuspicions[lif]
-		vie.suspicions[lif] = dou.certain || corroborated || reg.noPeers
+	for ins, sus := range reg.suspicions {
+		_, corroborated := reg.remoteSuspicions[ins]
+		vie.suspicions[ins] = sus.certain || corroborated || reg.noPeers
 	}
 	reg.view.Store(vie)
 	close(reg.changed)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -76,35 +76,35 @@
 	})
 
 	DescribeTable("confirms a suspicion only if another entry shares it, it is certain, or no other entry is heard from",
-		func(prepare func(reg *registrar.Registrar, lif registrar.Instance, until time.Time), suspected, confirmed bool) {
+		func(prepare func(reg *registrar.Registrar, ins registrar.Instance, until time.Time), suspected, confirmed bool) {
 			reg.Put(complete[0])
-			lif := complete[0].Instance()
-			prepare(reg, lif, clk.Now().Add(time.Second))
-			Expect(reg.View().Suspected(lif)).To(Equal(suspected))
-			Expect(reg.View().SuspicionConfirmed(lif)).To(Equal(confirmed))
+			ins := complete[0].Instance()
+			prepare(reg, ins, clk.Now().Add(time.Second))
+			Expect(reg.View().Suspected(ins)).To(Equal(suspected))
+			Expect(reg.View().SuspicionConfirmed(ins)).To(Equal(confirmed))
 			Expect(reg.View().Usable(complete[0])).To(Equal(!suspected))
 			clk.Advance(2 * time.Second)
 			reg.Expire()
-			Expect(reg.View().Suspected(lif)).To(BeFalse())
+			Expect(reg.View().Suspected(ins)).To(BeFalse())
 		},
-		Entry("suspected by this entry", func(reg *registrar.Registrar, lif registrar.Instance, until time.Time) {
-			reg.Suspect(lif, until, false)
+		Entry("suspected by this entry", func(reg *registrar.Registrar, ins registrar.Instance, until time.Time) {
+			reg.Suspect(ins, until, false)
 		}, true, false),
-		Entry("certainly down", func(reg *registrar.Registrar, lif registrar.Instance, until time.Time) { reg.Suspect(lif, until, true) }, true, true),
-		Entry("suspected by another entry", func(reg *registrar.Registrar, lif registrar.Instance, until time.Time) {
-			reg.AddRemoteSuspicion(lif, until)
+		Entry("certainly down", func(reg *registrar.Registrar, ins registrar.Instance, until time.Time) { reg.Suspect(ins, until, true) }, true, true),
+		Entry("suspected by another entry", func(reg *registrar.Registrar, ins registrar.Instance, until time.Time) {
+			reg.AddRemoteSuspicion(ins, until)
 		}, false, false),
-		Entry("suspected by both", func(reg *registrar.Registrar, lif registrar.Instance, until time.Time) {
-			reg.Suspect(lif, until, false)
-			reg.AddRemoteSuspicion(lif, until)
+		Entry("suspected by both", func(reg *registrar.Registrar, ins registrar.Instance, until time.Time) {
+			reg.Suspect(ins, until, false)
+			reg.AddRemoteSuspicion(ins, until)
 		}, true, true),
-		Entry("no other entry heard from", func(reg *registrar.Registrar, lif registrar.Instance, until time.Time) {
+		Entry("no other entry heard from", func(reg *registrar.Registrar, ins registrar.Instance, until time.Time) {
 			reg.SetNoPeers(true)
-			reg.Suspect(lif, until, false)
+			reg.Suspect(ins, until, false)
 		}, true, true),
-		Entry("answered again", func(reg *registrar.Registrar, lif registrar.Instance, until time.Time) {
-			reg.Suspect(lif, until, true)
-			reg.ClearSuspicion(lif)
+		Entry("answered again", func(reg *registrar.Registrar, ins registrar.Instance, until time.Time) {
+			reg.Suspect(ins, until, true)
+			reg.ClearSuspicion(ins)
 		}, false, false),
 	)
 
--- a/registrar/view.go
+++ b/registrar/view.go
@@ -69,14 +69,14 @@
 }
 
 // Suspected reports whether this entry suspects a server instance.
-func (vie *View) Suspected(lif Instance) bool {
-	_, suspected := vie.suspicions[lif]
+func (vie *View) Suspected(ins Instance) bool {
+	_, suspected := vie.suspicions[ins]
 	return suspected
 }
 
 // SuspicionConfirmed reports whether the suspicion of an instance is confirmed: another entry suspects it too, no other entry is heard from, or its VM answered that nothing listens at the address.
-func (vie *View) SuspicionConfirmed(lif Instance) bool {
-	return vie.suspicions[lif]
+func (vie *View) SuspicionConfirmed(ins Instance) bool {
+	return vie.suspicions[ins]
 }
 
 // ZoneOut reports whether an availability zone gets no new work.
