Record the parts of the time to first events and the supply of models

Streams whose first event misses the objective are now logged with the time that they waited for slots, the time that their unit took, and what was known of the unit's load; histograms hold the same for all streams. The leader logs and exports groups, target and need of each model when they change, and dissolving a group names its unhealthy members.

--- a/conductor/build.go
+++ b/conductor/build.go
@@ -159,7 +159,8 @@
 func (con *Conductor) dissolve(ctx context.Context, frm grouper.Formation) {
 	began := con.opt.Clock.Now()
 	head := con.server(frm.Members[0])
-	con.logGroup(frm, began).WithField("health", frm.Check(con.opt.View())).Info("dissolving group")
+	vie := con.opt.View()
+	con.logGroup(frm, began).WithFields(logrus.Fields{"health": frm.Check(vie).String(), "unhealthy": frm.UnhealthyMembers(vie)}).Info("dissolving group")
 	for ctx.Err() == nil {
 		rep, err := con.report(ctx, head)
 		switch {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -39,6 +39,11 @@
 	Append(ctx context.Context, at int64, recs []Record) error
 }
 
+// Meter records the supply of a model in replica groups.
+type Meter interface {
+	RecordModel(service string, sta grouper.ModelState)
+}
+
 // Options configures a conductor. LoadWindow is the period over which loads from the weight store are counted.
 type Options struct {
 	Records            Records
@@ -50,6 +55,7 @@
 	BeforeFirstRequest func() bool
 	// Ended receives the instances of servers that were found to have ended.
 	Ended      func(ins registrar.Instance)
+	Meter      Meter
 	Clock      clockwork.Clock
 	Logger     *logrus.Entry
 	LoadWindow time.Duration
@@ -71,11 +77,13 @@
 	servers     map[registrar.Instance]registrar.Server
 	loadStarts  []time.Time
 	forming     int
+	// supply holds the state of each service's models in the last plan.
+	supply map[string][]grouper.ModelState
 }
 
 // New returns a conductor that has loaded no decisions.
 func New(opt Options) *Conductor {
-	con := &Conductor{opt: opt, servers: map[registrar.Instance]registrar.Server{}}
+	con := &Conductor{opt: opt, servers: map[registrar.Instance]registrar.Server{}, supply: map[string][]grouper.ModelState{}}
 	con.reset()
 	return con
 }
@@ -229,6 +237,7 @@
 
 func (con *Conductor) runPlan(ctx context.Context, ser router.Service, vie *registrar.View) error {
 	plan := grouper.NewPlan(con.planInput(ser, vie))
+	con.recordSupply(ser.Name, plan.Models)
 	for _, frm := range plan.Dissolve {
 		if con.markBusy(frm.Name) {
 			con.mux.Lock()
@@ -250,6 +259,22 @@
 	return nil
 }
 
+// recordSupply records the supply of each model, and logs it when the number of its groups or its target has changed.
+func (con *Conductor) recordSupply(service string, states []grouper.ModelState) {
+	old := con.supply[service]
+	con.supply[service] = states
+	for num, sta := range states {
+		con.opt.Meter.RecordModel(service, sta)
+		if num < len(old) && old[num].Model == sta.Model && old[num].Groups == sta.Groups && old[num].Target == sta.Target {
+			continue
+		}
+		con.opt.Logger.WithFields(logrus.Fields{
+			"service": service, "model": sta.Model, "groups": sta.Groups, "target": sta.Target, "needed": sta.Needed, "idle_servers": sta.Idle,
+			"slots": sta.Load.Slots, "in_use": sta.Load.InUse, "waiting": sta.Load.Waiting,
+		}).Info("supply of a model changed")
+	}
+}
+
 func (con *Conductor) planInput(ser router.Service, vie *registrar.View) grouper.Input {
 	con.mux.Lock()
 	defer con.mux.Unlock()
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -44,6 +44,11 @@
 	stalledSince time.Time
 }
 
+// discardMeter records nothing.
+type discardMeter struct{}
+
+func (discardMeter) RecordModel(string, grouper.ModelState) {}
+
 // lateOrder is an order that was not answered and is executed later.
 type lateOrder struct {
 	at  time.Time
@@ -107,7 +112,7 @@
 	con := conductor.New(conductor.Options{
 		Records: wor, Engines: wor, View: wor.view, Table: func() *router.Table { return tab }, IsLeader: leads.Load,
 		Loads: func(string, string) grouper.Load { return grouper.Load{} }, BeforeFirstRequest: wor.early.Load,
-		Clock: wor.clk, Logger: log.WithField("test", true), LoadWindow: 5 * time.Second,
+		Meter: discardMeter{}, Clock: wor.clk, Logger: log.WithField("test", true), LoadWindow: 5 * time.Second,
 	})
 	wor.done.Add(1)
 	go func() {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -102,6 +102,8 @@
 // Placement is the right to send one request to a unit; the holder must call Release.
 type Placement struct {
 	Unit Unit
+	// InUse is the number of requests that all entries were known to run on the unit when the slot was allocated, including this one.
+	InUse int
 	// Broken is closed when the unit can no longer finish its running requests.
 	Broken <-chan struct{}
 
@@ -234,7 +236,7 @@
 	if sta.cold(now) {
 		sta.nextColdStart = now.Add(sta.coldInterval(dis.entries))
 	}
-	return &Placement{Unit: sta.Unit, Broken: sta.broken, dis: dis, sta: sta, pool: req.Pool, cost: max(1, req.Cost), since: now}
+	return &Placement{Unit: sta.Unit, InUse: sta.running + sta.remote, Broken: sta.broken, dis: dis, sta: sta, pool: req.Pool, cost: max(1, req.Cost), since: now}
 }
 
 // Release frees the slot and records how the request ended; further calls do nothing.
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -146,7 +146,7 @@
 	gat.ele = elector.New(elector.Options{Lease: gat.pla.Lease, IsCandidate: gat.readsStore, TTL: max(leaseTTL, gat.set.Store.ShortestLease), Clock: gat.clk, Logger: gat.log})
 	gat.con = conductor.New(conductor.Options{
 		Records: gat.pla.Records, Engines: gat.pla.Engines, View: gat.reg.View, Table: gat.tab.Load, IsLeader: gat.ele.IsLeader,
-		Loads: gat.loads, BeforeFirstRequest: gat.noRequestsYet, Clock: gat.clk, Logger: gat.log,
+		Loads: gat.loads, BeforeFirstRequest: gat.noRequestsYet, Meter: gat.mtr, Clock: gat.clk, Logger: gat.log,
 		LoadWindow: gat.set.Bounds.LoadWindow,
 	})
 }
--- a/gateserver/meter.go
+++ b/gateserver/meter.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/lovagelever/lovagelever/grouper"
 	"github.com/lovagelever/lovagelever/router"
 )
 
@@ -20,7 +21,7 @@
 	800 * time.Millisecond, 1600 * time.Millisecond, 3200 * time.Millisecond, 6400 * time.Millisecond,
 }
 
-// meter counts requests and records their latency, labelled by kind of route and outcome.
+// meter counts requests and records their latency, labelled by kind of route and outcome; it also records the parts of the time to the first event of streams and, at the leader, the supply of models.
 type meter struct {
 	scope tally.Scope
 	rep   prometheus.Reporter
@@ -46,3 +47,20 @@
 	sco.Counter("requests").Inc(1)
 	sco.Histogram("request_seconds", latencyBuckets).RecordDuration(took)
 }
+
+// RecordFirstEvent records, for a stream, how long it waited for slots and how long its unit took to send the first event.
+func (mtr *meter) RecordFirstEvent(pool string, queued, unit time.Duration) {
+	sco := mtr.scope.Tagged(map[string]string{"pool": pool})
+	sco.Histogram("queue_seconds", latencyBuckets).RecordDuration(queued)
+	sco.Histogram("first_event_seconds", latencyBuckets).RecordDuration(unit)
+}
+
+// RecordModel records the numbers of replica groups and slots of a model.
+func (mtr *meter) RecordModel(service string, sta grouper.ModelState) {
+	sco := mtr.scope.Tagged(map[string]string{"service": service, "model": sta.Model})
+	sco.Gauge("replica_groups").Update(float64(sta.Groups))
+	sco.Gauge("replica_groups_target").Update(float64(sta.Target))
+	sco.Gauge("replica_groups_needed").Update(float64(sta.Needed))
+	sco.Gauge("slots").Update(float64(sta.Load.Slots))
+	sco.Gauge("slots_in_use").Update(float64(sta.Load.InUse))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,9 +40,10 @@
 	RecordActivity(unit string)
 }
 
-// Meter records the outcome and the duration of requests.
+// Meter records the outcome and the duration of requests, and the parts of the time to the first event of streams.
 type Meter interface {
 	RecordRequest(kind router.Kind, outcome string, took time.Duration)
+	RecordFirstEvent(pool string, queued, unit time.Duration)
 }
 
 // Options configure a Gateway; Table returns nil until a configuration is known.
@@ -98,6 +99,8 @@
 	mayHaveRun int
 	// tried lists the IDs of the units that the request was already tried on.
 	tried []string
+	// queued is how long the request has waited for slots.
+	queued time.Duration
 }
 
 // ServeHTTP proxies one request.
@@ -250,6 +253,7 @@
 	if latest := job.deadline.Add(-cost); latest.Before(startBy) {
 		startBy = latest
 	}
+	defer func() { job.queued += job.gat.opt.Clock.Since(now) }()
 	return job.gat.opt.Dispatcher.Acquire(ctx, dispatcher.Request{
 		ID: job.cal.ID, Pool: job.pool(), Workspace: job.wsp.Name,
 		Priority: job.tab.Priority(job.rou, job.wsp), Resumed: job.mayHaveRun > 0,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -33,6 +33,9 @@
 	lastEventID string
 	started     bool
 	ctl         *http.ResponseController
+	// placement is where the last attempt was sent, sentAt when.
+	placement *dispatcher.Placement
+	sentAt    time.Time
 }
 
 // serveStream handles a call with an event stream as response, and resumes the stream on another unit where the route allows it.
@@ -90,7 +93,7 @@
 	defer cancel(nil)
 	wat := rel.watch(pla, cancel)
 	defer wat.stop()
-	began := rel.gat.opt.Clock.Now()
+	rel.placement, rel.sentAt = pla, rel.gat.opt.Clock.Now()
 	rel.tried = append(rel.tried, pla.Unit.ID)
 	exc, err := rel.send(ctx, pla, rel.buildRequest(pla, rel.lastEventID))
 	if err != nil {
@@ -103,7 +106,7 @@
 		return rep, err
 	}
 	num, err := rel.relayEvents(exc, wat)
-	out.Duration = rel.gat.opt.Clock.Since(began)
+	out.Duration = rel.gat.opt.Clock.Since(rel.sentAt)
 	if num > 1 {
 		out.EventInterval = wat.eventSpan() / time.Duration(num-1)
 	}
@@ -185,6 +188,7 @@
 func (rel *relay) relayEvent(res *http.Response, eve event) error {
 	if !rel.started {
 		rel.started = true
+		rel.recordFirstEvent()
 		rel.copyHeader(res)
 		rel.wtr.WriteHeader(res.StatusCode)
 	}
@@ -200,6 +204,20 @@
 	return nil
 }
 
+// recordFirstEvent records the parts of the time to the first event, and logs them if the event misses the objective.
+func (rel *relay) recordFirstEvent() {
+	now := rel.gat.opt.Clock.Now()
+	rel.gat.opt.Meter.RecordFirstEvent(rel.pool(), rel.queued, now.Sub(rel.sentAt))
+	if now.Sub(rel.arrived) <= rel.rou.Objective {
+		return
+	}
+	rel.log.WithFields(logrus.Fields{
+		"route": rel.rou.Name, "pool": rel.pool(), "unit": rel.placement.Unit.ID, "sends": rel.sends, "objective_ms": rel.rou.Objective.Milliseconds(),
+		"after_ms": now.Sub(rel.arrived).Milliseconds(), "queued_ms": rel.queued.Milliseconds(), "unit_ms": now.Sub(rel.sentAt).Milliseconds(),
+		"unit_in_use": rel.placement.InUse, "unit_slots": rel.placement.Unit.Slots,
+	}).Info("first event late")
+}
+
 // finish completes a stream, including one without events.
 func (rel *relay) finish(res *http.Response) {
 	if !rel.started {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
 
 	"github.com/lovagelever/lovagelever/dispatcher"
 	"github.com/lovagelever/lovagelever/router"
@@ -137,6 +139,22 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 200*time.Millisecond))
 	})
 
+	It("records how long a late first event waited for a slot and for its unit", func() {
+		const delay = 350 * time.Millisecond
+		slow := newWorker(func(con net.Conn, req *http.Request, body []byte) bool {
+			time.Sleep(delay)
+			return events(lastEvent, complete)(con, req, body)
+		})
+		wor := newWorld(resumable, slow)
+		Expect(wor.call(context.Background()).status).To(Equal(200))
+		Expect(wor.mtr.firstEvents).To(HaveLen(1))
+		Expect(wor.mtr.firstEvents[0].unit).To(BeNumerically(">=", delay))
+		Expect(wor.mtr.firstEvents[0].queued).To(BeNumerically("<", delay))
+		late := slices.IndexFunc(wor.log.AllEntries(), func(ent *logrus.Entry) bool { return ent.Message == "first event late" })
+		Expect(late).To(BeNumerically(">=", 0))
+		Expect(wor.log.AllEntries()[late].Data).To(HaveKeyWithValue("unit_in_use", 1))
+	})
+
 	It("responds when the route's timeout expires", func() {
 		rou := notResumable
 		rou.Timeout = 400 * time.Millisecond
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -160,10 +160,16 @@
 func (bud *budgetStub) RecordRequest(string) {}
 func (bud *budgetStub) Allow(string) bool    { return bud.left.Add(-1) >= 0 }
 
-// meterStub counts requests by outcome.
+// meterStub counts requests by outcome and keeps the parts of the time to first events.
 type meterStub struct {
-	mux  sync.Mutex
-	seen map[string]int
+	mux         sync.Mutex
+	seen        map[string]int
+	firstEvents []firstEvent
+}
+
+type firstEvent struct {
+	queued time.Duration
+	unit   time.Duration
 }
 
 func (mtr *meterStub) RecordRequest(_ router.Kind, outcome string, _ time.Duration) {
@@ -172,6 +178,12 @@
 	mtr.seen[outcome]++
 }
 
+func (mtr *meterStub) RecordFirstEvent(_ string, queued, unit time.Duration) {
+	mtr.mux.Lock()
+	defer mtr.mux.Unlock()
+	mtr.firstEvents = append(mtr.firstEvents, firstEvent{queued: queued, unit: unit})
+}
+
 // world is a gateway with a listener for callers and workers as backend servers.
 type world struct {
 	dis  *dispatcher.Dispatcher
--- a/grouper/convert.go
+++ b/grouper/convert.go
@@ -108,10 +108,18 @@
 
 // surplusGroups returns how many open groups a model can give up while the rest handle its load.
 func (rnd *round) surplusGroups(model string) int {
-	loa, slots := rnd.inp.Loads[model], rnd.inp.Engine.Slots
+	slots := rnd.inp.Engine.Slots
 	if slots == 0 {
 		return 0
 	}
-	needed := int(math.Ceil(float64(loa.InUse+loa.Waiting) / (donorUtilization * float64(slots))))
-	return max(0, loa.Slots/slots-max(1, needed))
+	return max(0, rnd.inp.Loads[model].Slots/slots-rnd.neededGroups(model))
+}
+
+// neededGroups returns how many groups handle the load of a model.
+func (rnd *round) neededGroups(model string) int {
+	loa, slots := rnd.inp.Loads[model], rnd.inp.Engine.Slots
+	if slots == 0 {
+		return 1
+	}
+	return max(1, int(math.Ceil(float64(loa.InUse+loa.Waiting)/(donorUtilization*float64(slots)))))
 }
--- a/grouper/formation.go
+++ b/grouper/formation.go
@@ -27,17 +27,22 @@
 	Lost
 )
 
+// String returns the name of the health state in log lines.
+func (hea Health) String() string {
+	switch hea {
+	case Healthy:
+		return "healthy"
+	case Leaving:
+		return "leaving"
+	}
+	return "lost"
+}
+
 // Check returns the health of the formation according to the server list.
 func (frm Formation) Check(vie *registrar.View) Health {
 	out := Healthy
 	for _, ins := range frm.Members {
-		ser, listed := vie.Servers[ins.ID]
-		switch {
-		case listed && ser.Started != ins.Started, vie.SuspicionConfirmed(ins):
-			return Lost
-		case !listed, ser.Draining:
-			out = Leaving
-		}
+		out = max(out, memberHealth(vie, ins))
 	}
 	if head := vie.Servers[frm.Members[0].ID]; head.Group.Name == frm.Name && head.Group.State == registrar.Broken {
 		return Lost
@@ -45,6 +50,28 @@
 	return out
 }
 
+// UnhealthyMembers returns the members for which the formation is not healthy.
+func (frm Formation) UnhealthyMembers(vie *registrar.View) []registrar.Instance {
+	var out []registrar.Instance
+	for _, ins := range frm.Members {
+		if memberHealth(vie, ins) != Healthy {
+			out = append(out, ins)
+		}
+	}
+	return out
+}
+
+func memberHealth(vie *registrar.View, ins registrar.Instance) Health {
+	ser, listed := vie.Servers[ins.ID]
+	switch {
+	case listed && ser.Started != ins.Started, vie.SuspicionConfirmed(ins):
+		return Lost
+	case !listed, ser.Draining:
+		return Leaving
+	}
+	return Healthy
+}
+
 // Has reports whether the given instance of a server is a member.
 func (frm Formation) Has(ins registrar.Instance) bool {
 	return slices.Contains(frm.Members, ins)
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -72,6 +72,21 @@
 	Open     []Formation
 	Form     []Proposal
 	Stage    []Staging
+	// Models holds the state of each model before these operations, in the order of the engine's models.
+	Models []ModelState
+}
+
+// ModelState is the supply of one model in replica groups.
+type ModelState struct {
+	Model string
+	// Groups is the number of groups that serve or are being formed to serve, Target the number that there should be, and
+	// Needed the number that the present load needs.
+	Groups int
+	Target int
+	Needed int
+	Load   Load
+	// Idle is the number of usable servers in no group whose accelerators hold the model.
+	Idle int
 }
 
 // round is the state of one planning round.
@@ -98,6 +113,7 @@
 	rnd.classify()
 	rnd.loading = rnd.countLoading()
 	targets := rnd.targetCounts()
+	rnd.out.Models = rnd.modelStates(targets)
 	skipped := map[string]bool{}
 	for {
 		mod, lacking := rnd.mostLacking(targets, skipped)
@@ -201,6 +217,23 @@
 	return out
 }
 
+// modelStates returns the supply of each model.
+func (rnd *round) modelStates(targets map[string]int) []ModelState {
+	var out []ModelState
+	for _, mod := range rnd.inp.Engine.Models {
+		sta := ModelState{
+			Model: mod.Name, Groups: len(rnd.active[mod.Name]), Target: targets[mod.Name], Needed: rnd.neededGroups(mod.Name), Load: rnd.inp.Loads[mod.Name],
+		}
+		for _, ser := range rnd.free {
+			if ser.Loaded == mod.Name {
+				sta.Idle++
+			}
+		}
+		out = append(out, sta)
+	}
+	return out
+}
+
 // mostLacking returns the model that lacks the largest share of its groups, apart from the skipped ones.
 func (rnd *round) mostLacking(targets map[string]int, skipped map[string]bool) (router.Model, bool) {
 	var best router.Model
--- a/grouper/plan_test.go
+++ b/grouper/plan_test.go
@@ -173,6 +173,18 @@
 		Expect(names(fix.plan().Dissolve)).To(Equal([]string{"l2"}))
 	})
 
+	It("states the groups that each model has, should have and needs for its load", func() {
+		fix := newFixture()
+		fix.addServingGroups()
+		fix.reg.Remove("l2-3", false)
+		fix.removeGroup("l2")
+		fix.inp.Loads = map[string]grouper.Load{"large": {Slots: 20, InUse: 15}, "small": {Slots: 60, InUse: 20, Waiting: 1}}
+		Expect(fix.plan().Models).To(Equal([]grouper.ModelState{
+			{Model: "large", Groups: 2, Target: 3, Needed: 3, Load: grouper.Load{Slots: 20, InUse: 15}, Idle: 3},
+			{Model: "small", Groups: 6, Target: 6, Needed: 3, Load: grouper.Load{Slots: 60, InUse: 20, Waiting: 1}},
+		}))
+	})
+
 	It("stages another model on all servers before the first request, and later only on idle ones", func() {
 		fix := newFixture()
 		fix.addServingGroups()
