--- a/grouper/plan_test.go
+++ b/grouper/plan_test.go
@@ -24,6 +24,8 @@
 	reg  *registrar.Registrar
 	frms []grouper.Formation
 	inp  grouper.Input
+	// formed counts the groups that carryOut formed.
+	formed int
 }
 
 func newFixture() *fixture {
@@ -158,6 +160,13 @@
 		Expect(fix.plan().Open).To(HaveLen(1))
 	})
 
+	It("opens no more groups than the load needs while groups are being formed", func() {
+		fix := newFixture()
+		fix.addServingGroups()
+		fix.inp.Loads = map[string]grouper.Load{"small": {Slots: 40, InUse: 35}}
+		Expect(fix.plan().Open).To(BeEmpty())
+	})
+
 	It("keeps a group while its availability zone is out", func() {
 		fix := newFixture()
 		fix.addServingGroups()
