Free the address of a stand-in's server before Close returns

Seen once: four specs of workerfaker failed in their setup while the whole test run was beside other load: "hoster: listen at 127.0.41.2:9001: address already in use". Beside 16 busy processes 19 of 25 runs of the test binary failed.

Cause: http.Server.Close closes the listeners that Serve has registered. If the server is closed before its goroutine has called Serve, the listener stays open until that goroutine runs, and the next start at the address fails.

Close now waits until Serve has returned, which closes the listener.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -20,6 +20,8 @@
 	mut     sync.Mutex
 	address string
 	server  *http.Server
+	// released is closed once the listener is closed.
+	released chan struct{}
 }
 
 // New returns a server for an address IP:PORT; port 0 selects a free port at the first start, which later starts reuse.
@@ -41,8 +43,12 @@
 	}
 	hst.address = lis.Addr().String()
 	srv := &http.Server{Handler: hst.handler, ReadHeaderTimeout: headerTimeout, ErrorLog: log.New(io.Discard, "", 0)}
-	hst.server = srv
-	go func() { _ = srv.Serve(lis) }()
+	released := make(chan struct{})
+	hst.server, hst.released = srv, released
+	go func() {
+		defer close(released)
+		_ = srv.Serve(lis)
+	}()
 	return nil
 }
 
@@ -53,7 +59,7 @@
 	return hst.address
 }
 
-// Close closes the listener and all connections immediately; the server can be started again.
+// Close closes the listener and all connections immediately and returns once the address is free; the server can be started again.
 func (hst *Server) Close() {
 	hst.mut.Lock()
 	defer hst.mut.Unlock()
@@ -61,5 +67,6 @@
 		return
 	}
 	_ = hst.server.Close()
+	<-hst.released
 	hst.server = nil
 }
