Count the groups being formed when a model needs more of them

Cause: above 0.75 utilisation the target was "one more group than there are".

The target now follows from the load: as many groups as run it at 0.75.

--- a/grouper/convert.go
+++ b/grouper/convert.go
@@ -115,11 +115,16 @@
 	return max(0, rnd.inp.Loads[model].Slots/slots-rnd.neededGroups(model))
 }
 
-// neededGroups returns how many groups handle the load of a model.
+// neededGroups returns how many groups a donor needs for its load.
 func (rnd *round) neededGroups(model string) int {
+	return rnd.groupsAt(donorUtilization, model)
+}
+
+// groupsAt returns how many groups run the load of a model at a slot utilization, at least 1.
+func (rnd *round) groupsAt(utilization float64, model string) int {
 	loa, slots := rnd.inp.Loads[model], rnd.inp.Engine.Slots
 	if slots == 0 {
 		return 1
 	}
-	return max(1, int(math.Ceil(float64(loa.InUse+loa.Waiting)/(donorUtilization*float64(slots)))))
+	return max(1, int(math.Ceil(float64(loa.InUse+loa.Waiting)/(utilization*float64(slots)))))
 }
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -14,7 +14,7 @@
 const (
 	// servingShare is the share of the servers that is planned to serve at the start. The others stand by, since most days lose a fifth of the servers.
 	servingShare = 0.8
-	// scaleUpUtilization is the slot utilization of a model above which it gets one more group.
+	// scaleUpUtilization is the slot utilization of a model above which it gets more groups.
 	scaleUpUtilization = 0.75
 	// rejoinTime is how long a server takes to join a group of the model that it served last.
 	rejoinTime = 200 * time.Millisecond
@@ -208,11 +208,7 @@
 			share = mod.Share / shares
 		}
 		num := int(math.Round(usable * share * servingShare / float64(mod.Size)))
-		loa := rnd.inp.Loads[mod.Name]
-		if loa.InUse+loa.Waiting > 0 && float64(loa.InUse+loa.Waiting) > scaleUpUtilization*float64(loa.Slots) {
-			num = max(num, len(rnd.active[mod.Name])+1)
-		}
-		out[mod.Name] = max(1, num)
+		out[mod.Name] = max(num, rnd.groupsAt(scaleUpUtilization, mod.Name))
 	}
 	return out
 }
