Have entries take turns when a unit becomes cold or a cold one begins to serve

Cause, from the code: each of 74 entries sends one request in 74/17 s to a cold unit and draws the time of its first one when it first lists the unit. Until the unit serves or becomes cold these times pass, and then all entries may send at once.

The time is now drawn when the unit becomes cold while it serves or serves while cold, and the entries take turns by their rank, each unit in another order, so that hardly two fall together.

--- a/advertiser/advertiser.go
+++ b/advertiser/advertiser.go
@@ -67,15 +67,19 @@
 	return out
 }
 
-// LiveCount returns the number of live entries: this one and the others that have been heard from recently.
-func (itr *Advertiser) LiveCount() int {
-	num := 1
+// Live returns the number of live entries, which are this one and the others that have been heard from recently, and the rank of this one among them by name.
+func (itr *Advertiser) Live() (num, rank int) {
+	num = 1
 	for _, ent := range itr.Others() {
-		if itr.recentlyHeard(ent.Name) {
-			num++
+		if !itr.recentlyHeard(ent.Name) {
+			continue
+		}
+		num++
+		if ent.Name < itr.self {
+			rank++
 		}
 	}
-	return num
+	return num, rank
 }
 
 // Addresses returns the addresses that a caller in an availability zone can connect to: those of entries that run and are not stopping, only in its own zone if that has enough of them.
--- a/advertiser/advertiser_test.go
+++ b/advertiser/advertiser_test.go
@@ -45,6 +45,13 @@
 		Entry("this entry stopping", func() { ready = false }, "at-a", "at-b"),
 	)
 
+	It("counts the live entries and ranks this one among them", func() {
+		put("z", "z")
+		recentlyHeard["a"] = false
+		num, rank := itr.Live()
+		Expect([]int{num, rank}).To(Equal([]int{3, 1}))
+	})
+
 	It("accepts a new incarnation of an entry that was stopping", func() {
 		itr.MarkStopping("a", 1)
 		itr.Put(advertiser.Entry{Name: "a", Zone: "z", CallerAddress: "at-a", Incarnation: 2})
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -23,11 +23,12 @@
 	Forget(unit string)
 }
 
-// Options configure a Dispatcher; Zone is the availability zone of this entry.
+// Options configure a Dispatcher; Zone is the availability zone of this entry, and Random returns numbers in [0, 1), by default from math/rand.
 type Options struct {
 	Zone    string
 	Clock   clockwork.Clock
 	Breaker Breaker
+	Random  func() float64
 }
 
 // Request asks for a slot of any unit in a pool.
@@ -76,6 +77,7 @@
 	pools         map[string]*pool
 	remoteByEntry map[string]map[string]int
 	entries       int
+	rank          int
 }
 
 type pool struct {
@@ -96,6 +98,9 @@
 
 // New returns a dispatcher without units.
 func New(opt Options) *Dispatcher {
+	if opt.Random == nil {
+		opt.Random = rand.Float64
+	}
 	return &Dispatcher{opt: opt, units: map[string]*unitState{}, pools: map[string]*pool{}, remoteByEntry: map[string]map[string]int{}, entries: 1}
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -110,7 +111,7 @@
 		cold := unit("a", "z", 100)
 		cold.ColdPerSecond, cold.ColdUntil = 10, time.Now().Add(time.Hour)
 		fix := newFixture()
-		fix.dis.SetEntries(5)
+		fix.dis.SetEntries(5, 0)
 		cold.ColdUntil = fix.clk.Now().Add(time.Hour)
 		fix.dis.SetUnits([]dispatcher.Unit{cold})
 		sent := 0
@@ -126,6 +127,70 @@
 		Expect(sent).To(BeNumerically("~", 10*seconds/5, 2))
 	})
 
+	// Guards against FAILBACK: 36 of 74 entries sent to a cold server within one second of its zone's return.
+	Describe("of many entries", func() {
+		const entries, perSecond, waiting = 74, 17.0, 3 * time.Second
+		cases := []struct {
+			name string
+			// before is the unit until it becomes cold or serves.
+			before func(uni dispatcher.Unit) dispatcher.Unit
+		}{
+			{"that begins to serve while it is cold", func(uni dispatcher.Unit) dispatcher.Unit {
+				uni.Readiness = dispatcher.Stopping
+				return uni
+			}},
+			{"that becomes cold while it serves", func(uni dispatcher.Unit) dispatcher.Unit {
+				uni.ColdUntil = time.Time{}
+				return uni
+			}},
+			{"whose zone returns from an evacuation", func(uni dispatcher.Unit) dispatcher.Unit {
+				uni.ColdUntil, uni.Readiness = time.Time{}, dispatcher.Stopping
+				return uni
+			}},
+		}
+		for _, cas := range cases {
+			It("send no more than allowed in any second to a unit "+cas.name, func() {
+				rng := rand.New(rand.NewPCG(19, 1))
+				clk := clockwork.NewFakeClock()
+				cold := unit("a", "z", 100)
+				cold.ColdPerSecond, cold.ColdUntil = perSecond, clk.Now().Add(time.Hour)
+				var all []*dispatcher.Dispatcher
+				for rank := range entries {
+					dis := dispatcher.New(dispatcher.Options{Zone: "z", Clock: clk, Breaker: breaker.New(breaker.Options{Clock: clk}), Random: rng.Float64})
+					dis.SetEntries(entries, rank)
+					dis.SetUnits([]dispatcher.Unit{cas.before(cold)})
+					all = append(all, dis)
+				}
+				clk.Advance(waiting)
+				for _, dis := range all {
+					dis.SetUnits([]dispatcher.Unit{cold})
+				}
+				const step = 50 * time.Millisecond
+				var sent []int
+				for range 200 {
+					clk.Advance(step)
+					num := 0
+					for _, dis := range all {
+						req := dispatcher.Request{ID: "r", Pool: pool, Cost: 1, StartBy: clk.Now(), Deadline: clk.Now().Add(time.Minute)}
+						if _, err := dis.Acquire(context.Background(), req); err == nil {
+							num++
+						}
+					}
+					sent = append(sent, num)
+				}
+				inSecond, total := 0, 0
+				for pos, num := range sent {
+					inSecond, total = inSecond+num, total+num
+					if pos >= int(time.Second/step) {
+						inSecond -= sent[pos-int(time.Second/step)]
+					}
+					Expect(float64(inSecond)).To(BeNumerically("<=", 1.5*perSecond+5))
+				}
+				Expect(float64(total)).To(BeNumerically(">", 0.8*perSecond*10))
+			})
+		}
+	})
+
 	DescribeTable("refuses at once, as not run, a request that cannot be served",
 		func(units ...dispatcher.Unit) {
 			fix := newFixture(units...)
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -1,8 +1,9 @@
 package dispatcher
 
 import (
-	"math/rand/v2"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Readiness says which requests a unit can run.
@@ -55,17 +56,14 @@
 	slowness      float64
 	fullUntil     time.Time
 	nextColdStart time.Time
-	broken        chan struct{}
-	listed        bool
+	// paced is set while the unit serves and is cold.
+	paced  bool
+	broken chan struct{}
+	listed bool
 }
 
-func newUnitState(uni Unit, now time.Time, entries int) *unitState {
-	sta := &unitState{Unit: uni, slowness: 1, broken: make(chan struct{})}
-	if uni.ColdPerSecond > 0 {
-		// The random offset keeps entries from sending their first requests to a cold unit at the same time.
-		sta.nextColdStart = now.Add(time.Duration(rand.Float64() * float64(sta.coldInterval(entries))))
-	}
-	return sta
+func newUnitState(uni Unit) *unitState {
+	return &unitState{Unit: uni, slowness: 1, broken: make(chan struct{})}
 }
 
 // coldInterval returns the minimum time between two requests of this entry to a cold unit, assuming that all entries send at the same rate.
@@ -73,6 +71,17 @@
 	return time.Duration(float64(max(1, entries)) / sta.ColdPerSecond * float64(time.Second))
 }
 
+// updatePacing schedules this entry's first request to a unit that begins to serve while cold, or becomes cold while serving. The entries take turns, each unit in another order.
+func (sta *unitState) updatePacing(now time.Time, entries, rank int, random float64) {
+	before := sta.paced
+	sta.paced = sta.Readiness == Serving && sta.cold(now)
+	if !sta.paced || before {
+		return
+	}
+	turn := (uint64(rank) + xxhash.Sum64String(sta.ID)) % uint64(max(1, entries))
+	sta.nextColdStart = now.Add(time.Duration((float64(turn) + random) / sta.ColdPerSecond * float64(time.Second)))
+}
+
 func (sta *unitState) cold(now time.Time) bool {
 	return sta.ColdPerSecond > 0 && now.Before(sta.ColdUntil)
 }
--- a/dispatcher/update.go
+++ b/dispatcher/update.go
@@ -20,7 +20,7 @@
 	for _, uni := range units {
 		sta := dis.units[uni.ID]
 		if sta == nil {
-			sta = newUnitState(uni, now, dis.entries)
+			sta = newUnitState(uni)
 			dis.units[uni.ID] = sta
 		}
 		if uni.Readiness == Broken && sta.Readiness != Broken {
@@ -28,10 +28,11 @@
 			sta.broken = make(chan struct{})
 		}
 		sta.Unit, sta.listed = uni, true
+		sta.updatePacing(now, dis.entries, dis.rank, dis.opt.Random())
 	}
 	for _, sta := range dis.units {
 		if !sta.listed {
-			sta.Readiness = Stopping
+			sta.Readiness, sta.paced = Stopping, false
 			dis.forgetIfIdle(sta)
 		}
 	}
@@ -53,11 +54,11 @@
 	}
 }
 
-// SetEntries sets how many entries share the units, including this one.
-func (dis *Dispatcher) SetEntries(num int) {
+// SetEntries sets how many entries share the units, including this one, and the rank of this one among them, from 0.
+func (dis *Dispatcher) SetEntries(num, rank int) {
 	dis.mux.Lock()
 	defer dis.mux.Unlock()
-	dis.entries = max(1, num)
+	dis.entries, dis.rank = max(1, num), max(0, rank)
 }
 
 // Running returns how many requests of this entry run on each unit, by unit ID.
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -204,8 +204,8 @@
 		gat.dis.DispatchWaiting()
 		if num%sweepTicks == 0 {
 			gat.sen.Sweep()
-			live := gat.itr.LiveCount()
-			gat.dis.SetEntries(live)
+			live, rank := gat.itr.Live()
+			gat.dis.SetEntries(live, rank)
 			gat.bud.SetEntries(live)
 			gat.reg.SetNoPeers(live == 1)
 		}
