Ask for the leader's lease only after a while as a candidate

Cause: an entry is a candidate while it sees fewer than two others that are up to date with the store. The store deals the partition that stands for it anew with each entry that begins or stops to ask, and those that ceased to be candidates kept it, without acting, until their membership ran out.

An entry now asks once it has been a candidate for one TTL without a break, and releases its membership when it stops being one. The two new specs fail on the code before.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,7 +21,7 @@
 	Release(ctx context.Context) error
 }
 
-// Options configures an elector. IsCandidate reports whether this entry is a candidate, and TTL is the time to live of the lease.
+// Options configures an elector. IsCandidate reports whether this entry is a candidate, and TTL is the time to live of the lease. An entry asks for the lease once it has been a candidate for TTL without a break, since each entry that begins or stops to ask may move the lease.
 type Options struct {
 	Lease       Lease
 	IsCandidate func() bool
@@ -33,6 +34,12 @@
 type Elector struct {
 	opt      Options
 	leaseEnd atomic.Pointer[time.Time]
+
+	mux sync.Mutex
+	// candidateSince is zero while this entry is no candidate.
+	candidateSince time.Time
+	// asked is set from the first call for the lease until its release.
+	asked bool
 }
 
 // New returns an elector that is not the leader.
@@ -63,10 +70,14 @@
 // TryAcquire tries once to acquire or renew the lease.
 func (ele *Elector) TryAcquire(ctx context.Context) {
 	led := ele.IsLeader()
-	if !led && !ele.opt.IsCandidate() {
+	now := ele.opt.Clock.Now()
+	ask, release := ele.next(led, now)
+	if release {
+		ele.release(ctx)
+	}
+	if !ask {
 		return
 	}
-	now := ele.opt.Clock.Now()
 	held, err := ele.opt.Lease.Acquire(ctx, ele.opt.TTL)
 	if err != nil {
 		ele.opt.Logger.WithError(err).Debug("could not acquire or renew the lease")
@@ -84,9 +95,29 @@
 	}
 }
 
+// next reports whether to ask for the lease now, and whether to release it because this entry is no candidate any longer.
+func (ele *Elector) next(led bool, now time.Time) (ask, release bool) {
+	candidate := ele.opt.IsCandidate()
+	ele.mux.Lock()
+	defer ele.mux.Unlock()
+	if !candidate {
+		ele.candidateSince = time.Time{}
+	} else if ele.candidateSince.IsZero() {
+		ele.candidateSince = now
+	}
+	ask = led || candidate && now.Sub(ele.candidateSince) >= ele.opt.TTL
+	release = ele.asked && !ask
+	ele.asked = ask
+	return ask, release
+}
+
 // Resign releases the lease.
 func (ele *Elector) Resign(ctx context.Context) {
 	ele.leaseEnd.Store(nil)
+	ele.release(ctx)
+}
+
+func (ele *Elector) release(ctx context.Context) {
 	if err := ele.opt.Lease.Release(ctx); err != nil {
 		ele.opt.Logger.WithError(err).Info("could not release the lease; it will expire")
 	}
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -23,6 +23,7 @@
 	callTime time.Duration
 	clk      *clockwork.FakeClock
 	calls    int
+	releases int
 }
 
 func (lea *lease) Acquire(context.Context, time.Duration) (bool, error) {
@@ -31,7 +32,10 @@
 	return lea.held, lea.err
 }
 
-func (lea *lease) Release(context.Context) error { return nil }
+func (lea *lease) Release(context.Context) error {
+	lea.releases++
+	return nil
+}
 
 var _ = Describe("Elector", func() {
 	var clk *clockwork.FakeClock
@@ -44,6 +48,8 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		ele = elector.New(elector.Options{Lease: lea, TTL: ttl, Clock: clk, Logger: log.WithField("test", true), IsCandidate: func() bool { return candidate }})
+		ele.TryAcquire(context.Background())
+		clk.Advance(ttl)
 	})
 
 	It("is the leader until the lease expires, counted from before the call", func() {
@@ -71,12 +77,44 @@
 		Expect(ele.IsLeader()).To(BeFalse())
 	})
 
+	// Guards against seconds without a leader (SHORT): entries that were candidates for a moment took the lease with them.
+	It("asks for the lease only after it has been a candidate for one TTL without a break", func() {
+		Expect(lea.calls).To(BeZero())
+		for range 5 {
+			candidate = false
+			ele.TryAcquire(context.Background())
+			candidate = true
+			ele.TryAcquire(context.Background())
+			clk.Advance(ttl - time.Millisecond)
+			ele.TryAcquire(context.Background())
+		}
+		Expect(lea.calls).To(BeZero())
+		clk.Advance(time.Millisecond)
+		ele.TryAcquire(context.Background())
+		Expect(ele.IsLeader()).To(BeTrue())
+	})
+
+	It("releases the lease once when it stops being a candidate, unless it is the leader", func() {
+		lea.held = false
+		ele.TryAcquire(context.Background())
+		Expect(lea.calls).To(Equal(1))
+		candidate = false
+		for range 3 {
+			ele.TryAcquire(context.Background())
+		}
+		Expect(lea.calls).To(Equal(1))
+		Expect(lea.releases).To(Equal(1))
+	})
+
 	It("does not acquire the lease while it is no candidate, unless it is the leader", func() {
 		candidate = false
 		ele.TryAcquire(context.Background())
 		Expect(lea.calls).To(BeZero())
 		candidate = true
 		ele.TryAcquire(context.Background())
+		clk.Advance(ttl)
+		ele.TryAcquire(context.Background())
+		Expect(ele.IsLeader()).To(BeTrue())
 		candidate = false
 		ele.TryAcquire(context.Background())
 		Expect(lea.calls).To(Equal(2))
