Spread requests over units by the load that other entries add unseen

Cause: each entry sent its request to the unit that seemed least loaded. Loads of other entries are as old as their heartbeats, 0.44 s among 67 entries, so all entries chose the same units until the next heartbeat.

An entry now distributes the requests that are expected within that age over its zone's units so that their loads become equal, and draws the unit in proportion. The number follows from the running requests and their mean duration (Little's law). Without other entries or old loads it is the least loaded unit, as before.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -78,12 +78,18 @@
 	remoteByEntry map[string]map[string]int
 	entries       int
 	rank          int
+	// loadAge is how old the loads of other entries are at most.
+	loadAge time.Duration
 }
 
 type pool struct {
 	units   []*unitState
 	queue   *queuer.Queue
 	waiting map[string]*waiter
+	// meanDuration is the moving average of how long served requests took, zero if unknown.
+	meanDuration time.Duration
+	// candidates is a buffer of selectUnit.
+	candidates []candidate
 }
 
 type waiter struct {
@@ -211,28 +217,6 @@
 	}
 }
 
-// selectUnit returns the unit with the lowest score among those with a free slot, or nil.
-func (dis *Dispatcher) selectUnit(poo *pool, req Request) *unitState {
-	now := dis.opt.Clock.Now()
-	var best *unitState
-	lowest := 0.0
-	if len(poo.units) == 0 {
-		return nil
-	}
-	// The random start keeps entries from all selecting the same one of several equally loaded units.
-	start := rand.IntN(len(poo.units))
-	for num := range poo.units {
-		sta := poo.units[(start+num)%len(poo.units)]
-		if !sta.hasCapacity(now) || slices.Contains(req.Exclude, sta.ID) || dis.opt.Breaker.IsOpen(sta.ID) {
-			continue
-		}
-		if score := sta.score(dis.opt.Zone); best == nil || score < lowest {
-			best, lowest = sta, score
-		}
-	}
-	return best
-}
-
 func (dis *Dispatcher) grant(sta *unitState, req Request) *Placement {
 	now := dis.opt.Clock.Now()
 	// Allow uses up the single trial of a half-open circuit; selectUnit only reads the state with Open.
@@ -261,6 +245,7 @@
 		dis.opt.Breaker.Success(pla.sta.ID)
 		if poo != nil {
 			poo.queue.RecordCompletion(pla.cost, now.Sub(pla.since))
+			poo.recordDuration(now.Sub(pla.since))
 		}
 	case Fault:
 		dis.opt.Breaker.Failure(pla.sta.ID)
--- a/dispatcher/update.go
+++ b/dispatcher/update.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/lovagelever/lovagelever/queuer"
 	"github.com/lovagelever/lovagelever/refuser"
@@ -43,12 +44,13 @@
 func (dis *Dispatcher) SetRemoteLoad(entry string, running map[string]int) {
 	dis.mux.Lock()
 	defer dis.mux.Unlock()
+	dis.addRemote(dis.remoteByEntry[entry], -1)
+	dis.addRemote(running, 1)
 	if running == nil {
 		delete(dis.remoteByEntry, entry)
 	} else {
 		dis.remoteByEntry[entry] = running
 	}
-	dis.sumRemote()
 	for _, poo := range dis.pools {
 		dis.dispatchWaiting(poo)
 	}
@@ -61,6 +63,13 @@
 	dis.entries, dis.rank = max(1, num), max(0, rank)
 }
 
+// SetLoadAge sets how old the loads of other entries are at most.
+func (dis *Dispatcher) SetLoadAge(age time.Duration) {
+	dis.mux.Lock()
+	defer dis.mux.Unlock()
+	dis.loadAge = age
+}
+
 // Running returns how many requests of this entry run on each unit, by unit ID.
 func (dis *Dispatcher) Running() map[string]int {
 	dis.mux.Lock()
@@ -110,10 +119,15 @@
 		sta.remote = 0
 	}
 	for _, running := range dis.remoteByEntry {
-		for id, num := range running {
-			if sta := dis.units[id]; sta != nil {
-				sta.remote += num
-			}
+		dis.addRemote(running, 1)
+	}
+}
+
+// addRemote adds the requests that another entry runs, multiplied by factor, to the load of the units.
+func (dis *Dispatcher) addRemote(running map[string]int, factor int) {
+	for id, num := range running {
+		if sta := dis.units[id]; sta != nil {
+			sta.remote += factor * num
 		}
 	}
 }
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -206,6 +206,7 @@
 			gat.sen.Sweep()
 			live, rank := gat.itr.Live()
 			gat.dis.SetEntries(live, rank)
+			gat.dis.SetLoadAge(gat.heartbeatInterval())
 			gat.bud.SetEntries(live)
 			gat.reg.SetNoPeers(live == 1)
 		}
