--- a/compressor/compressor.go
+++ b/compressor/compressor.go
@@ -66,7 +66,7 @@
 // Decompress returns the value that Compress was given; it fails with errors.NotValid.
 func Decompress(data []byte) ([]byte, error) {
 	rea := flate.NewReader(bytes.NewReader(data))
-	defer rea.Close()
+	defer func() { _ = rea.Close() }()
 	out, err := io.ReadAll(io.LimitReader(rea, maxBytes+1))
 	if err != nil {
 		return nil, errors.NewNotValid(err, "compressor: decompress value")
