Check a server that others suspect only once in a while

An entry now checks a server for that reason once in 1.6 s. A first suspicion is still checked at once, and suspicions of its own as before.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -26,6 +26,8 @@
 	activityTTL = 120 * time.Millisecond
 	// recheckInterval is the time between two checks of the same unit, and between two checks of a suspected server.
 	recheckInterval = 400 * time.Millisecond
+	// remoteRecheckInterval is the time between two checks of the same server because other entries suspect it. Every heartbeat of each of them names the server.
+	remoteRecheckInterval = 4 * recheckInterval
 	// suspicionTTL is how long a suspicion lasts unless it is renewed.
 	suspicionTTL = 3 * recheckInterval
 	// maxSuspicion is how long a suspected server is probed; the server list drops a dead server within three heartbeats.
@@ -67,13 +69,15 @@
 	lastActivity        map[string]time.Time
 	remoteActivityUntil map[string]time.Time
 	suspected           map[registrar.Instance]bool
+	// remotelyCheckedAt holds when servers were last checked because other entries suspect them.
+	remotelyCheckedAt map[registrar.Instance]time.Time
 	// pausedUntil is the time until which this entry sends no probes, because it was too slow.
 	pausedUntil time.Time
 }
 
 // New returns a Detector.
 func New(opt Options) *Detector {
-	return &Detector{opt: opt, checkedAt: map[string]time.Time{}, lastActivity: map[string]time.Time{}, remoteActivityUntil: map[string]time.Time{}, suspected: map[registrar.Instance]bool{}}
+	return &Detector{opt: opt, checkedAt: map[string]time.Time{}, lastActivity: map[string]time.Time{}, remoteActivityUntil: map[string]time.Time{}, suspected: map[registrar.Instance]bool{}, remotelyCheckedAt: map[registrar.Instance]time.Time{}}
 }
 
 // RecordActivity records activity of a unit that this entry observed itself.
@@ -135,16 +139,25 @@
 	return true
 }
 
-// CheckServer probes a server that another entry suspects, in the background, unless this entry suspects it already or has paused its checks.
+// CheckServer probes a server that another entry suspects, in the background, unless this entry suspects it already, has checked it for the same reason recently or has paused its checks.
 func (det *Detector) CheckServer(ser registrar.Server) {
-	det.mux.Lock()
-	unneeded := det.suspected[ser.Instance()] || det.opt.Clock.Now().Before(det.pausedUntil)
-	det.mux.Unlock()
-	if !unneeded {
+	if det.needsRemoteCheck(ser.Instance()) {
 		go det.monitorServer(ser)
 	}
 }
 
+func (det *Detector) needsRemoteCheck(ins registrar.Instance) bool {
+	det.mux.Lock()
+	defer det.mux.Unlock()
+	now := det.opt.Clock.Now()
+	maps.DeleteFunc(det.remotelyCheckedAt, func(_ registrar.Instance, at time.Time) bool { return now.Sub(at) >= remoteRecheckInterval })
+	if _, recent := det.remotelyCheckedAt[ins]; recent || det.suspected[ins] || now.Before(det.pausedUntil) {
+		return false
+	}
+	det.remotelyCheckedAt[ins] = now
+	return true
+}
+
 // Suspected returns the server instances that this entry suspects.
 func (det *Detector) Suspected() []registrar.Instance {
 	det.mux.Lock()
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -143,6 +143,24 @@
 		Consistently(func() int { return pro.probeCount("a") }, "20ms").Should(BeZero())
 	})
 
+	It("probes a server that answers now and then only, however many entries suspect it", func() {
+		const heartbeats, apart, seconds = 60, 10 * time.Millisecond, 16
+		for range seconds * int(time.Second/apart) {
+			for range heartbeats {
+				det.CheckServer(registrar.Server{ID: "b", Started: 1})
+			}
+			clk.Advance(apart)
+		}
+		Eventually(func() int { return pro.probeCount("b") }).Should(BeNumerically(">=", seconds/2))
+		Consistently(func() int { return pro.probeCount("b") }, "50ms").Should(BeNumerically("<=", seconds))
+	})
+
+	It("probes a server at once that another entry suspects", func() {
+		pro.setErr(errNoAnswer)
+		det.CheckServer(registrar.Server{ID: "b", Started: 1})
+		Eventually(suspected("b")).Should(BeTrue())
+	})
+
 	It("reports only activity that it observed itself", func() {
 		det.RecordActivity("u")
 		det.RecordRemoteActivity("v", 0)
