--- a/grouper/convert.go
+++ b/grouper/convert.go
@@ -36,7 +36,7 @@
 		}
 		one := rnd.choose(mod, byDomain[dom])
 		one.displaced += len(groupsContaining(one.members, donors))
-		if one.loads > 0 || !overloaded && 2*one.loaded <= mod.Size || !rnd.canGive(mod, groupsContaining(one.members, donors), overloaded) {
+		if one.loads > 0 || !overloaded && 2*one.loaded <= mod.Size || !rnd.canSpare(groupsContaining(one.members, donors)) {
 			continue
 		}
 		if best == nil || one.before(*best) {
@@ -76,15 +76,12 @@
 	return out
 }
 
-// reservedForOther reports whether a free server is kept for another model, which lacks groups and whose weights the server has in its accelerators. A model that has fewer groups than its load needs may take it all the same if it is overloaded, or more utilized than the other.
+// reservedForOther reports whether a free server is kept for another model, which lacks groups and whose weights the server has in its accelerators. A model that has fewer groups than its load needs may take it all the same.
 func (rnd *round) reservedForOther(mod router.Model, ser registrar.Server) bool {
-	other := ser.Loaded
-	if other == mod.Name || len(rnd.active[other]) >= rnd.targets[other] {
+	if ser.Loaded == mod.Name || len(rnd.active[mod.Name]) < rnd.neededGroups(mod.Name) {
 		return false
 	}
-	needs := len(rnd.active[mod.Name]) < rnd.neededGroups(mod.Name)
-	own := rnd.utilization(mod.Name, 0)
-	return !needs || own < reassignUtilization && own < rnd.utilization(other, 0)
+	return len(rnd.active[ser.Loaded]) < rnd.targets[ser.Loaded]
 }
 
 // donors returns the members of the open groups of all models except mod, apart from groups on which an operation runs.
@@ -115,37 +112,20 @@
 	return out
 }
 
-// canGive reports whether other models may give the groups for one more group of a model. They may if they handle their load without them, or if the model is overloaded and they are not, and still less utilized than it, afterwards.
-func (rnd *round) canGive(mod router.Model, frms []Formation, overloaded bool) bool {
+// canSpare reports whether each model can handle its load without the given groups.
+func (rnd *round) canSpare(frms []Formation) bool {
 	taken := map[string]int{}
 	for _, frm := range frms {
 		taken[frm.Model]++
 	}
 	for name, num := range taken {
-		if num <= rnd.surplusGroups(name) {
-			continue
-		}
-		after := rnd.utilization(name, -num)
-		if !overloaded || after >= reassignUtilization || after >= rnd.utilization(mod.Name, 1) {
+		if num > rnd.surplusGroups(name) {
 			return false
 		}
 	}
 	return true
 }
 
-// utilization returns the slot utilization of a model on the groups that serve or are being formed to serve, and on some more.
-func (rnd *round) utilization(model string, more int) float64 {
-	loa := rnd.inp.Loads[model]
-	groups := len(rnd.active[model]) + more
-	if loa.InUse+loa.Waiting == 0 {
-		return 0
-	}
-	if groups <= 0 || rnd.inp.Engine.Slots == 0 {
-		return math.Inf(1)
-	}
-	return float64(loa.InUse+loa.Waiting) / float64(groups*rnd.inp.Engine.Slots)
-}
-
 // surplusGroups returns how many open groups a model can give up while the rest handle its load.
 func (rnd *round) surplusGroups(model string) int {
 	slots := rnd.inp.Engine.Slots
