Take no standby groups and no survivors while servers are about to be released

Cause: while groups were being dissolved for it, the large model also took standby groups of other domains, with loads of 16 s.

--- a/grouper/convert.go
+++ b/grouper/convert.go
@@ -57,7 +57,7 @@
 	return len(rnd.awaitsRelease) >= max(1, rnd.targets[mod.Name]-len(rnd.active[mod.Name]))
 }
 
-// idleByDomain returns the free and the standby servers that a model may take, by fabric domain. Standby servers are left out while servers are about to be released for an earlier plan.
+// idleByDomain returns the free servers that a model may take, and the standby servers, by fabric domain. Standby servers are left out where servers are about to be released for an earlier plan.
 func (rnd *round) idleByDomain(mod router.Model) map[string][]registrar.Server {
 	out := map[string][]registrar.Server{}
 	for _, ser := range rnd.free {
@@ -65,9 +65,6 @@
 			out[ser.Domain] = append(out[ser.Domain], ser)
 		}
 	}
-	if len(rnd.awaitsRelease) > 0 && rnd.awaitsEnough(mod) {
-		return out
-	}
 	for ins := range rnd.standbyMembers {
 		if ser := rnd.inp.View.Servers[ins.ID]; !rnd.awaitsRelease[ser.Domain] {
 			out[ser.Domain] = append(out[ser.Domain], ser)
@@ -76,12 +73,13 @@
 	return out
 }
 
-// reservedForOther reports whether a free server is kept for another model, which lacks groups and whose weights the server has in its accelerators. A model that has fewer groups than its load needs may take it all the same.
+// reservedForOther reports whether a free server is kept for another model, which lacks groups and whose weights the server has in its accelerators. It is kept while servers are about to be released in its domain, and from a model that has as many groups as its load needs.
 func (rnd *round) reservedForOther(mod router.Model, ser registrar.Server) bool {
-	if ser.Loaded == mod.Name || len(rnd.active[mod.Name]) < rnd.neededGroups(mod.Name) {
+	other := ser.Loaded
+	if other == mod.Name || len(rnd.active[other]) >= rnd.targets[other] {
 		return false
 	}
-	return len(rnd.active[ser.Loaded]) < rnd.targets[ser.Loaded]
+	return rnd.awaitsRelease[ser.Domain] || len(rnd.active[mod.Name]) >= rnd.neededGroups(mod.Name)
 }
 
 // donors returns the members of the open groups of all models except mod, apart from groups on which an operation runs.
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -290,7 +290,7 @@
 	return num
 }
 
-// formGroup proposes a group of the model in the domain where it is ready first. It reports false when no domain has enough free or standby servers, or when the group needs loads from the weight store that are not allowed or do not fit.
+// formGroup proposes a group of the model in the domain where it is ready first. While servers are about to be released it uses free servers only. It reports false when no domain has enough free or standby servers, or when the group needs loads from the weight store that are not allowed or do not fit.
 func (rnd *round) formGroup(mod router.Model, allowLoads bool) bool {
 	byDomain := rnd.idleByDomain(mod)
 	var best *choice
@@ -299,6 +299,9 @@
 			continue
 		}
 		one := rnd.choose(mod, byDomain[dom])
+		if len(rnd.awaitsRelease) > 0 && slices.ContainsFunc(one.members, func(ser registrar.Server) bool { return rnd.standbyCount(ser) > 0 }) {
+			continue
+		}
 		if best == nil || one.before(*best) {
 			best = &one
 		}
--- a/grouper/survivors_test.go
+++ b/grouper/survivors_test.go
@@ -55,6 +55,15 @@
 		Expect(fix.plan().Form).NotTo(BeEmpty())
 	})
 
+	It("keeps the survivors while a group of their domain is being dissolved for them", func() {
+		fix := fleetWithLoss()
+		fix.inp.Loads = map[string]grouper.Load{"large": {Slots: 20, InUse: 20}, "small": {Slots: 80, InUse: 72}}
+		fix.inp.Dissolving = map[string]bool{"s1a": true}
+		for _, pro := range fix.plan().Form {
+			Expect(pro.Members[0].Domain).NotTo(Equal("d1"))
+		}
+	})
+
 	It("completes the survivors with a surplus group of the same domain before the model is overloaded", func() {
 		fix := fleetWithLoss()
 		Expect(names(fix.plan().Dissolve)).To(HaveExactElements(HavePrefix("s1")))
