Leave standby servers out of a group where free ones suffice

While servers are about to be released, a group was rejected if the servers that are ready soonest included one on standby, even where free servers alone make a group. Standby servers are now left out of the choice.

--- a/grouper/convert.go
+++ b/grouper/convert.go
@@ -24,7 +24,7 @@
 	loa := rnd.inp.Loads[mod.Name]
 	overloaded := float64(loa.InUse+loa.Waiting) >= reassignUtilization*float64(loa.Slots)
 	donors := rnd.donors(mod)
-	byDomain := rnd.idleByDomain(mod)
+	byDomain := rnd.idleByDomain(mod, true)
 	for ins := range donors {
 		ser := rnd.inp.View.Servers[ins.ID]
 		byDomain[ser.Domain] = append(byDomain[ser.Domain], ser)
@@ -57,14 +57,17 @@
 	return len(rnd.awaitsRelease) >= max(1, rnd.targets[mod.Name]-len(rnd.active[mod.Name]))
 }
 
-// idleByDomain returns the free servers that a model may take, and the standby servers, by fabric domain. Standby servers are left out where servers are about to be released for an earlier plan.
-func (rnd *round) idleByDomain(mod router.Model) map[string][]registrar.Server {
+// idleByDomain returns the free servers that a model may take, and the standby servers if wanted, by fabric domain. Standby servers are left out where servers are about to be released for an earlier plan.
+func (rnd *round) idleByDomain(mod router.Model, withStandby bool) map[string][]registrar.Server {
 	out := map[string][]registrar.Server{}
 	for _, ser := range rnd.free {
 		if !rnd.reservedForOther(mod, ser) {
 			out[ser.Domain] = append(out[ser.Domain], ser)
 		}
 	}
+	if !withStandby {
+		return out
+	}
 	for ins := range rnd.standbyMembers {
 		if ser := rnd.inp.View.Servers[ins.ID]; !rnd.awaitsRelease[ser.Domain] {
 			out[ser.Domain] = append(out[ser.Domain], ser)
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -292,16 +292,13 @@
 
 // formGroup proposes a group of the model in the domain where it is ready first. While servers are about to be released it uses free servers only. It reports false when no domain has enough free or standby servers, or when the group needs loads from the weight store that are not allowed or do not fit.
 func (rnd *round) formGroup(mod router.Model, allowLoads bool) bool {
-	byDomain := rnd.idleByDomain(mod)
+	byDomain := rnd.idleByDomain(mod, len(rnd.awaitsRelease) == 0)
 	var best *choice
 	for _, dom := range slices.Sorted(maps.Keys(byDomain)) {
 		if len(byDomain[dom]) < mod.Size {
 			continue
 		}
 		one := rnd.choose(mod, byDomain[dom])
-		if len(rnd.awaitsRelease) > 0 && slices.ContainsFunc(one.members, func(ser registrar.Server) bool { return rnd.standbyCount(ser) > 0 }) {
-			continue
-		}
 		if best == nil || one.before(*best) {
 			best = &one
 		}
