Do not take the lead again after giving it up to stop

A stopping leader releases its lease at once, so that another entry leads while it still serves for up to the grace period. It went on asking for the lease twice a second, though, could be given it again, and then took it along when its process ended, which leaves the groups without a leader for a TTL.

Resigning is now final, also for a call that is under way.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -40,6 +40,8 @@
 	candidateSince time.Time
 	// asked is set from the first call for the lease until its release.
 	asked bool
+	// resigned is set once this entry has given the lease up for good.
+	resigned bool
 }
 
 // New returns an elector that is not the leader.
@@ -83,6 +85,10 @@
 		ele.opt.Logger.WithError(err).Debug("could not acquire or renew the lease")
 		return
 	}
+	if held && ele.hasResigned() {
+		ele.release(ctx)
+		return
+	}
 	if held {
 		// The lease is counted from before the call, so that it expires here no later than at the store.
 		until := now.Add(ele.opt.TTL)
@@ -100,6 +106,9 @@
 	candidate := ele.opt.IsCandidate()
 	ele.mux.Lock()
 	defer ele.mux.Unlock()
+	if ele.resigned {
+		return false, false
+	}
 	if !candidate {
 		ele.candidateSince = time.Time{}
 	} else if ele.candidateSince.IsZero() {
@@ -111,8 +120,17 @@
 	return ask, release
 }
 
-// Resign releases the lease.
+func (ele *Elector) hasResigned() bool {
+	ele.mux.Lock()
+	defer ele.mux.Unlock()
+	return ele.resigned
+}
+
+// Resign releases the lease; this entry does not ask for it again.
 func (ele *Elector) Resign(ctx context.Context) {
+	ele.mux.Lock()
+	ele.resigned = true
+	ele.mux.Unlock()
 	ele.leaseEnd.Store(nil)
 	ele.release(ctx)
 }
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -24,11 +24,16 @@
 	clk      *clockwork.FakeClock
 	calls    int
 	releases int
+	// during is called while the lease is being acquired, unless it is nil.
+	during func()
 }
 
 func (lea *lease) Acquire(context.Context, time.Duration) (bool, error) {
 	lea.calls++
 	lea.clk.Advance(lea.callTime)
+	if lea.during != nil {
+		lea.during()
+	}
 	return lea.held, lea.err
 }
 
@@ -106,6 +111,22 @@
 		Expect(lea.releases).To(Equal(1))
 	})
 
+	It("does not ask for the lease again after it has resigned", func() {
+		ele.TryAcquire(context.Background())
+		ele.Resign(context.Background())
+		ele.TryAcquire(context.Background())
+		Expect(ele.IsLeader()).To(BeFalse())
+		Expect(lea.calls).To(Equal(1))
+		Expect(lea.releases).To(Equal(1))
+	})
+
+	It("gives the lease back that it is granted while it resigns", func() {
+		lea.during = func() { ele.Resign(context.Background()) }
+		ele.TryAcquire(context.Background())
+		Expect(ele.IsLeader()).To(BeFalse())
+		Expect(lea.releases).To(Equal(2))
+	})
+
 	It("does not acquire the lease while it is no candidate, unless it is the leader", func() {
 		candidate = false
 		ele.TryAcquire(context.Background())
--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -23,6 +23,7 @@
 	"github.com/lovagelever/lovagelever/advertiser"
 	"github.com/lovagelever/lovagelever/conductor"
 	"github.com/lovagelever/lovagelever/counter"
+	"github.com/lovagelever/lovagelever/elector"
 	"github.com/lovagelever/lovagelever/gateconfigurer"
 	"github.com/lovagelever/lovagelever/gateserver"
 	"github.com/lovagelever/lovagelever/heartbeater"
@@ -126,10 +127,32 @@
 	}
 }
 
+// leaseStub is a lease that is always granted; it counts the calls.
+type leaseStub struct {
+	acquired atomic.Int64
+	released atomic.Int64
+}
+
+func (lea *leaseStub) Acquire(context.Context, time.Duration) (bool, error) {
+	lea.acquired.Add(1)
+	return true, nil
+}
+
+func (lea *leaseStub) Release(context.Context) error {
+	lea.released.Add(1)
+	return nil
+}
+
 func start(set gateconfigurer.Settings, sto *store) context.CancelFunc {
+	return startWithLease(set, sto, stubs{})
+}
+
+func startWithLease(set gateconfigurer.Settings, sto *store, lea elector.Lease) context.CancelFunc {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	gat, err := gateserver.New(set, platform(sto), clockwork.NewRealClock(), log.WithField("test", true))
+	pla := platform(sto)
+	pla.Lease = lea
+	gat, err := gateserver.New(set, pla, clockwork.NewRealClock(), log.WithField("test", true))
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -233,6 +256,19 @@
 		Expect(cou.BytesReceived()).To(BeNumerically("<", linkBytesPerSecond*seconds/entries))
 	})
 
+	It("does not take the lead again after it has given it up to stop", func() {
+		sto := &store{recs: map[string][]tailer.Record{}}
+		set := settings("edge")
+		set.Bounds.StopGrace = 4 * time.Second
+		lea := &leaseStub{}
+		stop := startWithLease(set, sto, lea)
+		Eventually(lea.acquired.Load, "4s").Should(BeNumerically(">", 0))
+		stop()
+		Eventually(lea.released.Load, "3s").Should(BeNumerically(">", 0))
+		before := lea.acquired.Load()
+		Consistently(lea.acquired.Load, "1500ms").Should(Equal(before))
+	})
+
 	It("gets the configuration from another entry when the store does not answer", func() {
 		one, two := settings("edge-1"), settings("edge-2")
 		told, silent := &store{recs: map[string][]tailer.Record{}}, &store{recs: map[string][]tailer.Record{}, down: topics.Operator}
