--- a/advertiser/advertiser.go
+++ b/advertiser/advertiser.go
@@ -40,26 +40,26 @@
 }
 
 // Put stores the latest registration of an entry.
-func (itr *Advertiser) Put(ent Entry) {
-	itr.mux.Lock()
-	defer itr.mux.Unlock()
-	itr.entries[ent.Name] = ent
+func (adv *Advertiser) Put(ent Entry) {
+	adv.mux.Lock()
+	defer adv.mux.Unlock()
+	adv.entries[ent.Name] = ent
 }
 
 // Remove deletes an entry that has left.
-func (itr *Advertiser) Remove(name string) {
-	itr.mux.Lock()
-	defer itr.mux.Unlock()
-	delete(itr.entries, name)
+func (adv *Advertiser) Remove(name string) {
+	adv.mux.Lock()
+	defer adv.mux.Unlock()
+	delete(adv.entries, name)
 }
 
 // Others returns the registered entries except this one, sorted by name.
-func (itr *Advertiser) Others() []Entry {
-	itr.mux.Lock()
-	defer itr.mux.Unlock()
+func (adv *Advertiser) Others() []Entry {
+	adv.mux.Lock()
+	defer adv.mux.Unlock()
 	var out []Entry
-	for _, ent := range itr.entries {
-		if ent.Name != itr.self {
+	for _, ent := range adv.entries {
+		if ent.Name != adv.self {
 			out = append(out, ent)
 		}
 	}
@@ -68,14 +68,14 @@
 }
 
 // Live returns the number of live entries, which are this one and the others that have been heard from recently, and the rank of this one among them by name.
-func (itr *Advertiser) Live() (num, rank int) {
+func (adv *Advertiser) Live() (num, rank int) {
 	num = 1
-	for _, ent := range itr.Others() {
-		if !itr.recentlyHeard(ent.Name) {
+	for _, ent := range adv.Others() {
+		if !adv.recentlyHeard(ent.Name) {
 			continue
 		}
 		num++
-		if ent.Name < itr.self {
+		if ent.Name < adv.self {
 			rank++
 		}
 	}
@@ -83,14 +83,14 @@
 }
 
 // Addresses returns the addresses that a caller in an availability zone can connect to: those of entries that run and are not stopping, only in its own zone if that has enough of them.
-func (itr *Advertiser) Addresses(zone string) []string {
-	itr.mux.Lock()
-	defer itr.mux.Unlock()
+func (adv *Advertiser) Addresses(zone string) []string {
+	adv.mux.Lock()
+	defer adv.mux.Unlock()
 	var sameZone, all []Entry
-	for _, ent := range itr.entries {
-		available := itr.ready()
-		if ent.Name != itr.self {
-			available = itr.recentlyHeard(ent.Name) && !ent.Stopping
+	for _, ent := range adv.entries {
+		available := adv.ready()
+		if ent.Name != adv.self {
+			available = adv.recentlyHeard(ent.Name) && !ent.Stopping
 		}
 		if !available {
 			continue
@@ -116,11 +116,11 @@
 }
 
 // MarkStopping marks an incarnation of another entry as no longer accepting callers.
-func (itr *Advertiser) MarkStopping(name string, incarnation uint64) {
-	itr.mux.Lock()
-	defer itr.mux.Unlock()
-	if ent, known := itr.entries[name]; known && ent.Incarnation == incarnation {
+func (adv *Advertiser) MarkStopping(name string, incarnation uint64) {
+	adv.mux.Lock()
+	defer adv.mux.Unlock()
+	if ent, known := adv.entries[name]; known && ent.Incarnation == incarnation {
 		ent.Stopping = true
-		itr.entries[name] = ent
+		adv.entries[name] = ent
 	}
 }
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -54,8 +54,8 @@
 	bud *budgeter.Budgeter
 	sen *sender.Sender
 	det *detector.Detector
-	itr *advertiser.Advertiser
-	sha *heartbeater.Heartbeater
+	adv *advertiser.Advertiser
+	hea *heartbeater.Heartbeater
 	ele *elector.Elector
 	con *conductor.Conductor
 	gat *gateway.Gateway
@@ -100,7 +100,7 @@
 		return nil, err
 	}
 	gat.buildControl()
-	gat.itr.Put(gat.self)
+	gat.adv.Put(gat.self)
 	return gat, nil
 }
 
@@ -125,8 +125,8 @@
 	if err != nil {
 		return errors.NewNotValid(err, "gateserver: address for entries")
 	}
-	gat.itr = advertiser.New(gat.set.Name, gat.heardRecently, gat.ready)
-	gat.sha, err = heartbeater.New(heartbeater.Options{
+	gat.adv = advertiser.New(gat.set.Name, gat.heardRecently, gat.ready)
+	gat.hea, err = heartbeater.New(heartbeater.Options{
 		Address: address, Peers: gat.peers, Heartbeat: gat.heartbeat, OnHeartbeat: gat.onHeartbeat, OnSilent: gat.onPeerSilent,
 		Clock: gat.clk, Logger: gat.log,
 	})
@@ -182,7 +182,7 @@
 }
 
 func (gat *Server) heardRecently(name string) bool {
-	return gat.sha != nil && gat.sha.Heard(name)
+	return gat.hea != nil && gat.hea.Heard(name)
 }
 
 // noRequestsYet reports whether neither this entry nor another one has received a request so far.
@@ -204,7 +204,7 @@
 		gat.dis.DispatchWaiting()
 		if num%sweepTicks == 0 {
 			gat.sen.Sweep()
-			live, rank := gat.itr.Live()
+			live, rank := gat.adv.Live()
 			gat.dis.SetEntries(live, rank)
 			gat.dis.SetLoadAge(gat.heartbeatInterval())
 			gat.bud.SetEntries(live)
--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -23,7 +23,7 @@
 // peers returns the entries that receive heartbeats.
 func (gat *Server) peers() []heartbeater.Peer {
 	var out []heartbeater.Peer
-	for _, ent := range gat.itr.Others() {
+	for _, ent := range gat.adv.Others() {
 		if adr, err := netip.ParseAddrPort(ent.EntryAddress); err == nil {
 			out = append(out, heartbeater.Peer{Name: ent.Name, Address: adr})
 		}
@@ -92,7 +92,7 @@
 func (gat *Server) readsStore() bool {
 	before := 0
 	own := hash(gat.set.Name)
-	for _, ent := range gat.itr.Others() {
+	for _, ent := range gat.adv.Others() {
 		at, fresh := gat.upToDatePeers.Load(ent.Name)
 		if fresh && gat.clk.Since(at.(time.Time)) < gat.peerStateTTL() && hash(ent.Name) < own {
 			before++
@@ -124,7 +124,7 @@
 	}
 	gat.dis.SetRemoteLoad(bea.Name, running)
 	if bea.Stopping {
-		gat.itr.MarkStopping(bea.Name, bea.Incarnation)
+		gat.adv.MarkStopping(bea.Name, bea.Incarnation)
 	}
 	if len(bea.Suspects) > 0 {
 		gat.recordDoubts(bea.Suspects)
@@ -243,7 +243,7 @@
 
 // Ask requests records from a random entry that was heard recently, preferably one that reads the store; it fails with ErrNoPeer if there is none.
 func (ask asker) Ask(ctx context.Context, topic string, from int64) (tailer.Page, error) {
-	others := ask.gat.itr.Others()
+	others := ask.gat.adv.Others()
 	rand.Shuffle(len(others), func(one, two int) { others[one], others[two] = others[two], others[one] })
 	// Entries that are up to date with the store are asked first.
 	slices.SortStableFunc(others, func(one, two advertiser.Entry) int {
--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -100,7 +100,7 @@
 			continue
 		}
 		if len(rec.Value) == 0 {
-			gat.itr.Remove(rec.Key)
+			gat.adv.Remove(rec.Key)
 			continue
 		}
 		var ent advertiser.Entry
@@ -108,6 +108,6 @@
 			gat.log.WithError(err).WithField("entry", rec.Key).Warn("registration of an entry cannot be read")
 			continue
 		}
-		gat.itr.Put(ent)
+		gat.adv.Put(ent)
 	}
 }
--- a/gateserver/run.go
+++ b/gateserver/run.go
@@ -65,7 +65,7 @@
 }
 
 func (gat *Server) start(ctx context.Context) {
-	loops := []func(context.Context){gat.sha.Run, gat.updateUnits, gat.tick, gat.ele.Run, gat.con.Run, gat.register}
+	loops := []func(context.Context){gat.hea.Run, gat.updateUnits, gat.tick, gat.ele.Run, gat.con.Run, gat.register}
 	for _, tai := range gat.tailers {
 		loops = append(loops, tai.Run)
 	}
@@ -85,7 +85,7 @@
 	return []*http.Server{
 		callers,
 		{Addr: gat.set.Listen.Readiness, Handler: gat.pla.Readiness(gat.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
-		{Addr: gat.set.Listen.Directory, Handler: gat.pla.Directory(gat.itr.Addresses, keep), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		{Addr: gat.set.Listen.Directory, Handler: gat.pla.Directory(gat.adv.Addresses, keep), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 		{Addr: gat.set.Listen.Metrics, Handler: metrics, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 	}
 }
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -63,26 +63,26 @@
 }
 
 // Run exchanges heartbeats until the context ends.
-func (sha *Heartbeater) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = sha.con.Close() })
+func (hea *Heartbeater) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = hea.con.Close() })
 	defer stop()
-	go sha.receive(ctx)
+	go hea.receive(ctx)
 	for {
-		every := sha.send()
+		every := hea.send()
 		select {
 		case <-ctx.Done():
 			return
-		case <-sha.opt.Clock.After(every):
+		case <-hea.opt.Clock.After(every):
 		}
 	}
 }
 
 // Heard reports whether a heartbeat of an entry arrived recently.
-func (sha *Heartbeater) Heard(name string) bool {
-	sha.mux.Lock()
-	defer sha.mux.Unlock()
-	las, known := sha.heard[name]
-	return known && sha.opt.Clock.Since(las.at) < SilentAfterIntervals*Interval(len(sha.heard))
+func (hea *Heartbeater) Heard(name string) bool {
+	hea.mux.Lock()
+	defer hea.mux.Unlock()
+	las, known := hea.heard[name]
+	return known && hea.opt.Clock.Since(las.at) < SilentAfterIntervals*Interval(len(hea.heard))
 }
 
 // Interval returns the time between two heartbeats for a number of other entries.
@@ -90,70 +90,70 @@
 	return max(MinInterval, time.Duration(peers)*time.Second/maxDatagramsPerSecond)
 }
 
-func (sha *Heartbeater) send() time.Duration {
-	peers := sha.opt.Peers()
+func (hea *Heartbeater) send() time.Duration {
+	peers := hea.opt.Peers()
 	if len(peers) > 0 {
-		data := Encode(sha.opt.Heartbeat())
+		data := Encode(hea.opt.Heartbeat())
 		for _, pee := range peers {
-			if _, err := sha.con.WriteToUDPAddrPort(data, pee.Address); err != nil {
-				sha.opt.Logger.WithError(err).WithField("entry", pee.Name).Debug("failed to send heartbeat")
+			if _, err := hea.con.WriteToUDPAddrPort(data, pee.Address); err != nil {
+				hea.opt.Logger.WithError(err).WithField("entry", pee.Name).Debug("failed to send heartbeat")
 			}
 		}
 	}
-	sha.expire()
+	hea.expire()
 	return Interval(len(peers))
 }
 
-func (sha *Heartbeater) receive(ctx context.Context) {
+func (hea *Heartbeater) receive(ctx context.Context) {
 	buf := make([]byte, maxDatagramBytes+1)
 	for ctx.Err() == nil {
-		num, _, err := sha.con.ReadFromUDPAddrPort(buf)
+		num, _, err := hea.con.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			if ctx.Err() == nil {
-				sha.opt.Logger.WithError(err).Debug("failed to receive heartbeat")
+				hea.opt.Logger.WithError(err).Debug("failed to receive heartbeat")
 			}
 			continue
 		}
 		bea, err := Decode(buf[:num])
 		if err != nil {
-			sha.opt.Logger.WithError(err).Debug("ignoring datagram that is not a valid heartbeat")
+			hea.opt.Logger.WithError(err).Debug("ignoring datagram that is not a valid heartbeat")
 			continue
 		}
-		if sha.accept(bea) {
-			sha.opt.OnHeartbeat(bea)
+		if hea.accept(bea) {
+			hea.opt.OnHeartbeat(bea)
 		}
 	}
 }
 
 // accept records a heartbeat, and reports false if it is no newer than the last one of the same entry.
-func (sha *Heartbeater) accept(bea Heartbeat) bool {
-	sha.mux.Lock()
-	defer sha.mux.Unlock()
-	old, known := sha.heard[bea.Name]
+func (hea *Heartbeater) accept(bea Heartbeat) bool {
+	hea.mux.Lock()
+	defer hea.mux.Unlock()
+	old, known := hea.heard[bea.Name]
 	if known && (bea.Incarnation < old.incarnation || bea.Incarnation == old.incarnation && bea.Seq <= old.seq) {
 		return false
 	}
 	if !known {
-		sha.opt.Logger.WithField("entry", bea.Name).Info("heartbeats from entry started")
+		hea.opt.Logger.WithField("entry", bea.Name).Info("heartbeats from entry started")
 	}
-	sha.heard[bea.Name] = lastHeartbeat{at: sha.opt.Clock.Now(), incarnation: bea.Incarnation, seq: bea.Seq}
+	hea.heard[bea.Name] = lastHeartbeat{at: hea.opt.Clock.Now(), incarnation: bea.Incarnation, seq: bea.Seq}
 	return true
 }
 
 // expire removes the entries that have become silent and reports them to OnSilent.
-func (sha *Heartbeater) expire() {
-	sha.mux.Lock()
+func (hea *Heartbeater) expire() {
+	hea.mux.Lock()
 	var gone []string
-	limit := SilentAfterIntervals * Interval(len(sha.heard))
-	for name, las := range sha.heard {
-		if sha.opt.Clock.Since(las.at) >= limit {
-			delete(sha.heard, name)
+	limit := SilentAfterIntervals * Interval(len(hea.heard))
+	for name, las := range hea.heard {
+		if hea.opt.Clock.Since(las.at) >= limit {
+			delete(hea.heard, name)
 			gone = append(gone, name)
 		}
 	}
-	sha.mux.Unlock()
+	hea.mux.Unlock()
 	for _, name := range gone {
-		sha.opt.Logger.WithFields(logrus.Fields{"entry": name, "after_ms": limit.Milliseconds()}).Info("heartbeats from entry stopped")
-		sha.opt.OnSilent(name)
+		hea.opt.Logger.WithFields(logrus.Fields{"entry": name, "after_ms": limit.Milliseconds()}).Info("heartbeats from entry stopped")
+		hea.opt.OnSilent(name)
 	}
 }
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -81,7 +81,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	seq := uint64(0)
-	sha, err := heartbeater.New(heartbeater.Options{
+	hea, err := heartbeater.New(heartbeater.Options{
 		Address: netip.MustParseAddrPort(address), Peers: peers, Clock: clockwork.NewRealClock(), Logger: log.WithField("test", true),
 		Heartbeat: func() heartbeater.Heartbeat {
 			seq++
@@ -100,8 +100,8 @@
 	})
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
-	go sha.Run(ctx)
-	return sha, cancel
+	go hea.Run(ctx)
+	return hea, cancel
 }
 
 var _ = Describe("Heartbeater", func() {
