Exchange records with entries of earlier versions while entries are replaced

Compressing records changed the answer of the method that entries call. During a rolling upgrade an entry of the earlier version could not read the answer of a new one, and with two new readers it would have missed changes of the configuration. Found in review; two specs, one for each direction.

The method that earlier versions call answers as before; new entries call another one and fall back to it.

--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"net/rpc"
 	"slices"
 	"time"
 
@@ -198,14 +199,21 @@
 	gat *Server
 }
 
-// Records returns the newest records of a topic that this entry knows; it fails with errors.NotFound for an unknown topic.
-func (rec *receiver) Records(que *Question, ans *Answer) error {
+// Records returns the newest records of a topic that this entry knows; it fails with errors.NotFound for an unknown topic. Entries of earlier versions call it.
+func (rec *receiver) Records(que *Question, ans *tailer.Page) error {
 	tai, known := rec.gat.tailers[que.Topic]
 	if !known {
 		return errors.NotFoundf("gateserver: topic %s", que.Topic)
 	}
 	pag, err := tai.Since(que.From)
-	if err != nil {
+	*ans = pag
+	return err
+}
+
+// CompressedRecords returns the same as Records, with large values compressed.
+func (rec *receiver) CompressedRecords(que *Question, ans *Answer) error {
+	var pag tailer.Page
+	if err := rec.Records(que, &pag); err != nil {
 		return err
 	}
 	ans.End, ans.Outage = pag.End, pag.Outage
@@ -251,12 +259,20 @@
 	})
 	for _, ent := range others {
 		if ask.gat.heardRecently(ent.Name) {
-			ans, err := messenger.Call[Question, Answer](ctx, ask.gat.mes, ent.EntryAddress, "Records", Question{Topic: topic, From: from})
-			if err != nil {
-				return tailer.Page{}, err
-			}
-			return ans.page()
+			return ask.gat.requestRecords(ctx, ent.EntryAddress, Question{Topic: topic, From: from})
 		}
 	}
 	return tailer.Page{}, errors.Annotate(ErrNoPeer, "gateserver: request records")
 }
+
+// requestRecords requests records from the entry at an address. An entry of an earlier version knows only the method that does not compress them.
+func (gat *Server) requestRecords(ctx context.Context, address string, que Question) (tailer.Page, error) {
+	ans, err := messenger.Call[Question, Answer](ctx, gat.mes, address, "CompressedRecords", que)
+	if _, remote := errors.AsType[rpc.ServerError](err); remote {
+		return messenger.Call[Question, tailer.Page](ctx, gat.mes, address, "Records", que)
+	}
+	if err != nil {
+		return tailer.Page{}, err
+	}
+	return ans.page()
+}
--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -195,6 +195,17 @@
 // peerNames are enough names that the hashes of some are below that of any other name, so that these are selected as readers of the store before it.
 var peerNames = []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}
 
+// oldEntry answers as entries did that could not compress records.
+type oldEntry struct{}
+
+// Records returns a configuration, or no records for other topics.
+func (*oldEntry) Records(que *gateserver.Question, ans *tailer.Page) error {
+	if que.Topic == topics.Operator {
+		*ans = tailer.Page{End: 1, Records: []tailer.Record{{Key: "config", Value: []byte("{}")}}}
+	}
+	return nil
+}
+
 // manyRoutes returns a configuration record with names as random as those of the platform.
 func manyRoutes(num int) []byte {
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -250,12 +261,42 @@
 		var cou counter.Counter
 		mes := messenger.New(net.ParseIP(set.Address), &cou)
 		DeferCleanup(mes.Close)
-		ans, err := messenger.Call[gateserver.Question, gateserver.Answer](context.Background(), mes, set.Listen.Entries, "Records", gateserver.Question{Topic: topics.Operator})
+		ans, err := messenger.Call[gateserver.Question, gateserver.Answer](context.Background(), mes, set.Listen.Entries, "CompressedRecords", gateserver.Question{Topic: topics.Operator})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ans.Records).To(HaveLen(1))
 		Expect(cou.BytesReceived()).To(BeNumerically("<", linkBytesPerSecond*seconds/entries))
 	})
 
+	It("sends records uncompressed to an entry of an earlier version", func() {
+		sto := &store{recs: map[string][]tailer.Record{}}
+		set := settings("edge")
+		value := manyRoutes(100)
+		sto.put(topics.Operator, "config", value)
+		start(set, sto)
+		Eventually(ready(set), "3s").Should(BeTrue())
+		mes := messenger.New(net.ParseIP(set.Address), &counter.Counter{})
+		DeferCleanup(mes.Close)
+		pag, err := messenger.Call[gateserver.Question, tailer.Page](context.Background(), mes, set.Listen.Entries, "Records", gateserver.Question{Topic: topics.Operator})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(pag.Records).To(HaveLen(1))
+		Expect(pag.Records[0].Value).To(Equal(value))
+	})
+
+	It("gets the configuration from an entry of an earlier version", func() {
+		set := settings("edge")
+		old := settings("old")
+		lis, err := messenger.Listen(old.Listen.Entries, &oldEntry{}, &counter.Counter{})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(lis.Close)
+		data, err := json.Marshal(advertiser.Entry{Name: "old", EntryAddress: old.Listen.Entries, Incarnation: 1})
+		Expect(err).NotTo(HaveOccurred())
+		sto := &store{recs: map[string][]tailer.Record{}, down: topics.Operator}
+		sto.put(topics.Entries, "old", data)
+		start(set, sto)
+		sendHeartbeats(set.Listen.Entries, "old")
+		Eventually(ready(set), "5s").Should(BeTrue())
+	})
+
 	It("does not take the lead again after it has given it up to stop", func() {
 		sto := &store{recs: map[string][]tailer.Record{}}
 		set := settings("edge")
