Hedge silent streams and do not cut those of units that are only suspected

Cause: running work was given up on reversible signals. A member that missed three checks of one entry made its unit broken, which cut all its streams there; a silence of 1.3 s cut a stream before another unit had accepted it, also with no attempt left and on routes without resuming; the last attempt of a plain call was timed out.

Evidence: in the record one stream was cut 0.63 s after it reached its server and a third server was given 0.17 s, below the silence timeout; only a unit taken for broken cancels an attempt so early.

Change: a suspected unit gets no new requests and keeps its streams; only a refused connection or the head's own report makes it broken. A silent stream is requested from a second unit while the first may continue it, which is given up when the second has begun to answer. The last attempt runs to its deadline.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -119,8 +119,9 @@
 	Unit Unit
 	// InUse is the number of requests that all entries were known to run on the unit when the slot was allocated, including this one.
 	InUse int
-	// Broken is closed when the unit can no longer finish its running requests.
-	Broken <-chan struct{}
+	// Suspected is closed when the unit may no longer finish its running requests, Broken when it certainly cannot.
+	Suspected <-chan struct{}
+	Broken    <-chan struct{}
 
 	dis   *Dispatcher
 	sta   *unitState
@@ -229,7 +230,7 @@
 	if sta.cold(now) {
 		sta.nextColdStart = now.Add(sta.coldInterval(dis.entries))
 	}
-	return &Placement{Unit: sta.Unit, InUse: sta.running + sta.remote, Broken: sta.broken, dis: dis, sta: sta, pool: req.Pool, cost: max(1, req.Cost), since: now}
+	return &Placement{Unit: sta.Unit, InUse: sta.running + sta.remote, Suspected: sta.suspected, Broken: sta.broken, dis: dis, sta: sta, pool: req.Pool, cost: max(1, req.Cost), since: now}
 }
 
 // Release frees the slot and records how the request ended; further calls do nothing.
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -9,10 +9,11 @@
 // Readiness says which requests a unit can run.
 type Readiness int
 
-// A Serving unit accepts requests, a Stopping unit only finishes its running ones, and a Broken unit never finishes them.
+// A Serving unit accepts requests, a Stopping unit only finishes its running ones, a Suspected unit may not finish them, and a Broken unit never does.
 const (
 	Serving Readiness = iota
 	Stopping
+	Suspected
 	Broken
 )
 
@@ -59,13 +60,30 @@
 	fullUntil     time.Time
 	nextColdStart time.Time
 	// paced is set while the unit serves and is cold.
-	paced  bool
-	broken chan struct{}
-	listed bool
+	paced     bool
+	suspected chan struct{}
+	broken    chan struct{}
+	listed    bool
 }
 
 func newUnitState(uni Unit) *unitState {
-	return &unitState{Unit: uni, slowness: 1, broken: make(chan struct{})}
+	return &unitState{Unit: uni, slowness: 1, suspected: make(chan struct{}), broken: make(chan struct{})}
+}
+
+// setReadiness closes the channel of a readiness that the unit enters, for the requests that run on it.
+func (sta *unitState) setReadiness(rea Readiness) {
+	if rea == sta.Readiness {
+		return
+	}
+	sta.Readiness = rea
+	switch rea {
+	case Suspected:
+		close(sta.suspected)
+		sta.suspected = make(chan struct{})
+	case Broken:
+		close(sta.broken)
+		sta.broken = make(chan struct{})
+	}
 }
 
 // coldInterval returns the minimum time between two requests of this entry to a cold unit, assuming that all entries send at the same rate.
--- a/dispatcher/update.go
+++ b/dispatcher/update.go
@@ -24,10 +24,7 @@
 			sta = newUnitState(uni)
 			dis.units[uni.ID] = sta
 		}
-		if uni.Readiness == Broken && sta.Readiness != Broken {
-			close(sta.broken)
-			sta.broken = make(chan struct{})
-		}
+		sta.setReadiness(uni.Readiness)
 		sta.Unit, sta.listed = uni, true
 		sta.updatePacing(now, dis.entries, dis.rank, dis.opt.Random())
 	}
--- a/gateserver/units.go
+++ b/gateserver/units.go
@@ -88,26 +88,29 @@
 	for _, mem := range grp.Members {
 		members = append(members, mem)
 	}
-	switch {
-	case vie.Serves(grp, mod.Size):
+	if vie.Serves(grp, mod.Size) {
 		uni.Readiness = dispatcher.Serving
-	case broken(vie, grp, head):
-		uni.Readiness = dispatcher.Broken
+	} else {
+		uni.Readiness = readinessOfMembers(vie, grp, head)
 	}
 	tab.add(uni, members)
 }
 
-// broken reports whether a group can no longer finish its running requests: a member does not answer, or the head reports it as broken.
-func broken(vie *registrar.View, grp registrar.Group, head registrar.Server) bool {
+// readinessOfMembers returns the readiness of a group that takes no requests. It is broken when its head reports so or nothing listens at the address of a member, and only suspected when a member does not answer: a sound server may be silent for a moment, or this entry may be too busy to read the answer.
+func readinessOfMembers(vie *registrar.View, grp registrar.Group, head registrar.Server) dispatcher.Readiness {
 	if head.Group.State == registrar.Broken {
-		return true
+		return dispatcher.Broken
 	}
+	out := dispatcher.Stopping
 	for _, mem := range grp.Members {
-		if vie.Suspected(mem.Instance()) {
-			return true
+		switch ins := mem.Instance(); {
+		case vie.Down(ins):
+			return dispatcher.Broken
+		case vie.Suspected(ins):
+			out = dispatcher.Suspected
 		}
 	}
-	return false
+	return out
 }
 
 func (tab *unitTable) addPlain(ser router.Service, vie *registrar.View, one registrar.Server) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -255,24 +255,36 @@
 	return PoolName(job.ser.Name, job.cal.Model)
 }
 
-// acquire allocates a slot on a unit that the request was not tried on yet.
+// acquire allocates a slot on a unit that the request was not tried on yet, and counts how long it waited.
 func (job *job) acquire(ctx context.Context) (*dispatcher.Placement, error) {
+	began := job.gat.opt.Clock.Now()
+	defer func() { job.queued += job.gat.opt.Clock.Since(began) }()
+	return job.place(ctx, placeOptions{exclude: job.tried, resumed: job.mayHaveRun > 0})
+}
+
+// placeOptions says which units must not get a request, and whether it has run in part.
+type placeOptions struct {
+	exclude []string
+	resumed bool
+}
+
+// place allocates a slot; it does not change the job, so that a hedge can call it beside an attempt.
+func (job *job) place(ctx context.Context, opt placeOptions) (*dispatcher.Placement, error) {
 	now := job.gat.opt.Clock.Now()
 	cost := job.expectedWork()
 	objective := job.arrived.Add(job.rou.Objective)
 	startBy := now.Add(time.Duration(float64(job.rou.Objective) * queueWaitShare))
-	if job.mayHaveRun > 0 {
+	if opt.resumed {
 		startBy = now.Add(resumedQueueWait)
 	}
 	if latest := job.deadline.Add(-cost); latest.Before(startBy) {
 		startBy = latest
 	}
-	defer func() { job.queued += job.gat.opt.Clock.Since(now) }()
 	return job.gat.opt.Dispatcher.Acquire(ctx, dispatcher.Request{
 		ID: job.cal.ID, Pool: job.pool(), Workspace: job.wsp.Name,
-		Priority: job.tab.Priority(job.rou, job.wsp), Resumed: job.mayHaveRun > 0,
+		Priority: job.tab.Priority(job.rou, job.wsp), Resumed: opt.resumed,
 		Cost:    cost.Seconds() * costPerSecond,
-		StartBy: startBy, Deadline: job.deadline, Exclude: job.tried,
+		StartBy: startBy, Deadline: job.deadline, Exclude: opt.exclude,
 		Late: now.After(objective) || job.cal.Timeout > 0 && job.cal.Timeout < job.rou.Timeout-job.rou.Objective,
 	})
 }
--- /dev/null
+++ b/gateway/hedge.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lovagelever/lovagelever/dispatcher"
+	"github.com/lovagelever/lovagelever/sender"
+)
+
+// attempt is one request for a stream to one unit; exc is nil until the request was sent.
+type attempt struct {
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	placement *dispatcher.Placement
+	exc       *sender.Exchange
+}
+
+func newAttempt(ctx context.Context, pla *dispatcher.Placement) *attempt {
+	att := &attempt{placement: pla}
+	att.ctx, att.cancel = context.WithCancelCause(ctx)
+	return att
+}
+
+// release frees the slot and the connection of an attempt that is not continued.
+func (att *attempt) release(res dispatcher.Result) {
+	if att.exc != nil {
+		att.exc.End(false)
+	}
+	att.cancel(nil)
+	att.placement.Release(dispatcher.Outcome{Result: res})
+}
+
+// hedge requests a silent stream from a second unit while the first one may still continue it. Whichever sends something first goes on; the first unit is given up only when the second has begun to answer.
+type hedge struct {
+	rel   *relay
+	first *attempt
+	// ctx is that of the request, which outlives the first attempt.
+	ctx context.Context
+	// mayRun and sends count the attempts up to and including the first one.
+	mayRun int
+	sends  int
+
+	mux     sync.Mutex
+	running sync.WaitGroup
+	busy    bool
+	closed  bool
+	cancel  context.CancelCauseFunc
+	// second is the attempt that takes over.
+	second *attempt
+	// moreSends, moreRuns and tried are what the hedge adds to the counts of the request.
+	moreSends int
+	moreRuns  int
+	tried     []string
+	// lastEventID is the ID of the last event that was relayed.
+	lastEventID string
+}
+
+func (rel *relay) newHedge(ctx context.Context, first *attempt) *hedge {
+	return &hedge{rel: rel, first: first, ctx: ctx, mayRun: rel.mayHaveRun + 1, sends: rel.sends + 1, tried: slices.Clone(rel.tried), lastEventID: rel.lastEventID}
+}
+
+// start begins to request the stream from another unit, unless it is being done or not allowed.
+func (hed *hedge) start() {
+	hed.mux.Lock()
+	defer hed.mux.Unlock()
+	if hed.busy || hed.closed || hed.second != nil || !hed.allowed() {
+		return
+	}
+	ctx, cancel := context.WithCancelCause(hed.ctx)
+	hed.busy, hed.cancel = true, cancel
+	hed.running.Go(func() { hed.run(ctx, cancel) })
+}
+
+// allowed reports whether one more unit may get the request.
+func (hed *hedge) allowed() bool {
+	job := hed.rel.job
+	return job.rou.Repeatable() && hed.mayRun+hed.moreRuns < job.rou.Attempts && hed.sends+hed.moreSends < maxSends &&
+		job.gat.opt.Clock.Until(job.deadline) > 0
+}
+
+// abandon cancels a request to another unit, since the first one goes on.
+func (hed *hedge) abandon() {
+	hed.mux.Lock()
+	defer hed.mux.Unlock()
+	if hed.cancel != nil && hed.second == nil {
+		hed.cancel(errUnitContinues)
+	}
+}
+
+// relayed records the last event that the caller has received.
+func (hed *hedge) relayed(eventID string) {
+	hed.mux.Lock()
+	defer hed.mux.Unlock()
+	hed.lastEventID = eventID
+}
+
+func (hed *hedge) run(ctx context.Context, cancel context.CancelCauseFunc) {
+	att := hed.request(ctx, cancel)
+	hed.mux.Lock()
+	defer hed.mux.Unlock()
+	hed.busy, hed.cancel = false, nil
+	if att == nil {
+		cancel(nil)
+		return
+	}
+	if hed.closed || ctx.Err() != nil {
+		att.release(dispatcher.Neutral)
+		return
+	}
+	hed.second = att
+	hed.first.cancel(errUnitSilent)
+}
+
+// request sends the request to another unit, and returns the attempt if that unit begins to answer with a stream.
+func (hed *hedge) request(ctx context.Context, cancel context.CancelCauseFunc) *attempt {
+	job := hed.rel.job
+	pla, err := job.place(ctx, placeOptions{exclude: hed.tried, resumed: true})
+	if err != nil {
+		return nil
+	}
+	att := &attempt{ctx: ctx, cancel: cancel, placement: pla}
+	if ctx.Err() != nil || !job.gat.opt.Budget.Allow(job.ser.Name) {
+		att.release(dispatcher.Neutral)
+		return nil
+	}
+	hed.mux.Lock()
+	hed.tried = append(hed.tried, pla.Unit.ID)
+	after := hed.lastEventID
+	hed.mux.Unlock()
+	job.log.WithFields(logrus.Fields{"unit": hed.first.placement.Unit.ID, "second_unit": pla.Unit.ID, "after": after}).Info("stream is silent, requesting it from a second unit")
+	exc, err := job.gat.opt.Sender.Send(ctx, job.buildRequest(pla, after))
+	if errors.Is(err, sender.ErrNotSent) {
+		job.gat.opt.Detector.CheckUnit(pla.Unit.ID)
+		att.release(hed.resultOf(ctx))
+		return nil
+	}
+	if err != nil {
+		hed.count(1)
+		att.release(hed.resultOf(ctx))
+		return nil
+	}
+	att.exc = exc
+	ver := job.gat.opt.HeaderCodec.ParseResponse(job.cal, exc.Response)
+	if ver.NotRun {
+		hed.count(0)
+		att.release(dispatcher.Rejected)
+		return nil
+	}
+	hed.count(1)
+	if exc.Response.StatusCode != http.StatusOK || !ver.Verified {
+		att.release(dispatcher.Fault)
+		return nil
+	}
+	return att
+}
+
+// resultOf returns the result of a failed send: a fault of the unit unless the hedge was abandoned.
+func (hed *hedge) resultOf(ctx context.Context) dispatcher.Result {
+	if ctx.Err() != nil {
+		return dispatcher.Neutral
+	}
+	return dispatcher.Fault
+}
+
+func (hed *hedge) count(runs int) {
+	hed.mux.Lock()
+	defer hed.mux.Unlock()
+	hed.moreSends++
+	hed.moreRuns += runs
+}
+
+// close ends the hedge with the first attempt, adds its counts to those of the request, and returns the attempt that takes over, if any.
+func (hed *hedge) close() *attempt {
+	hed.mux.Lock()
+	hed.closed = true
+	if hed.cancel != nil && hed.second == nil {
+		hed.cancel(errUnitContinues)
+	}
+	hed.mux.Unlock()
+	hed.running.Wait()
+	hed.rel.sends += hed.moreSends
+	hed.rel.mayHaveRun += hed.moreRuns
+	hed.rel.tried = hed.tried
+	return hed.second
+}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -13,7 +13,7 @@
 	defaultBodyBytes = 4 << 20
 	// queueWaitShare is the fraction of a route's objective that a request may wait for a slot; the rest is left for the backend server to run it.
 	queueWaitShare = 0.6
-	// resumedQueueWait is how long a request that has partly run may wait for another slot; callers abandon a silent stream after 2 s.
+	// resumedQueueWait is how long a request that has partly run may wait for another slot; callers abandon a silent stream after callerPatience.
 	resumedQueueWait = 1200 * time.Millisecond
 	// A stopping entry accepts a request only if stopWorkFactor times its expected work, plus stopMargin, is left before the entry ends: streams on a full unit take up to three times as long.
 	stopWorkFactor = 3
@@ -34,8 +34,12 @@
 	firstEventCheckShare = 0.75
 	// pauseCheckShare is the fraction of a route's longest normal pause between events after which a silent unit is checked.
 	pauseCheckShare = 0.6
-	// silenceTimeout is how long a stream may be silent before it is resumed on another unit, even if its unit passes checks; callers abandon a silent stream after 2 s.
-	silenceTimeout = 1300 * time.Millisecond
+	// Callers abandon a stream after a silence of callerPatience, patienceObjectives times the route's objective or patiencePauses times its longest normal pause, whichever is longest.
+	callerPatience     = 2 * time.Second
+	patienceObjectives = 4
+	patiencePauses     = 8
+	// resumeMargin is how long before callers abandon a silent stream it is requested from a second unit, which needs that time to begin.
+	resumeMargin = 700 * time.Millisecond
 	// maxEventBytes is the maximum size of one event in bytes; the largest of the sites in docs/ADAPTER.md has 390.
 	maxEventBytes = 256 << 10
 )
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -74,7 +74,7 @@
 func (job *job) attempt(ctx context.Context, pla *dispatcher.Placement) (reply, error) {
 	out := dispatcher.Outcome{Result: dispatcher.Neutral}
 	defer func() { pla.Release(out) }()
-	if job.rou.Repeatable() {
+	if job.rou.Repeatable() && job.mayHaveRun+1 < job.rou.Attempts && job.sends+1 < maxSends {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(float64(job.rou.Objective)*attemptObjectives))
 		defer cancel()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,9 +15,12 @@
 	"github.com/lovagelever/lovagelever/sender"
 )
 
-// errUnitSilent is the cause of cancelling an attempt whose unit has sent no event for too long.
+// errUnitSilent is the cause of cancelling an attempt whose silent unit another one has replaced.
 const errUnitSilent = errors.ConstError("unit is silent")
 
+// errUnitContinues is the cause of cancelling a request to a second unit when the first one goes on.
+const errUnitContinues = errors.ConstError("the first unit continues")
+
 // errUnitBroken is the cause of cancelling an attempt whose unit can no longer finish its running requests.
 const errUnitBroken = errors.ConstError("unit is broken")
 
@@ -41,24 +45,32 @@
 // serveStream handles a call with an event stream as response, and resumes the stream on another unit where the route allows it.
 func (job *job) serveStream(ctx context.Context) {
 	rel := &relay{job: job, lastEventID: job.cal.LastEventID, ctl: http.NewResponseController(job.wtr)}
+	var next *attempt
 	for {
-		pla, err := job.acquire(ctx)
-		if err != nil {
-			rel.fail(err)
-			return
+		if next == nil {
+			pla, err := job.acquire(ctx)
+			if err != nil {
+				rel.fail(err)
+				return
+			}
+			next = newAttempt(ctx, pla)
 		}
-		rep, err := rel.attempt(ctx, pla)
+		unit := next.placement.Unit.ID
+		rep, second, err := rel.attempt(ctx, next)
 		if err == nil && !rep.ver.NotRun || errors.Is(err, errAnswered) {
 			return
 		}
-		if why := job.retryDenied(err, rep); why != "" {
-			if err == nil {
-				err = errors.Errorf("response with status %d", rep.res.StatusCode)
+		next = second
+		if next == nil {
+			if why := job.retryDenied(err, rep); why != "" {
+				if err == nil {
+					err = errors.Errorf("response with status %d", rep.res.StatusCode)
+				}
+				rel.fail(errors.Annotate(err, why))
+				return
 			}
-			rel.fail(errors.Annotate(err, why))
-			return
 		}
-		job.log.WithFields(logrus.Fields{"unit": pla.Unit.ID, "cause": causeOf(err, rep), "after": rel.lastEventID, "sends": job.sends}).Info("stream resumed elsewhere")
+		job.log.WithFields(logrus.Fields{"unit": unit, "cause": causeOf(err, rep), "after": rel.lastEventID, "sends": job.sends}).Info("stream resumed elsewhere")
 	}
 }
 
@@ -85,25 +97,42 @@
 	panic(http.ErrAbortHandler)
 }
 
-// attempt sends the call to one unit and relays its events.
-func (rel *relay) attempt(ctx context.Context, pla *dispatcher.Placement) (reply, error) {
+// attempt sends the call to one unit unless that was done, and relays its events. If another unit takes over a silent stream, it returns the attempt there.
+func (rel *relay) attempt(ctx context.Context, att *attempt) (rep reply, second *attempt, err error) {
+	pla := att.placement
 	out := dispatcher.Outcome{Result: dispatcher.Neutral}
 	defer func() { pla.Release(out) }()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	wat := rel.watch(pla, cancel)
-	defer wat.stop()
+	defer att.cancel(nil)
+	if !slices.Contains(rel.tried, pla.Unit.ID) {
+		rel.tried = append(rel.tried, pla.Unit.ID)
+	}
+	hed := rel.newHedge(ctx, att)
+	if att.exc != nil {
+		hed.mayRun, hed.sends = rel.mayHaveRun, rel.sends
+	}
+	wat := rel.watch(att, hed)
+	defer func() {
+		wat.stop()
+		second = hed.close()
+		if err == nil && !rep.ver.NotRun && second != nil {
+			second.release(dispatcher.Neutral)
+			second = nil
+		}
+	}()
 	rel.placement, rel.sentAt = pla, rel.gat.opt.Clock.Now()
-	rel.tried = append(rel.tried, pla.Unit.ID)
-	exc, err := rel.send(ctx, pla, rel.buildRequest(pla, rel.lastEventID))
-	if err != nil {
-		out.Result = rel.unitResult(ctx)
-		return reply{}, preferCause(ctx, err)
+	taken := att.exc != nil
+	if !taken {
+		att.exc, err = rel.send(att.ctx, pla, rel.buildRequest(pla, rel.lastEventID))
+		if err != nil {
+			out.Result = rel.unitResult(att.ctx)
+			return reply{}, nil, preferCause(att.ctx, err)
+		}
 	}
-	rep := reply{res: exc.Response, ver: rel.gat.opt.HeaderCodec.ParseResponse(rel.cal, exc.Response)}
+	exc := att.exc
+	rep = reply{res: exc.Response, ver: rel.gat.opt.HeaderCodec.ParseResponse(rel.cal, exc.Response)}
 	if rep.ver.NotRun || rep.res.StatusCode != http.StatusOK || !rep.ver.Verified {
 		out.Result, err = rel.finishNonStream(exc, &rep)
-		return rep, err
+		return rep, nil, err
 	}
 	num, err := rel.relayEvents(exc, wat)
 	out.Duration = rel.gat.opt.Clock.Since(rel.sentAt)
@@ -112,16 +141,18 @@
 	}
 	exc.End(err == nil)
 	if err != nil {
-		rel.mayHaveRun++
-		out.Result = rel.unitResult(ctx)
+		if !taken {
+			rel.mayHaveRun++
+		}
+		out.Result = rel.unitResult(att.ctx)
 		if errors.Is(err, errCallerWrite) {
 			out.Result = dispatcher.Neutral
 		}
-		return rep, preferCause(ctx, err)
+		return rep, nil, preferCause(att.ctx, err)
 	}
 	out.Result = dispatcher.Served
 	rel.finish(rep.res)
-	return rep, nil
+	return rep, nil, nil
 }
 
 // finishNonStream handles a response that is no event stream for the request: a rejection by the unit, a failure, or a response that does not belong to the request.
@@ -184,6 +215,7 @@
 		if err := rel.relayEvent(exc.Response, eve); err != nil {
 			return num, err
 		}
+		wat.hedge.relayed(rel.lastEventID)
 	}
 }
 
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -8,16 +8,18 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/lovagelever/lovagelever/dispatcher"
+	"github.com/lovagelever/lovagelever/router"
 )
 
-// watchdog requests a check of the unit when its stream falls silent, and cancels the attempt when the unit is broken or stays silent.
+// watchdog requests a check of the unit when its stream falls silent, asks for a hedge when it stays silent, and cancels the attempt when the unit is broken.
 type watchdog struct {
 	clk             clockwork.Clock
 	suspect         func()
 	markAlive       func()
-	cancel          context.CancelCauseFunc
+	hedge           *hedge
 	firstCheckAfter time.Duration
 	checkAfter      time.Duration
+	hedgeAfter      time.Duration
 	done            chan struct{}
 
 	mux        sync.Mutex
@@ -27,16 +29,18 @@
 	sawEvent   bool
 }
 
-// watch starts the watchdog for an attempt on the unit of a slot.
-func (rel *relay) watch(pla *dispatcher.Placement, cancel context.CancelCauseFunc) *watchdog {
+// watch starts the watchdog for an attempt.
+func (rel *relay) watch(att *attempt, hed *hedge) *watchdog {
+	pla := att.placement
 	now := rel.gat.opt.Clock.Now()
 	wat := &watchdog{
 		clk:             rel.gat.opt.Clock,
 		suspect:         func() { rel.gat.opt.Detector.CheckUnit(pla.Unit.ID) },
 		markAlive:       func() { rel.gat.opt.Detector.RecordActivity(pla.Unit.ID) },
-		cancel:          cancel,
+		hedge:           hed,
 		firstCheckAfter: time.Duration(float64(rel.rou.Objective) * firstEventCheckShare),
 		checkAfter:      time.Duration(float64(rel.rou.MaxEventGap) * pauseCheckShare),
+		hedgeAfter:      hedgeAfter(rel.rou),
 		done:            make(chan struct{}),
 		firstEvent:      now,
 		lastEvent:       now,
@@ -47,17 +51,42 @@
 	wat.mux.Lock()
 	wat.timer = wat.clk.AfterFunc(wat.firstCheckAfter, wat.onSilence)
 	wat.mux.Unlock()
-	go func() {
+	go wat.awaitFailure(pla, att.cancel)
+	return wat
+}
+
+// awaitFailure cancels the attempt when its unit is broken; when the unit is only suspected, it asks for a hedge if the caller has received nothing from it yet.
+func (wat *watchdog) awaitFailure(pla *dispatcher.Placement, cancel context.CancelCauseFunc) {
+	suspected := pla.Suspected
+	for {
 		select {
+		case <-suspected:
+			suspected = nil
+			wat.hedgeUnlessBegun()
 		case <-pla.Broken:
 			cancel(errUnitBroken)
+			return
 		case <-wat.done:
+			return
 		}
-	}()
-	return wat
+	}
+}
+
+func (wat *watchdog) hedgeUnlessBegun() {
+	wat.mux.Lock()
+	defer wat.mux.Unlock()
+	if !wat.sawEvent && !wat.isDone() {
+		wat.hedge.start()
+	}
+}
+
+// hedgeAfter returns how long a stream of a route may be silent before it is requested from a second unit: callers must still be there when that one has begun.
+func hedgeAfter(rou router.Route) time.Duration {
+	patience := max(callerPatience, patienceObjectives*rou.Objective, patiencePauses*rou.MaxEventGap)
+	return patience - resumeMargin
 }
 
-// noteEvent records that the unit sent an event, and restarts the timer.
+// noteEvent records that the unit sent an event, ends the hedge and restarts the timer.
 func (wat *watchdog) noteEvent() {
 	wat.mux.Lock()
 	defer wat.mux.Unlock()
@@ -66,28 +95,34 @@
 		wat.sawEvent, wat.firstEvent = true, now
 	}
 	wat.lastEvent = now
+	wat.hedge.abandon()
 	wat.timer.Reset(wat.checkAfter)
 	wat.markAlive()
 }
 
-// onSilence runs when the timer expires: it requests a check of the unit, or cancels the attempt after the silence timeout.
+// onSilence runs when the timer expires: it requests a check of the unit, and a hedge after a longer silence.
 func (wat *watchdog) onSilence() {
 	wat.mux.Lock()
 	defer wat.mux.Unlock()
-	select {
-	case <-wat.done:
+	if wat.isDone() {
 		return
-	default:
 	}
-	quiet := wat.clk.Since(wat.lastEvent)
-	if quiet >= max(silenceTimeout, 2*wat.firstCheckAfter) {
-		wat.cancel(errUnitSilent)
-		return
+	if wat.clk.Since(wat.lastEvent) >= wat.hedgeAfter {
+		wat.hedge.start()
 	}
 	wat.timer.Reset(wat.checkAfter)
 	go wat.suspect()
 }
 
+func (wat *watchdog) isDone() bool {
+	select {
+	case <-wat.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // eventSpan returns the time between the first and the last event.
 func (wat *watchdog) eventSpan() time.Duration {
 	wat.mux.Lock()
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -214,6 +214,9 @@
 	for ins, sus := range reg.suspicions {
 		_, corroborated := reg.remoteSuspicions[ins]
 		vie.suspicions[ins] = sus.certain || corroborated || reg.noPeers
+		if sus.certain {
+			vie.down[ins] = true
+		}
 	}
 	reg.view.Store(vie)
 	close(reg.changed)
--- a/registrar/view.go
+++ b/registrar/view.go
@@ -12,8 +12,9 @@
 	Servers map[string]Server
 	// Groups holds the replica groups that the members report, sorted by name.
 	Groups []Group
-	// suspicions maps each suspected instance to whether the suspicion is confirmed.
+	// suspicions maps each suspected instance to whether the suspicion is confirmed, and down holds those at whose addresses nothing listens.
 	suspicions map[Instance]bool
+	down       map[Instance]bool
 	zonesOut   map[string]bool
 }
 
@@ -35,7 +36,7 @@
 }
 
 func newView(servers map[string]Server, zonesOut map[string]bool) *View {
-	vie := &View{Servers: maps.Clone(servers), suspicions: map[Instance]bool{}, zonesOut: maps.Clone(zonesOut)}
+	vie := &View{Servers: maps.Clone(servers), suspicions: map[Instance]bool{}, down: map[Instance]bool{}, zonesOut: maps.Clone(zonesOut)}
 	type key struct {
 		name  string
 		epoch int64
@@ -79,6 +80,11 @@
 	return vie.suspicions[ins]
 }
 
+// Down reports whether nothing listens at the address of a suspected instance, as opposed to one that only does not answer.
+func (vie *View) Down(ins Instance) bool {
+	return vie.down[ins]
+}
+
 // ZoneOut reports whether an availability zone gets no new work.
 func (vie *View) ZoneOut(zone string) bool {
 	return vie.zonesOut[zone]
