Confirm the suspicion of a silent server only after it has lasted

Callers lose the streams of a whole group when it is dissolved, since its members leave it at once. Cause: two entries that missed three checks of a member (0.15 s each) confirmed that it was lost, although a sound server may be silent for a second or so.

Change: a suspicion without proof that the server is down is confirmed after 1.2 s. One that is certain (a refused connection) is confirmed at once.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -12,6 +12,9 @@
 // RelistTimeout is how long a server that disappeared from the list around a store outage is kept: its lease may have expired unnoticed, and its next heartbeat lists it again. It is below 2 s, the time within which a server that leaves must stop receiving requests.
 const RelistTimeout = 1500 * time.Millisecond
 
+// SilenceTolerance is how long a server must not answer before its suspicion is confirmed without proof that it is down: a sound server may be silent for a second or so, and the checks that begin a suspicion take a fraction of that.
+const SilenceTolerance = 1200 * time.Millisecond
+
 // Registrar holds the latest record of each backend server; it is safe for concurrent use.
 type Registrar struct {
 	clk              clockwork.Clock
@@ -28,6 +31,7 @@
 
 // suspicion is this entry's suspicion of a server instance: it lasts until a deadline, and is certain if the VM answered that nothing listens at the address.
 type suspicion struct {
+	since   time.Time
 	until   time.Time
 	certain bool
 }
@@ -116,14 +120,20 @@
 // Suspect records until when this entry suspects a server instance because it did not answer; certain means that its VM answered that nothing listens at the address. A renewal publishes no new view.
 func (reg *Registrar) Suspect(ins Instance, until time.Time, certain bool) {
 	reg.mux.Lock()
+	now := reg.clk.Now()
 	old, known := reg.suspicions[ins]
-	renewed := known && old.certain == certain && reg.clk.Now().Before(old.until)
+	continued := known && now.Before(old.until)
+	sus := suspicion{since: now, until: until, certain: certain}
+	if continued {
+		sus.since = old.since
+	}
+	renewed := continued && old.certain == certain
 	if renewed {
-		reg.suspicions[ins] = suspicion{until: until, certain: certain}
+		reg.suspicions[ins] = sus
 	}
 	reg.mux.Unlock()
 	if !renewed {
-		reg.update(func() { reg.suspicions[ins] = suspicion{until: until, certain: certain} })
+		reg.update(func() { reg.suspicions[ins] = sus })
 	}
 }
 
@@ -169,7 +179,7 @@
 	reg.update(func() { reg.zonesOut = maps.Clone(zones) })
 }
 
-// Expire removes the servers and suspicions whose deadlines have passed.
+// Expire removes the servers and suspicions whose deadlines have passed, and confirms those that have lasted for SilenceTolerance.
 func (reg *Registrar) Expire() {
 	now := reg.clk.Now()
 	reg.mux.Lock()
@@ -177,8 +187,9 @@
 	for _, until := range reg.removeAt {
 		due = due || !now.Before(until)
 	}
-	for _, sus := range reg.suspicions {
-		due = due || !now.Before(sus.until)
+	vie := reg.view.Load()
+	for ins, sus := range reg.suspicions {
+		due = due || !now.Before(sus.until) || reg.confirmed(ins, sus, now) != vie.SuspicionConfirmed(ins)
 	}
 	for _, until := range reg.remoteSuspicions {
 		due = due || !now.Before(until)
@@ -204,6 +215,15 @@
 	reg.publish()
 }
 
+// confirmed reports whether a suspicion is certain, or has lasted for SilenceTolerance and is shared by another entry if there is one.
+func (reg *Registrar) confirmed(ins Instance, sus suspicion, now time.Time) bool {
+	if sus.certain {
+		return true
+	}
+	_, shared := reg.remoteSuspicions[ins]
+	return (shared || reg.noPeers) && now.Sub(sus.since) >= SilenceTolerance
+}
+
 func (reg *Registrar) deleteServer(id string) {
 	delete(reg.servers, id)
 	delete(reg.removeAt, id)
@@ -212,8 +232,7 @@
 func (reg *Registrar) publish() {
 	vie := newView(reg.servers, reg.zonesOut)
 	for ins, sus := range reg.suspicions {
-		_, corroborated := reg.remoteSuspicions[ins]
-		vie.suspicions[ins] = sus.certain || corroborated || reg.noPeers
+		vie.suspicions[ins] = reg.confirmed(ins, sus, reg.clk.Now())
 		if sus.certain {
 			vie.down[ins] = true
 		}
--- a/registrar/view.go
+++ b/registrar/view.go
@@ -75,7 +75,7 @@
 	return suspected
 }
 
-// SuspicionConfirmed reports whether the suspicion of an instance is confirmed: another entry suspects it too, no other entry is heard from, or its VM answered that nothing listens at the address.
+// SuspicionConfirmed reports whether the suspicion of an instance is confirmed: its VM answered that nothing listens at the address, or it has lasted for SilenceTolerance and another entry shares it or none is heard from.
 func (vie *View) SuspicionConfirmed(ins Instance) bool {
 	return vie.suspicions[ins]
 }
