Name the readiness of units in log lines, and tell the story of hedged streams

Log lines gave the readiness as a number, which the new state would have shifted. The history of a request includes the unit that it was hedged to.

--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -17,6 +17,11 @@
 	Broken
 )
 
+// String returns the name of the readiness in log lines.
+func (rea Readiness) String() string {
+	return [...]string{"serving", "stopping", "suspected", "broken"}[rea]
+}
+
 // Unit is one backend server, or the head of one replica group, that runs requests.
 type Unit struct {
 	// ID identifies this run of the server and its group; a restart gets a new ID.
--- a/gateserver/units.go
+++ b/gateserver/units.go
@@ -150,7 +150,7 @@
 		if before, known := was[uni.ID]; (!known && uni.Readiness == dispatcher.Stopping) || known && before == uni.Readiness {
 			continue
 		}
-		gat.log.WithFields(logrus.Fields{"unit": uni.ID, "pool": uni.Pool, "readiness": uni.Readiness}).Info("unit changed")
+		gat.log.WithFields(logrus.Fields{"unit": uni.ID, "pool": uni.Pool, "readiness": uni.Readiness.String()}).Info("unit changed")
 	}
 }
 
--- a/storyteller/storyteller.go
+++ b/storyteller/storyteller.go
@@ -77,8 +77,10 @@
 		}
 		own = append(own, lin)
 		entries[lin.Entry] = true
-		if unit, ok := lin.Fields["unit"].(string); ok {
-			units[unit] = true
+		for _, field := range []string{"unit", "second_unit"} {
+			if unit, ok := lin.Fields[field].(string); ok {
+				units[unit] = true
+			}
 		}
 	}
 	if len(own) == 0 {
