Wait for the hedge when the first unit fails, and hedge plain calls, too

Change: a failed first attempt waits for its hedge; a second unit takes over with its first event; the budget is asked before the slot and gets back what was not sent; a suspected unit's silent streams are hedged at once. A late plain call is sent to a second server beside the first.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -81,6 +81,20 @@
 	return true
 }
 
+// Return gives back a retry that Allow has granted and that was not sent.
+func (bud *Budgeter) Return(service string) {
+	bud.mux.Lock()
+	defer bud.mux.Unlock()
+	win, pos := bud.currentBucket(service)
+	for range bucketCount {
+		if win.retries[pos] > 0 {
+			win.retries[pos]--
+			return
+		}
+		pos = (pos + bucketCount - 1) % bucketCount
+	}
+}
+
 // currentBucket returns the window of a service and the index of its current bucket, and clears the buckets that have left the window.
 func (bud *Budgeter) currentBucket(service string) (*window, int) {
 	win := bud.services[service]
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -72,3 +72,26 @@
 		Expect(bud.Allow("a")).To(BeTrue())
 	})
 })
+
+var _ = Describe("Budgeter with returned retries", func() {
+	It("grants a returned retry again, and no more than that", func() {
+		clk := clockwork.NewFakeClock()
+		bud := budgeter.New(budgeter.Options{Slack: 5, Window: 10 * time.Second, Clock: clk})
+		granted := 0
+		for bud.Allow("s") {
+			granted++
+		}
+		bud.Return("s")
+		clk.Advance(time.Second)
+		Expect(bud.Allow("s")).To(BeTrue())
+		Expect(bud.Allow("s")).To(BeFalse())
+		for range granted + 3 {
+			bud.Return("s")
+		}
+		again := 0
+		for bud.Allow("s") {
+			again++
+		}
+		Expect(again).To(Equal(granted))
+	})
+})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,10 +28,11 @@
 	Send(ctx context.Context, req sender.Request) (*sender.Exchange, error)
 }
 
-// Budget limits how many requests are retried.
+// Budget limits how many requests are retried; Return gives back a retry that was allowed and not sent.
 type Budget interface {
 	RecordRequest(service string)
 	Allow(service string) bool
+	Return(service string)
 }
 
 // Detector checks the health of units; Suspect requests a check, and Heard reports a sign of life.
@@ -262,10 +263,11 @@
 	return job.place(ctx, placeOptions{exclude: job.tried, resumed: job.mayHaveRun > 0})
 }
 
-// placeOptions says which units must not get a request, and whether it has run in part.
+// placeOptions says which units must not get a request, whether it has run in part, and whether only a slot that is free at once will do.
 type placeOptions struct {
 	exclude []string
 	resumed bool
+	atOnce  bool
 }
 
 // place allocates a slot; it does not change the job, so that a hedge can call it beside an attempt.
@@ -277,6 +279,9 @@
 	if opt.resumed {
 		startBy = now.Add(resumedQueueWait)
 	}
+	if opt.atOnce {
+		startBy = now
+	}
 	if latest := job.deadline.Add(-cost); latest.Before(startBy) {
 		startBy = latest
 	}
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
@@ -18,7 +21,11 @@
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
 	placement *dispatcher.Placement
+	sentAt    time.Time
 	exc       *sender.Exchange
+	// events reads the response; first is its first event if that was read already.
+	events *bufio.Reader
+	first  *event
 }
 
 func newAttempt(ctx context.Context, pla *dispatcher.Placement) *attempt {
@@ -36,7 +43,19 @@
 	att.placement.Release(dispatcher.Outcome{Result: res})
 }
 
-// hedge requests a silent stream from a second unit while the first one may still continue it. Whichever sends something first goes on; the first unit is given up only when the second has begun to answer.
+// readEvent returns the next event; it returns io.EOF only between two events.
+func (att *attempt) readEvent() (event, error) {
+	if eve := att.first; eve != nil {
+		att.first = nil
+		return *eve, nil
+	}
+	if att.events == nil {
+		att.events = att.exc.BodyReader()
+	}
+	return readEvent(att.events)
+}
+
+// hedge requests a silent stream from a second unit while the first one may still continue it. Whichever sends an event first goes on.
 type hedge struct {
 	rel   *relay
 	first *attempt
@@ -117,18 +136,18 @@
 	hed.first.cancel(errUnitSilent)
 }
 
-// request sends the request to another unit, and returns the attempt if that unit begins to answer with a stream.
+// request sends the request to another unit, and returns the attempt if that unit sends an event or the end of the stream.
 func (hed *hedge) request(ctx context.Context, cancel context.CancelCauseFunc) *attempt {
 	job := hed.rel.job
-	pla, err := job.place(ctx, placeOptions{exclude: hed.tried, resumed: true})
-	if err != nil {
+	if !job.gat.opt.Budget.Allow(job.ser.Name) {
 		return nil
 	}
-	att := &attempt{ctx: ctx, cancel: cancel, placement: pla}
-	if ctx.Err() != nil || !job.gat.opt.Budget.Allow(job.ser.Name) {
-		att.release(dispatcher.Neutral)
+	pla, err := job.place(ctx, placeOptions{exclude: hed.tried, resumed: true})
+	if err != nil {
+		job.gat.opt.Budget.Return(job.ser.Name)
 		return nil
 	}
+	att := &attempt{ctx: ctx, cancel: cancel, placement: pla, sentAt: job.gat.opt.Clock.Now()}
 	hed.mux.Lock()
 	hed.tried = append(hed.tried, pla.Unit.ID)
 	after := hed.lastEventID
@@ -136,6 +155,7 @@
 	job.log.WithFields(logrus.Fields{"unit": hed.first.placement.Unit.ID, "second_unit": pla.Unit.ID, "after": after}).Info("stream is silent, requesting it from a second unit")
 	exc, err := job.gat.opt.Sender.Send(ctx, job.buildRequest(pla, after))
 	if errors.Is(err, sender.ErrNotSent) {
+		job.gat.opt.Budget.Return(job.ser.Name)
 		job.gat.opt.Detector.CheckUnit(pla.Unit.ID)
 		att.release(hed.resultOf(ctx))
 		return nil
@@ -146,18 +166,33 @@
 		return nil
 	}
 	att.exc = exc
-	ver := job.gat.opt.HeaderCodec.ParseResponse(job.cal, exc.Response)
+	if res := hed.awaitEvent(att); res != dispatcher.Served {
+		att.release(res)
+		return nil
+	}
+	return att
+}
+
+// awaitEvent waits for the first event of the second unit, or for the end of its stream; any other result than Served means that the unit did not take over.
+func (hed *hedge) awaitEvent(att *attempt) dispatcher.Result {
+	job := hed.rel.job
+	ver := job.gat.opt.HeaderCodec.ParseResponse(job.cal, att.exc.Response)
 	if ver.NotRun {
 		hed.count(0)
-		att.release(dispatcher.Rejected)
-		return nil
+		return dispatcher.Rejected
 	}
 	hed.count(1)
-	if exc.Response.StatusCode != http.StatusOK || !ver.Verified {
-		att.release(dispatcher.Fault)
-		return nil
+	if att.exc.Response.StatusCode != http.StatusOK || !ver.Verified {
+		return dispatcher.Fault
 	}
-	return att
+	eve, err := att.readEvent()
+	if err != nil && !errors.Is(err, io.EOF) {
+		return hed.resultOf(att.ctx)
+	}
+	if err == nil {
+		att.first = &eve
+	}
+	return dispatcher.Served
 }
 
 // resultOf returns the result of a failed send: a fault of the unit unless the hedge was abandoned.
@@ -175,17 +210,23 @@
 	hed.moreRuns += runs
 }
 
-// close ends the hedge with the first attempt, adds its counts to those of the request, and returns the attempt that takes over, if any.
-func (hed *hedge) close() *attempt {
+// close ends the hedge with the first attempt, adds its counts to those of the request, and returns the attempt that takes over, if any. A hedge that is still being requested is waited for if the first attempt has failed.
+func (hed *hedge) close(failed bool) *attempt {
 	hed.mux.Lock()
-	hed.closed = true
-	if hed.cancel != nil && hed.second == nil {
-		hed.cancel(errUnitContinues)
+	if !failed {
+		hed.closed = true
+		if hed.cancel != nil && hed.second == nil {
+			hed.cancel(errUnitContinues)
+		}
 	}
 	hed.mux.Unlock()
 	hed.running.Wait()
 	hed.rel.sends += hed.moreSends
 	hed.rel.mayHaveRun += hed.moreRuns
 	hed.rel.tried = hed.tried
+	if !failed && hed.second != nil {
+		hed.second.release(dispatcher.Neutral)
+		return nil
+	}
 	return hed.second
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -28,7 +28,7 @@
 	plainCallWork = 60 * time.Millisecond
 	// maxSends is the maximum number of backend servers that one request is sent to, including those that rejected it.
 	maxSends = 4
-	// attemptObjectives is the timeout of one attempt of a repeatable plain call, in multiples of the route's objective; then the call is retried.
+	// attemptObjectives is how long a repeatable plain call may be without a response before it is sent to a second unit, in multiples of the route's objective.
 	attemptObjectives = 2.5
 	// firstEventCheckShare is the fraction of a stream's objective after which a unit that has sent no event is checked.
 	firstEventCheckShare = 0.75
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -70,55 +71,108 @@
 	job.refuse(job.refusalFor(err))
 }
 
-// attempt sends the call to one unit and reads the complete response.
+// attempt sends the call to one unit. If that takes too long and another unit has a free slot, it sends the call there, too, and the first response that needs no retry counts.
 func (job *job) attempt(ctx context.Context, pla *dispatcher.Placement) (reply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan result, 2)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	start := func(pla *dispatcher.Placement) {
+		job.tried = append(job.tried, pla.Unit.ID)
+		running.Go(func() { done <- job.exchange(ctx, pla) })
+	}
+	start(pla)
+	patience := time.Duration(float64(job.rou.Objective) * attemptObjectives)
+	timer := job.gat.opt.Clock.NewTimer(patience)
+	defer timer.Stop()
+	for pending := 1; ; {
+		select {
+		case <-timer.Chan():
+			second := job.placeSecond(ctx)
+			if second == nil {
+				timer.Reset(patience)
+				continue
+			}
+			job.log.WithFields(logrus.Fields{"unit": pla.Unit.ID, "second_unit": second.Unit.ID}).Info("no response yet, sending the request to a second unit")
+			start(second)
+			pending++
+		case res := <-done:
+			pending--
+			job.count(res)
+			if pending == 0 || res.err == nil && !job.retryable(res.rep) {
+				return res.rep, res.err
+			}
+		}
+	}
+}
+
+// placeSecond allocates a slot for a second send of a call that has no response yet, or returns nil if that is not allowed or none is free.
+func (job *job) placeSecond(ctx context.Context) *dispatcher.Placement {
+	if !job.rou.Repeatable() || job.mayHaveRun+1 >= job.rou.Attempts || job.sends+1 >= maxSends || !job.gat.opt.Budget.Allow(job.ser.Name) {
+		return nil
+	}
+	pla, err := job.place(ctx, placeOptions{exclude: job.tried, atOnce: true})
+	if err != nil {
+		job.gat.opt.Budget.Return(job.ser.Name)
+		return nil
+	}
+	return pla
+}
+
+// result is the end of one exchange with a unit.
+type result struct {
+	rep    reply
+	err    error
+	sent   bool
+	mayRun bool
+}
+
+// count adds the end of an exchange to the counts of the request.
+func (job *job) count(res result) {
+	if res.sent {
+		job.sends++
+	}
+	if res.mayRun {
+		job.mayHaveRun++
+	}
+}
+
+// exchange sends the call to one unit and reads the complete response.
+func (job *job) exchange(ctx context.Context, pla *dispatcher.Placement) result {
 	out := dispatcher.Outcome{Result: dispatcher.Neutral}
 	defer func() { pla.Release(out) }()
-	if job.rou.Repeatable() && job.mayHaveRun+1 < job.rou.Attempts && job.sends+1 < maxSends {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(float64(job.rou.Objective)*attemptObjectives))
-		defer cancel()
-	}
 	began := job.gat.opt.Clock.Now()
-	job.tried = append(job.tried, pla.Unit.ID)
-	exc, err := job.send(ctx, pla, job.buildRequest(pla, job.cal.LastEventID))
+	exc, err := job.gat.opt.Sender.Send(ctx, job.buildRequest(pla, job.cal.LastEventID))
 	if err != nil {
-		if job.req.Context().Err() == nil {
+		notSent := errors.Is(err, sender.ErrNotSent)
+		if ctx.Err() == nil {
 			out.Result = dispatcher.Fault
+			if notSent {
+				job.gat.opt.Detector.CheckUnit(pla.Unit.ID)
+			}
 		}
-		return reply{}, err
+		return result{err: err, sent: !notSent, mayRun: !notSent}
 	}
 	rep := reply{res: exc.Response, ver: job.gat.opt.HeaderCodec.ParseResponse(job.cal, exc.Response)}
 	rep.body, err = readAll(exc.Response.Body, exc.Response.ContentLength)
 	exc.End(err == nil && rep.ver.Verified)
-	out.Result, err = job.classify(rep, err)
-	out.Duration = job.gat.opt.Clock.Since(began)
-	return rep, err
-}
-
-// send sends the request to one unit and counts the attempt, and whether the request may have run.
-func (job *job) send(ctx context.Context, pla *dispatcher.Placement, req sender.Request) (*sender.Exchange, error) {
-	exc, err := job.gat.opt.Sender.Send(ctx, req)
-	if errors.Is(err, sender.ErrNotSent) {
-		job.gat.opt.Detector.CheckUnit(pla.Unit.ID)
-		return nil, err
+	res, err := classify(rep, err)
+	if ctx.Err() == nil || err == nil {
+		out.Result = res
 	}
-	job.sends++
-	if err != nil {
-		job.mayHaveRun++
-	}
-	return exc, err
+	out.Duration = job.gat.opt.Clock.Since(began)
+	return result{rep: rep, err: err, sent: true, mayRun: !rep.ver.NotRun}
 }
 
 // classify returns the result of an attempt for its unit; it fails with sender.ErrLost if the response is incomplete or does not belong to the request.
-func (job *job) classify(rep reply, err error) (dispatcher.Result, error) {
+func classify(rep reply, err error) (dispatcher.Result, error) {
 	if rep.ver.NotRun {
 		if rep.ver.Misdirected {
 			return dispatcher.Fault, nil
 		}
 		return dispatcher.Rejected, nil
 	}
-	job.mayHaveRun++
 	if err != nil {
 		return dispatcher.Fault, errors.WithType(errors.Annotate(err, "gateway: response ended early"), sender.ErrLost)
 	}
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -61,15 +62,21 @@
 		})
 	}
 
-	It("does not end a stream that has begun when its unit is suspected", func() {
-		one, two := newWorker(pausing(7, 500*time.Millisecond)), newWorker(events(lastEvent, complete))
+	It("does not request a stream elsewhere that goes on while its unit is suspected", func() {
+		one := newWorker(events(3, func(con net.Conn) {
+			for num := 4; num <= lastEvent; num++ {
+				time.Sleep(30 * time.Millisecond)
+				chunk(con, fmt.Sprintf("id: %d\ndata: piece %d\n\n", num, num))
+			}
+			complete(con)
+		}))
+		two := newWorker(events(lastEvent, complete))
 		wor := newWorld(resumable, one, two)
 		go func() {
 			time.Sleep(100 * time.Millisecond)
 			wor.setUnits(dispatcher.Suspected, one, two)
 		}()
-		res := wor.call(context.Background())
-		Expect(res.body).To(Equal(eventsFrom(1)))
+		Expect(wor.call(context.Background()).body).To(Equal(eventsFrom(1)))
 		Expect(two.runs()).To(BeZero())
 	})
 
@@ -86,15 +93,28 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 700*time.Millisecond))
 	})
 
-	It("does not end the last attempt of a plain call", func() {
-		slow := func(con net.Conn, req *http.Request, body []byte) bool {
-			time.Sleep(1200 * time.Millisecond)
-			return whole(200, "slow")(con, req, body)
-		}
-		rou := safe
-		rou.Attempts = 2
-		res := newWorld(rou, newWorker(slow), newWorker(slow)).call(context.Background())
-		Expect(res.status).To(Equal(200))
-		Expect(res.body).To(Equal("slow"))
-	})
+	// Guards against plain calls that are given up before another server has taken them.
+	for _, cas := range []struct {
+		name   string
+		second answerFunc
+		budget int64
+	}{
+		{"when its second server is as slow", slowly, 10},
+		{"when its second server rejects it", full, 10},
+		{"when the budget for retries is used up", whole(200, "other"), 0},
+	} {
+		It("does not end a plain call "+cas.name, func() {
+			wor := newWorld(safe, newWorker(slowly), newWorker(cas.second))
+			wor.bud.left.Store(cas.budget)
+			res := wor.call(context.Background())
+			Expect(res.status).To(Equal(200))
+			Expect(res.body).To(Equal("slow"))
+		})
+	}
 })
+
+// slowly answers long after the objective of plain calls.
+func slowly(con net.Conn, req *http.Request, body []byte) bool {
+	time.Sleep(1200 * time.Millisecond)
+	return whole(200, "slow")(con, req, body)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -113,14 +113,13 @@
 	wat := rel.watch(att, hed)
 	defer func() {
 		wat.stop()
-		second = hed.close()
-		if err == nil && !rep.ver.NotRun && second != nil {
-			second.release(dispatcher.Neutral)
-			second = nil
-		}
+		second = hed.close(rel.failed(rep, err))
 	}()
-	rel.placement, rel.sentAt = pla, rel.gat.opt.Clock.Now()
 	taken := att.exc != nil
+	if !taken {
+		att.sentAt = rel.gat.opt.Clock.Now()
+	}
+	rel.placement, rel.sentAt = pla, att.sentAt
 	if !taken {
 		att.exc, err = rel.send(att.ctx, pla, rel.buildRequest(pla, rel.lastEventID))
 		if err != nil {
@@ -134,7 +133,7 @@
 		out.Result, err = rel.finishNonStream(exc, &rep)
 		return rep, nil, err
 	}
-	num, err := rel.relayEvents(exc, wat)
+	num, err := rel.relayEvents(att, wat)
 	out.Duration = rel.gat.opt.Clock.Since(rel.sentAt)
 	if num > 1 {
 		out.EventInterval = wat.eventSpan() / time.Duration(num-1)
@@ -155,12 +154,37 @@
 	return rep, nil, nil
 }
 
+// send sends the request to one unit and counts the attempt, and whether the request may have run.
+func (rel *relay) send(ctx context.Context, pla *dispatcher.Placement, req sender.Request) (*sender.Exchange, error) {
+	exc, err := rel.gat.opt.Sender.Send(ctx, req)
+	if errors.Is(err, sender.ErrNotSent) {
+		rel.gat.opt.Detector.CheckUnit(pla.Unit.ID)
+		return nil, err
+	}
+	rel.sends++
+	if err != nil {
+		rel.mayHaveRun++
+	}
+	return exc, err
+}
+
+// failed reports whether an attempt has failed while the caller still waits.
+func (rel *relay) failed(rep reply, err error) bool {
+	if errors.Is(err, errAnswered) || errors.Is(err, errCallerWrite) || rel.req.Context().Err() != nil {
+		return false
+	}
+	return err != nil || rep.ver.NotRun
+}
+
 // finishNonStream handles a response that is no event stream for the request: a rejection by the unit, a failure, or a response that does not belong to the request.
 func (rel *relay) finishNonStream(exc *sender.Exchange, rep *reply) (dispatcher.Result, error) {
 	body, err := readAll(io.LimitReader(rep.res.Body, maxEventBytes), rep.res.ContentLength)
 	exc.End(err == nil && (rep.ver.Verified || rep.ver.NotRun))
 	rep.body = body
-	res, err := rel.classify(*rep, err)
+	if !rep.ver.NotRun {
+		rel.mayHaveRun++
+	}
+	res, err := classify(*rep, err)
 	if err != nil || rep.ver.NotRun && rel.retryable(*rep) {
 		return res, err
 	}
@@ -194,11 +218,10 @@
 }
 
 // relayEvents relays complete events until the stream ends, and returns how many events the unit sent.
-func (rel *relay) relayEvents(exc *sender.Exchange, wat *watchdog) (int, error) {
-	rea := exc.BodyReader()
+func (rel *relay) relayEvents(att *attempt, wat *watchdog) (int, error) {
 	num := 0
 	for {
-		eve, err := readEvent(rea)
+		eve, err := att.readEvent()
 		if errors.Is(err, io.EOF) {
 			return num, nil
 		}
@@ -212,7 +235,7 @@
 		if eve.id != "" && !follows(eve.id, rel.lastEventID) {
 			continue
 		}
-		if err := rel.relayEvent(exc.Response, eve); err != nil {
+		if err := rel.relayEvent(att.exc.Response, eve); err != nil {
 			return num, err
 		}
 		wat.hedge.relayed(rel.lastEventID)
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -11,7 +11,7 @@
 	"github.com/lovagelever/lovagelever/router"
 )
 
-// watchdog requests a check of the unit when its stream falls silent, asks for a hedge when it stays silent, and cancels the attempt when the unit is broken.
+// watchdog requests a check of the unit when its stream falls silent, asks for a hedge when it stays silent or the unit is suspected, and cancels the attempt when the unit is broken.
 type watchdog struct {
 	clk             clockwork.Clock
 	suspect         func()
@@ -27,6 +27,8 @@
 	firstEvent time.Time
 	lastEvent  time.Time
 	sawEvent   bool
+	// suspected says that the unit was suspected after the attempt began.
+	suspected bool
 }
 
 // watch starts the watchdog for an attempt.
@@ -55,14 +57,14 @@
 	return wat
 }
 
-// awaitFailure cancels the attempt when its unit is broken; when the unit is only suspected, it asks for a hedge if the caller has received nothing from it yet.
+// awaitFailure cancels the attempt when its unit is broken, and asks for a hedge when its unit is suspected and the stream is silent.
 func (wat *watchdog) awaitFailure(pla *dispatcher.Placement, cancel context.CancelCauseFunc) {
 	suspected := pla.Suspected
 	for {
 		select {
 		case <-suspected:
 			suspected = nil
-			wat.hedgeUnlessBegun()
+			wat.onSuspicion()
 		case <-pla.Broken:
 			cancel(errUnitBroken)
 			return
@@ -72,10 +74,11 @@
 	}
 }
 
-func (wat *watchdog) hedgeUnlessBegun() {
+func (wat *watchdog) onSuspicion() {
 	wat.mux.Lock()
 	defer wat.mux.Unlock()
-	if !wat.sawEvent && !wat.isDone() {
+	wat.suspected = true
+	if !wat.isDone() && wat.clk.Since(wat.lastEvent) >= wat.checkAfter {
 		wat.hedge.start()
 	}
 }
@@ -107,10 +110,15 @@
 	if wat.isDone() {
 		return
 	}
-	if wat.clk.Since(wat.lastEvent) >= wat.hedgeAfter {
+	quiet := wat.clk.Since(wat.lastEvent)
+	if wat.suspected || quiet >= wat.hedgeAfter {
 		wat.hedge.start()
 	}
-	wat.timer.Reset(wat.checkAfter)
+	next := wat.checkAfter
+	if left := wat.hedgeAfter - quiet; left > 0 {
+		next = min(next, left)
+	}
+	wat.timer.Reset(next)
 	go wat.suspect()
 }
 
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -159,6 +159,7 @@
 
 func (bud *budgetStub) RecordRequest(string) {}
 func (bud *budgetStub) Allow(string) bool    { return bud.left.Add(-1) >= 0 }
+func (bud *budgetStub) Return(string)        { bud.left.Add(1) }
 
 // meterStub counts requests by outcome and keeps the parts of the time to first events.
 type meterStub struct {
