Let streams to be resumed wait while all other units are only suspected

A stream that was cut while the other units were suspected for half a second was broken off at once with 'no unit is serving', though it may wait 1.2 s. Spec: gateway 'A stream that is cut waits for units that are suspected for a moment', which failed before.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -276,10 +276,10 @@
 	}
 }
 
-// anyServing reports whether any unit that has not yet received the request is serving.
+// anyServing reports whether any unit that has not yet received the request is serving. For a resumed request a suspected unit counts too: it may answer again within the time for which the request can wait.
 func (poo *pool) anyServing(req Request) bool {
 	return slices.ContainsFunc(poo.units, func(sta *unitState) bool {
-		return sta.Readiness == Serving && !slices.Contains(req.Exclude, sta.ID)
+		return (sta.Readiness == Serving || req.Resumed && sta.Readiness == Suspected) && !slices.Contains(req.Exclude, sta.ID)
 	})
 }
 
