Do not take a draining member that stops listening for a crashed one

A member that drains stops listening while its group still has work. Entries cut the streams of the group, and the leader closed it at once instead of gracefully. Specs: gateserver 'a member that drains has stopped listening', grouper 'is leaving, not lost'; the first failed before.

--- a/gateserver/units.go
+++ b/gateserver/units.go
@@ -96,7 +96,7 @@
 	tab.add(uni, members)
 }
 
-// readinessOfMembers returns the readiness of a group that takes no requests. It is broken when its head reports so or nothing listens at the address of a member, and only suspected when a member does not answer: a sound server may be silent for a moment, or this entry may be too busy to read the answer.
+// readinessOfMembers returns the readiness of a group that takes no requests. It is broken when its head reports so or nothing listens at the address of a member, unless that drains: it then stops listening while its group still has work. It is only suspected when a member does not answer: a sound server may be silent for a moment, or this entry may be too busy to read the answer.
 func readinessOfMembers(vie *registrar.View, grp registrar.Group, head registrar.Server) dispatcher.Readiness {
 	if head.Group.State == registrar.Broken {
 		return dispatcher.Broken
@@ -104,7 +104,7 @@
 	out := dispatcher.Stopping
 	for _, mem := range grp.Members {
 		switch ins := mem.Instance(); {
-		case vie.Down(ins):
+		case vie.Down(ins) && !mem.Draining:
 			return dispatcher.Broken
 		case vie.Suspected(ins):
 			out = dispatcher.Suspected
--- a/gateserver/units_test.go
+++ b/gateserver/units_test.go
@@ -46,6 +46,12 @@
 			ser.Draining = true
 			reg.Put(ser)
 		}, dispatcher.Stopping},
+		{"a member that drains has stopped listening", func(reg *registrar.Registrar, now time.Time) {
+			ser := member(1, registrar.Ready)
+			ser.Draining = true
+			reg.Put(ser)
+			reg.Suspect(ser.Instance(), now.Add(time.Second), true)
+		}, dispatcher.Suspected},
 	} {
 		It("is as certain as what is known when "+cas.name, func() {
 			clk := clockwork.NewFakeClock()
--- a/grouper/formation.go
+++ b/grouper/formation.go
@@ -74,10 +74,13 @@
 func memberHealth(vie *registrar.View, ins registrar.Instance) Health {
 	ser, listed := vie.Servers[ins.ID]
 	switch {
-	case listed && ser.Started != ins.Started, vie.SuspicionConfirmed(ins):
+	case listed && ser.Started != ins.Started:
 		return Lost
+	// A member that drains stops listening while its group still has work.
 	case !listed, ser.Draining:
 		return Leaving
+	case vie.SuspicionConfirmed(ins):
+		return Lost
 	}
 	return Healthy
 }
