End the suspicion of a server while the entry is too slow to judge it

A probe that came too late counted as unanswered once a server was suspected, so an entry short of processor time kept the suspicion and, together with a second one, confirmed the loss of a sound server. Spec: detector 'suspects no server any longer while the entry itself is too slow', which failed before.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -174,7 +174,7 @@
 	return all, recent
 }
 
-// monitorServer probes a server; once it suspects the server, it keeps probing until the server answers, leaves the list or maxSuspicion has passed.
+// monitorServer probes a server; once it suspects the server, it keeps probing until the server answers, leaves the list or maxSuspicion has passed. The suspicion ends while this entry is too slow to judge.
 func (det *Detector) monitorServer(ser registrar.Server) {
 	err := det.probe(ser)
 	if err == nil || errors.Is(err, errOverloaded) || !det.beginSuspicion(ser, err) {
@@ -183,7 +183,11 @@
 	defer det.endSuspicion(ser)
 	began := det.opt.Clock.Now()
 	for det.opt.Clock.Since(began) < maxSuspicion {
-		det.opt.Registrar.Suspect(ser.Instance(), det.opt.Clock.Now().Add(suspicionTTL), errors.Is(err, ErrDown))
+		if errors.Is(err, errOverloaded) {
+			det.opt.Registrar.ClearSuspicion(ser.Instance())
+		} else {
+			det.opt.Registrar.Suspect(ser.Instance(), det.opt.Clock.Now().Add(suspicionTTL), errors.Is(err, ErrDown))
+		}
 		det.opt.Clock.Sleep(recheckInterval)
 		if now, listed := det.opt.Registrar.View().Servers[ser.ID]; !listed || now.Started != ser.Started {
 			return
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -41,6 +41,13 @@
 	pro.errs["b"] = err
 }
 
+// setDuration sets how long further probes take.
+func (pro *fakeProber) setDuration(duration time.Duration) {
+	pro.mux.Lock()
+	defer pro.mux.Unlock()
+	pro.duration = duration
+}
+
 func (pro *fakeProber) probeCount(id string) int {
 	pro.mux.Lock()
 	defer pro.mux.Unlock()
@@ -123,6 +130,20 @@
 		Eventually(suspected("b")).Should(BeTrue())
 	})
 
+	// Guards against sound servers that a slow entry goes on suspecting, since it cannot read their answers in time.
+	It("suspects no server any longer while the entry itself is too slow", func() {
+		pro.setErr(errNoAnswer)
+		det.CheckUnit("u")
+		Eventually(suspected("b")).Should(BeTrue())
+		pro.setDuration(300 * time.Millisecond)
+		Eventually(func() bool { clk.Advance(100 * time.Millisecond); return suspected("b")() }).Should(BeFalse())
+		for range 30 {
+			clk.Advance(100 * time.Millisecond)
+			Expect(suspected("b")()).To(BeFalse())
+			time.Sleep(time.Millisecond)
+		}
+	})
+
 	DescribeTable("does not probe a unit with recent activity",
 		func(record func()) {
 			record()
