Take comments at the end of a stream for no broken event

An answer with neither a length nor chunks ends with its connection, and a stream that ends inside an event has been broken off. readEvent also took complete comment lines without a blank line after them for the beginning of an event, so that a whole stream was asked for again or broken off.

A stream that ends after complete comment lines is whole now, and these lines are relayed. An unfinished line, a comment too, still means broken.

endings_test.go on the code before: 'are whole streams with a comment at the end' failed; the other 20 specs (clean end, reset, HTTP/1.0, Connection: close, end within an event, connection not reused, framing for the caller) held already. With the change all 21 pass.

--- a/gateway/event.go
+++ b/gateway/event.go
@@ -20,16 +20,20 @@
 // readEvent reads up to the blank line that ends an event; it returns io.EOF only between two events.
 func readEvent(rea *bufio.Reader) (event, error) {
 	var eve event
+	hasField := false
 	for {
 		line, err := rea.ReadSlice('\n')
 		eve.data = append(eve.data, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull) && len(eve.data) <= maxEventBytes:
 			continue
-		case errors.Is(err, io.EOF) && len(eve.data) > 0:
-			return eve, io.ErrUnexpectedEOF
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && len(eve.data) == 0:
 			return eve, io.EOF
+		case errors.Is(err, io.EOF) && len(line) == 0 && !hasField:
+			// Comments at the end of a stream belong to no event.
+			return eve, nil
+		case errors.Is(err, io.EOF):
+			return eve, io.ErrUnexpectedEOF
 		case err != nil:
 			return eve, errors.Trace(err)
 		case len(eve.data) > maxEventBytes:
@@ -44,6 +48,7 @@
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return eve, nil
 		}
+		hasField = hasField || line[0] != ':'
 	}
 }
 
