Parse lines of streams that are longer than the read buffer as a whole

ReadSlice returns a long line in parts of 2,048 bytes; only its last part was parsed, and as a line of its own. An event with such a line didn't count as progress, so that its unit was given up as silent; a part that begins with 'id:' set the event's ID; an empty last part ended the event early, and a stream that then broke off passed for whole.

The line is now taken from the bytes collected since its beginning.

event_test.go on the code before: 'with lines that end within the event', 'with lines that look like an ID' and 'count as progress of their unit' failed, 'of many buffers' held already. With the change all pass.

--- a/gateway/event.go
+++ b/gateway/event.go
@@ -20,7 +20,7 @@
 // readEvent reads up to the blank line that ends an event; it returns io.EOF only between two events.
 func readEvent(rea *bufio.Reader) (event, error) {
 	var eve event
-	hasField := false
+	hasField, lineStart := false, 0
 	for {
 		line, err := rea.ReadSlice('\n')
 		eve.data = append(eve.data, line...)
@@ -29,7 +29,7 @@
 			continue
 		case errors.Is(err, io.EOF) && len(eve.data) == 0:
 			return eve, io.EOF
-		case errors.Is(err, io.EOF) && len(line) == 0 && !hasField:
+		case errors.Is(err, io.EOF) && len(eve.data) == lineStart && !hasField:
 			// Comments at the end of a stream belong to no event.
 			return eve, nil
 		case errors.Is(err, io.EOF):
@@ -39,6 +39,7 @@
 		case len(eve.data) > maxEventBytes:
 			return eve, errors.NotValidf("event of more than %d bytes", maxEventBytes)
 		}
+		line, lineStart = eve.data[lineStart:], len(eve.data)
 		if bytes.HasPrefix(line, []byte("data")) {
 			eve.hasData = true
 		}
