Limit heads and bodies of backend servers' responses

Bytes that are no answer may come without end. http.ReadResponse limits no head, so that a status line, a header line or an interim answer without end was kept until the deadline; the body of a plain call was read without a limit too. Bodies of other answers on stream routes were cut at 256 KiB and forwarded as if complete, and a rejection (400) that broke off too. A rejection whose body doesn't end held its request until the deadline.

Package collector reads bodies: 4 MiB each, 16 MiB of all that are being read at once beyond 64 KiB of each, in reused segments. The sender reads at most 64 KiB of heads, interim ones included. What is larger counts as a lost answer. The body of a rejection that only calls for a retry is discarded, within 16 KiB and 50 ms.

Held already: interim answers, sizes and extensions of chunks, trailers, events without end, bytes beyond the length, large sound answers and streams.

--- /dev/null
+++ b/collector/collector_test.go
@@ -0,0 +1,104 @@
+package collector_test
+
+import (
+	"bytes"
+	"io"
+	"testing/iotest"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelever/lovagelever/collector"
+)
+
+// endless is a body without end that counts what was read of it.
+type endless struct{ read int64 }
+
+func (end *endless) Read(buf []byte) (int, error) {
+	end.read += int64(len(buf))
+	return len(buf), nil
+}
+
+// pausing is a body that ends its first read once resumed is closed.
+type pausing struct {
+	data    []byte
+	reading chan struct{}
+	resumed chan struct{}
+}
+
+func (pau *pausing) Read(buf []byte) (int, error) {
+	if len(pau.data) == 0 {
+		close(pau.reading)
+		<-pau.resumed
+		return 0, io.EOF
+	}
+	num := copy(buf, pau.data)
+	pau.data = pau.data[num:]
+	return num, nil
+}
+
+var _ = Describe("Collector", func() {
+	const limit = 1 << 20
+	cases := []struct {
+		name   string
+		size   int
+		length int64
+		whole  bool
+	}{
+		{"an empty body", 0, 0, true},
+		{"a small body", 100, 100, true},
+		{"a body without a length", 300 << 10, -1, true},
+		{"a body of the largest size", limit, limit, true},
+		{"a body of the largest size without a length", limit, -1, true},
+		{"a body that is one byte too large", limit + 1, -1, false},
+		{"a length that is too large", 10, limit + 1, false},
+	}
+	for _, cas := range cases {
+		It("reads within its limit "+cas.name, func() {
+			data := make([]byte, cas.size)
+			for num := range data {
+				data[num] = byte(num >> 8)
+			}
+			got, err := collector.New(limit, limit).Read(bytes.NewReader(data), cas.length)
+			if !cas.whole {
+				Expect(errors.Is(err, collector.ErrTooLarge)).To(BeTrue(), "%v", err)
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			Expect(bytes.Equal(got, data)).To(BeTrue())
+		})
+	}
+
+	It("stops reading a body without end", func() {
+		src := &endless{}
+		_, err := collector.ReadAll(src, limit)
+		Expect(errors.Is(err, collector.ErrTooLarge)).To(BeTrue())
+		Expect(src.read).To(BeNumerically("<=", limit+64<<10))
+	})
+
+	It("returns the error of a body that is broken off", func() {
+		_, err := collector.ReadAll(io.MultiReader(bytes.NewReader([]byte("half")), iotest.ErrReader(io.ErrUnexpectedEOF)), limit)
+		Expect(errors.Is(err, io.ErrUnexpectedEOF)).To(BeTrue())
+	})
+
+	It("limits the sum of large bodies, reads small ones meanwhile, and large ones again afterwards", func() {
+		col := collector.New(limit, limit)
+		large := bytes.Repeat([]byte("x"), limit*3/4)
+		one := &pausing{data: large, reading: make(chan struct{}), resumed: make(chan struct{})}
+		ended := make(chan error)
+		go func() {
+			_, err := col.Read(one, -1)
+			ended <- err
+		}()
+		Eventually(one.reading).Should(BeClosed())
+		_, err := col.Read(bytes.NewReader(large), -1)
+		Expect(errors.Is(err, collector.ErrTooLarge)).To(BeTrue())
+		_, err = col.Read(bytes.NewReader(large[:32<<10]), -1)
+		Expect(err).NotTo(HaveOccurred())
+		close(one.resumed)
+		Expect(<-ended).NotTo(HaveOccurred())
+		_, err = col.Read(bytes.NewReader(large), -1)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lovagelever/lovagelever/collector"
 	"github.com/lovagelever/lovagelever/dispatcher"
 	"github.com/lovagelever/lovagelever/refuser"
 	"github.com/lovagelever/lovagelever/router"
@@ -63,12 +64,13 @@
 
 // Gateway is the HTTP handler for the requests of callers; it is safe for concurrent use.
 type Gateway struct {
-	opt Options
+	opt    Options
+	bodies *collector.Collector
 }
 
 // New returns a gateway with the given options.
 func New(opt Options) *Gateway {
-	return &Gateway{opt: opt}
+	return &Gateway{opt: opt, bodies: collector.New(collector.MaxBodyBytes, collector.MaxTotalBytes)}
 }
 
 // PoolName returns the name of the pool of a service's units; a service with several models has one pool for each model.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lovagelever/lovagelever/collector"
 	"github.com/lovagelever/lovagelever/dispatcher"
 	"github.com/lovagelever/lovagelever/refuser"
 	"github.com/lovagelever/lovagelever/router"
@@ -89,13 +90,31 @@
 		return reply{}, err
 	}
 	rep := reply{res: exc.Response, ver: job.gat.opt.HeaderCodec.ParseResponse(job.cal, exc.Response)}
-	rep.body, err = readAll(exc.Response.Body, exc.Response.ContentLength)
+	err = job.receive(exc, &rep)
 	exc.End(err == nil && rep.ver.Verified)
 	out.Result, err = job.classify(rep, err)
 	out.Duration = job.gat.opt.Clock.Since(began)
 	return rep, err
 }
 
+// receive reads the body of a response, unless the response only calls for a retry.
+func (job *job) receive(exc *sender.Exchange, rep *reply) error {
+	if rep.ver.NotRun && job.retryable(*rep) {
+		exc.Discard()
+		return nil
+	}
+	length := rep.res.ContentLength
+	if job.req.Method == http.MethodHead {
+		length = -1
+	}
+	body, err := job.gat.bodies.Read(rep.res.Body, length)
+	if errors.Is(err, collector.ErrTooLarge) {
+		job.log.WithError(err).WithFields(logrus.Fields{"unit": job.tried[len(job.tried)-1], "status": rep.res.StatusCode}).Warn("response too large")
+	}
+	rep.body = body
+	return err
+}
+
 // send sends the request to one unit and counts the attempt, and whether the request may have run.
 func (job *job) send(ctx context.Context, pla *dispatcher.Placement, req sender.Request) (*sender.Exchange, error) {
 	exc, err := job.gat.opt.Sender.Send(ctx, req)
@@ -113,6 +132,9 @@
 // classify returns the result of an attempt for its unit; it fails with sender.ErrLost if the response is incomplete or does not belong to the request.
 func (job *job) classify(rep reply, err error) (dispatcher.Result, error) {
 	if rep.ver.NotRun {
+		if err != nil {
+			return dispatcher.Rejected, errors.WithType(errors.Annotate(err, "gateway: rejection ended early"), sender.ErrLost)
+		}
 		if rep.ver.Misdirected {
 			return dispatcher.Fault, nil
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -126,9 +126,8 @@
 
 // finishNonStream handles a response that is no event stream for the request: a rejection by the unit, a failure, or a response that does not belong to the request.
 func (rel *relay) finishNonStream(exc *sender.Exchange, rep *reply) (dispatcher.Result, error) {
-	body, err := readAll(io.LimitReader(rep.res.Body, maxEventBytes), rep.res.ContentLength)
+	err := rel.receive(exc, rep)
 	exc.End(err == nil && (rep.ver.Verified || rep.ver.NotRun))
-	rep.body = body
 	res, err := rel.classify(*rep, err)
 	if err != nil || rep.ver.NotRun && rel.retryable(*rep) {
 		return res, err
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -7,11 +7,20 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/collector"
 )
 
 // maxResponses is the maximum number of responses read for one request: interim ones (1xx), and the final one.
 const maxResponses = 5
 
+const (
+	// discardTimeout is how long Discard waits for the rest of a body: it comes with the header unless the backend server is in trouble.
+	discardTimeout = 50 * time.Millisecond
+	// maxDiscardBytes is the size in bytes above which a new connection is cheaper than the rest of a body.
+	maxDiscardBytes = 16 << 10
+)
+
 // Exchange is one request and its response; it has exclusive use of its connection until End is called.
 type Exchange struct {
 	// Response has the header of the response; its Body returns io.EOF only if the body is complete.
@@ -26,8 +35,10 @@
 	complete  bool
 }
 
-// readHead reads the header of the final response and skips interim ones.
+// readHead reads the header of the final response and skips interim ones; it fails with collector.ErrTooLarge if they are too large together.
 func (exc *Exchange) readHead(method string) error {
+	exc.con.head.limit(collector.MaxHeadBytes)
+	defer exc.con.head.unlimit()
 	for range maxResponses {
 		res, err := http.ReadResponse(exc.con.buf, &http.Request{Method: method})
 		if err != nil {
@@ -56,6 +67,12 @@
 	_ = exc.con.SetReadDeadline(until)
 }
 
+// Discard reads the rest of the body of a response that is not needed, so that End can keep the connection; it gives up soon if the body is long or late.
+func (exc *Exchange) Discard() {
+	exc.SetReadDeadline(exc.sen.clk.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, exc.Response.Body, maxDiscardBytes)
+}
+
 // End closes the connection, or returns it to the pool if keep is set, the response was read completely and the backend server keeps the connection open.
 func (exc *Exchange) End(keep bool) {
 	if exc.ended {
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -2,10 +2,15 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/collector"
 )
 
 const (
@@ -23,9 +28,45 @@
 type conn struct {
 	net.Conn
 	buf       *bufio.Reader
+	head      headReader
 	idleUntil time.Time
 }
 
+func newConn(raw net.Conn) *conn {
+	con := &conn{Conn: raw, head: headReader{src: raw}}
+	con.buf = bufio.NewReaderSize(&con.head, readBufferBytes)
+	return con
+}
+
+// headReader limits how many bytes are read of a connection while the head of a response is read.
+type headReader struct {
+	src     io.Reader
+	limited bool
+	left    int
+}
+
+// limit allows reads of num bytes until unlimit is called.
+func (hea *headReader) limit(num int) {
+	hea.limited, hea.left = true, num
+}
+
+func (hea *headReader) unlimit() {
+	hea.limited = false
+}
+
+// Read reads from the connection; it fails with collector.ErrTooLarge once the limit is used up.
+func (hea *headReader) Read(buf []byte) (int, error) {
+	if !hea.limited {
+		return hea.src.Read(buf)
+	}
+	if hea.left <= 0 {
+		return 0, errors.Annotatef(collector.ErrTooLarge, "sender: response header")
+	}
+	num, err := hea.src.Read(buf[:min(len(buf), hea.left)])
+	hea.left -= num
+	return num, err
+}
+
 // pool holds idle connections by key; the most recently used one is taken first.
 type pool struct {
 	mux  sync.Mutex
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -1,7 +1,6 @@
 package sender
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"net"
@@ -87,7 +86,7 @@
 	if err != nil {
 		return nil, notSent(err, "connect")
 	}
-	return &conn{Conn: raw, buf: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConn(raw), nil
 }
 
 // encode returns the request line and header, followed by the body unless it is larger than asyncBodyBytes.
