Limit the store's answers and those to health checks and orders

Heads were limited to 10 MB each by net/http, and six of them with interim answers.

Their transport (collector.NewTransport) limits heads to 64 KiB.

--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"io"
+	"net"
+	"net/http"
+	"strings"
 	"testing/iotest"
+	"time"
 
 	"github.com/juju/errors"
 	. "github.com/onsi/ginkgo/v2"
@@ -102,3 +106,53 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 })
+
+var _ = Describe("Client with the transport", func() {
+	heads := []struct{ name, begin, text string }{
+		{"a status line", "HTTP/1.1 200 ", "O"},
+		{"bytes that are not HTTP", "", "\x00\x01"},
+		{"a header line", "HTTP/1.1 200 OK\r\nX: ", "y"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X-More: y\r\n"},
+		{"interim answers", "", "HTTP/1.1 103 Early Hints\r\nX-More: y\r\n\r\n"},
+	}
+	for _, cas := range heads {
+		It("gives up a response whose head has no end: "+cas.name, func() {
+			// Interim answers have a head each; buffers of the sockets hold what the client has not read.
+			const most = 6*collector.MaxHeadBytes + 8<<20
+			sent := make(chan int, 1)
+			address := listen(func(con net.Conn) {
+				num, _ := io.WriteString(con, cas.begin)
+				for more, err := 0, error(nil); err == nil; num += more {
+					more, err = io.WriteString(con, strings.Repeat(cas.text, 4096/len(cas.text)))
+					time.Sleep(100 * time.Microsecond)
+				}
+				sent <- num
+			})
+			cli := &http.Client{Transport: collector.NewTransport((&net.Dialer{}).DialContext, 1)}
+			began := time.Now()
+			_, err := cli.Get("http://" + address)
+			Expect(err).To(HaveOccurred())
+			Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+			Eventually(sent, "2s").Should(Receive(BeNumerically("<", most)))
+		})
+	}
+})
+
+// listen serves one connection at a time and returns the address.
+func listen(serve func(con net.Conn)) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = con.Read(make([]byte, 4096))
+			serve(con)
+			_ = con.Close()
+		}
+	}()
+	return lis.Addr().String()
+}
--- /dev/null
+++ b/collector/transport.go
@@ -0,0 +1,17 @@
+package collector
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// NewTransport returns a transport that limits the heads of responses and keeps up to idlePerHost idle connections to each server; bodies are not decompressed, so that their size is that of the bytes received.
+func NewTransport(dial func(ctx context.Context, network, address string) (net.Conn, error), idlePerHost int) *http.Transport {
+	return &http.Transport{
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    idlePerHost,
+		MaxResponseHeaderBytes: MaxHeadBytes,
+		DisableCompression:     true,
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/lovagelever/lovagelever/admitter"
 	"github.com/lovagelever/lovagelever/appender"
 	"github.com/lovagelever/lovagelever/claimer"
+	"github.com/lovagelever/lovagelever/collector"
 	"github.com/lovagelever/lovagelever/completer"
 	"github.com/lovagelever/lovagelever/configurer"
 	"github.com/lovagelever/lovagelever/counter"
@@ -111,11 +112,9 @@
 }
 
 func newClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     time.Minute,
-	}}
+	tra := collector.NewTransport(dial, idlePerHost)
+	tra.IdleConnTimeout = time.Minute
+	return &http.Client{Transport: tra}
 }
 
 // Run creates an entry and serves until the context is canceled, then shuts down once requests in progress have ended or the stop timeout has passed.
