Limit answers that the product's own path reads

Status probes, the list of VMs and the queue of the weight store were decoded from bodies without a limit, and answers of the log and of entries were cut at theirs. Bodies of plain services had a limit each, but none together, and heads of all but these 10 MB.

--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -11,14 +11,15 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/collector"
 )
 
 // Limits of the connection pool and of a response; sizes are in bytes.
 const (
 	MaxIdlePerService = 64
 	IdleTimeout       = 90 * time.Second
-	DefaultMaxBody    = 4 << 20
-	MaxHeader         = 64 << 10
+	DefaultMaxBody    = collector.MaxBodyBytes
 )
 
 // Headers that an Invoker sets on a request or reads from a response.
@@ -56,7 +57,7 @@
 type Invoker struct {
 	keepAlive *http.Client
 	singleUse *http.Client
-	maxBody   int64
+	bodies    *collector.Collector
 }
 
 // New returns an Invoker that accepts response bodies of at most maxBody bytes; 0 means DefaultMaxBody.
@@ -64,20 +65,16 @@
 	if maxBody <= 0 {
 		maxBody = DefaultMaxBody
 	}
-	return &Invoker{keepAlive: newClient(dia, false), singleUse: newClient(dia, true), maxBody: maxBody}
+	return &Invoker{keepAlive: newClient(dia, false), singleUse: newClient(dia, true), bodies: collector.New(maxBody, collector.MaxTotalBytes)}
 }
 
 // newClient returns a client that follows no redirects; with singleUse each call has its own connection, because net/http may send a request again when a reused connection breaks.
 func newClient(dia Dialer, singleUse bool) *http.Client {
+	tra := collector.NewTransport(dia.DialContext, MaxIdlePerService)
+	tra.DisableKeepAlives = singleUse
+	tra.IdleConnTimeout = IdleTimeout
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dia.DialContext,
-			DisableKeepAlives:      singleUse,
-			DisableCompression:     true,
-			MaxIdleConnsPerHost:    MaxIdlePerService,
-			IdleConnTimeout:        IdleTimeout,
-			MaxResponseHeaderBytes: MaxHeader,
-		},
+		Transport:     tra,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -128,12 +125,13 @@
 	if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(HeaderNotRun) == "true" {
 		return Response{}, &NotRunError{Cause: errors.QuotaLimitExceededf("service refused another concurrent call")}
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, inv.maxBody+1))
+	length := res.ContentLength
+	if res.Request.Method == http.MethodHead {
+		length = -1
+	}
+	body, err := inv.bodies.Read(res.Body, length)
 	if err != nil {
 		return Response{}, &MayHaveRunError{Cause: errors.Trace(err)}
 	}
-	if int64(len(body)) > inv.maxBody {
-		return Response{}, &MayHaveRunError{Cause: errors.QuotaLimitExceededf("response body of more than %d bytes", inv.maxBody)}
-	}
 	return Response{Status: res.StatusCode, Header: withoutHopByHop(res.Header), Body: body}, nil
 }
--- a/invoker/invoker_test.go
+++ b/invoker/invoker_test.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -130,6 +132,65 @@
 		})
 	}
 
+	endless := []struct{ name, begin, text string }{
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X-More: y\r\n"},
+		{"a body that ends with its connection", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+		{"a body in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	}
+	for _, cas := range endless {
+		It("gives up a hundred responses without end at once, without a large heap: "+cas.name, func(ctx SpecContext) {
+			const calls, heapLimit = 100, 142_000_000
+			closed := atomic.Int64{}
+			srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+				con, _, err := wri.(http.Hijacker).Hijack()
+				Expect(err).NotTo(HaveOccurred())
+				_, err = io.WriteString(con, cas.begin)
+				for block := strings.Repeat(cas.text, 4096); err == nil; {
+					_, err = io.WriteString(con, block)
+				}
+				con.Close()
+				closed.Add(1)
+			}))
+			defer srv.Close()
+			inv := New(&net.Dialer{}, 0)
+			runtime.GC()
+			before := heapInUse()
+			errs := make(chan error, calls)
+			for range calls {
+				go func() {
+					_, err := inv.Invoke(ctx, Call{Method: http.MethodPost, Address: srv.Listener.Addr().String(), Path: "/"})
+					errs <- err
+				}()
+			}
+			peak := uint64(0)
+			for ended := 0; ended < calls; {
+				select {
+				case err := <-errs:
+					Expect(err).To(BeAssignableToTypeOf(&MayHaveRunError{}))
+					ended++
+				case <-time.After(5 * time.Millisecond):
+					peak = max(peak, heapInUse())
+				}
+			}
+			GinkgoWriter.Printf("heap grew by %d MiB\n", (int64(peak)-int64(before))>>20)
+			Expect(int64(peak) - int64(before)).To(BeNumerically("<", heapLimit))
+			Eventually(closed.Load, "2s").Should(BeNumerically("==", calls))
+		})
+	}
+
+	It("returns the whole response that ends with its connection", func(ctx SpecContext) {
+		srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+			con, _, err := wri.(http.Hijacker).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			io.WriteString(con, "HTTP/1.0 200 OK\r\n\r\nall of it")
+			con.Close()
+		}))
+		defer srv.Close()
+		res, err := New(&net.Dialer{}, 0).Invoke(ctx, Call{Method: http.MethodPost, Address: srv.Listener.Addr().String(), Path: "/"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(res.Body)).To(Equal("all of it"))
+	})
+
 	It("returns NotRunError when nothing listens, and when the call is cancelled before it is sent", func(ctx SpecContext) {
 		srv := newClosingServer()
 		srv.lis.Close()
@@ -177,3 +238,9 @@
 		Expect(calls).To(Equal(1))
 	})
 })
+
+func heapInUse() uint64 {
+	var sta runtime.MemStats
+	runtime.ReadMemStats(&sta)
+	return sta.HeapInuse
+}
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -11,6 +11,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/lovagelever/lovagelever/collector"
 )
 
 // The states of a VM in the list.
@@ -23,6 +25,8 @@
 	turnLength        = 2 * time.Second
 	turnCheckInterval = 500 * time.Millisecond
 	readTimeout       = 2 * time.Second
+	// maxListBytes is the maximum size of a list in bytes; one VM has about 150.
+	maxListBytes = 4 << 20
 )
 
 // ErrUnavailable means that the VM list service returned an unexpected status code.
@@ -100,10 +104,14 @@
 	if res.StatusCode != http.StatusOK {
 		return errors.Annotatef(ErrUnavailable, "status %d", res.StatusCode)
 	}
+	data, err := collector.ReadAll(res.Body, maxListBytes)
+	if err != nil {
+		return errors.Annotate(err, "lister: read VM list")
+	}
 	var ans struct {
 		VMs []VM `json:"vms"`
 	}
-	if err := json.NewDecoder(res.Body).Decode(&ans); err != nil {
+	if err := json.Unmarshal(data, &ans); err != nil {
 		return errors.Annotate(err, "lister: decode VM list")
 	}
 	lis.update(ans.VMs)
--- a/logcaller/caller.go
+++ b/logcaller/caller.go
@@ -5,12 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/lovagelever/lovagelever/collector"
 	"github.com/lovagelever/lovagelever/recorder"
 )
 
@@ -112,7 +112,7 @@
 		return errors.WithType(errors.Annotate(err, string(ErrUnavailable)), ErrUnavailable)
 	}
 	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	data, err := collector.ReadAll(res.Body, maxAnswerBytes)
 	if err != nil {
 		return errors.WithType(errors.Annotate(err, string(ErrUnavailable)), ErrUnavailable)
 	}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -9,6 +9,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/collector"
 )
 
 // ErrUnavailable means that a backend server did not answer, or not with a valid status.
@@ -159,8 +161,12 @@
 	if res.StatusCode != http.StatusOK {
 		return Status{}, errors.Annotatef(ErrUnavailable, "status %d", res.StatusCode)
 	}
+	data, err := collector.ReadAll(res.Body, collector.MaxControlBytes)
+	if err != nil {
+		return Status{}, errors.WithType(errors.Annotate(err, string(ErrUnavailable)), ErrUnavailable)
+	}
 	var sta Status
-	if err := json.NewDecoder(res.Body).Decode(&sta); err != nil {
+	if err := json.Unmarshal(data, &sta); err != nil {
 		return Status{}, errors.WithType(errors.Annotate(err, string(ErrUnavailable)), ErrUnavailable)
 	}
 	if sta.VM != tar.VM {
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -12,12 +11,14 @@
 
 	"github.com/juju/errors"
 
+	"github.com/lovagelever/lovagelever/collector"
 	"github.com/lovagelever/lovagelever/slocounter"
 )
 
 const (
 	connectTimeout  = time.Second
 	answerTimeout   = 5 * time.Second
+	idlePerEntry    = 2
 	maxAnswerBytes  = 64 << 20
 	maxRefusalBytes = 1 << 20
 )
@@ -36,7 +37,7 @@
 	dialer := net.Dialer{Timeout: connectTimeout}
 	return &Requester{
 		addresses: addresses,
-		client:    &http.Client{Timeout: answerTimeout, Transport: &http.Transport{DialContext: dialer.DialContext}},
+		client:    &http.Client{Timeout: answerTimeout, Transport: collector.NewTransport(dialer.DialContext, idlePerEntry)},
 	}, nil
 }
 
@@ -107,7 +108,7 @@
 	if res.StatusCode != http.StatusOK {
 		return ans, errors.Annotatef(readRefusal(res), "requester: entry %s", address)
 	}
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	data, err := collector.ReadAll(res.Body, maxAnswerBytes)
 	if err != nil {
 		return ans, errors.Annotatef(errors.WithType(err, ErrLostAnswer), "requester: entry %s", address)
 	}
@@ -127,7 +128,7 @@
 }
 
 func readRefusal(res *http.Response) *Refusal {
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxRefusalBytes))
+	data, err := collector.ReadAll(res.Body, maxRefusalBytes)
 	if err != nil {
 		return &Refusal{Status: res.StatusCode, Body: err.Error()}
 	}
--- a/server/weights.go
+++ b/server/weights.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lovagelever/lovagelever/collector"
 	"github.com/lovagelever/lovagelever/planner"
 )
 
@@ -33,11 +34,16 @@
 		return
 	}
 	defer func() { _ = res.Body.Close() }()
+	data, err := collector.ReadAll(res.Body, collector.MaxControlBytes)
+	if err != nil {
+		srv.log.WithError(err).Debug("weight store not read")
+		return
+	}
 	var ans struct {
 		Rate   float64 `json:"gigabytes_per_second"`
 		Queued float64 `json:"queued_gigabytes"`
 	}
-	if err := json.NewDecoder(res.Body).Decode(&ans); err != nil {
+	if err := json.Unmarshal(data, &ans); err != nil {
 		return
 	}
 	srv.lastStoreQueue.Store(&planner.StoreQueue{QueuedGigabytes: ans.Queued, GigabytesPerSecond: ans.Rate})
