--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lovagelever/lovagelever/collector"
 	"github.com/lovagelever/lovagelever/dispatcher"
 	"github.com/lovagelever/lovagelever/refuser"
 	"github.com/lovagelever/lovagelever/router"
@@ -155,7 +156,7 @@
 		return result{err: err, sent: !notSent, mayRun: !notSent}
 	}
 	rep := reply{res: exc.Response, ver: job.gat.opt.HeaderCodec.ParseResponse(job.cal, exc.Response)}
-	rep.body, err = readAll(exc.Response.Body, exc.Response.ContentLength)
+	err = job.receive(pla, exc, &rep)
 	exc.End(err == nil && rep.ver.Verified)
 	res, err := classify(rep, err)
 	if ctx.Err() == nil || err == nil {
@@ -165,9 +166,30 @@
 	return result{rep: rep, err: err, sent: true, mayRun: !rep.ver.NotRun}
 }
 
+// receive reads the body of a response, unless the response only calls for a retry.
+func (job *job) receive(pla *dispatcher.Placement, exc *sender.Exchange, rep *reply) error {
+	if rep.ver.NotRun && job.retryable(*rep) {
+		exc.Discard()
+		return nil
+	}
+	length := rep.res.ContentLength
+	if job.req.Method == http.MethodHead {
+		length = -1
+	}
+	body, err := job.gat.bodies.Read(rep.res.Body, length)
+	if errors.Is(err, collector.ErrTooLarge) {
+		job.log.WithError(err).WithFields(logrus.Fields{"unit": pla.Unit.ID, "status": rep.res.StatusCode}).Warn("response too large")
+	}
+	rep.body = body
+	return err
+}
+
 // classify returns the result of an attempt for its unit; it fails with sender.ErrLost if the response is incomplete or does not belong to the request.
 func classify(rep reply, err error) (dispatcher.Result, error) {
 	if rep.ver.NotRun {
+		if err != nil {
+			return dispatcher.Rejected, errors.WithType(errors.Annotate(err, "gateway: rejection ended early"), sender.ErrLost)
+		}
 		if rep.ver.Misdirected {
 			return dispatcher.Fault, nil
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -178,9 +178,8 @@
 
 // finishNonStream handles a response that is no event stream for the request: a rejection by the unit, a failure, or a response that does not belong to the request.
 func (rel *relay) finishNonStream(exc *sender.Exchange, rep *reply) (dispatcher.Result, error) {
-	body, err := readAll(io.LimitReader(rep.res.Body, maxEventBytes), rep.res.ContentLength)
+	err := rel.receive(rel.placement, exc, rep)
 	exc.End(err == nil && (rep.ver.Verified || rep.ver.NotRun))
-	rep.body = body
 	if !rep.ver.NotRun {
 		rel.mayHaveRun++
 	}
