Send no order on decisions that the store has lost

Cause: only an append showed a leader that the store had come back from an older copy, or that another leader had decided. Opening a standby group, joining the members of a group decided before and closing one need no append, so a leader went on with decisions that no longer stood, at the same time as its successor planned with the same servers.

Change: before each order the leader checks that the records are of the era and end at the offset up to which it has read them (Records.Check, one read of the store that waits for nothing; the orders of all groups share one each 50 ms at most). The count that the order expects is read before the check, so that an order which is overtaken by the next leader's has no effect. A conflict, and an append of unknown outcome, end the term: nothing that was begun on the old decisions goes on beside the loaded ones.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -38,9 +38,10 @@
 	Offset int64
 }
 
-// Records stores the latest decision on each group. Append fails with ErrConflict, ErrRefused, or another error when its outcome is unknown.
+// Records stores the latest decision on each group. Append fails with ErrConflict, ErrRefused, or another error when its outcome is unknown. Check fails with ErrConflict unless the records end at the position at.
 type Records interface {
 	Newest(ctx context.Context) (recs []Record, end Position, err error)
+	Check(ctx context.Context, at Position) error
 	Append(ctx context.Context, at Position, recs []Record) error
 }
 
@@ -70,7 +71,14 @@
 type Conductor struct {
 	opt Options
 
-	mux        sync.Mutex
+	// recordsMux is held during an append and during a check of the records. It is locked before mux.
+	recordsMux sync.Mutex
+
+	mux sync.Mutex
+	// outdated is set when the decisions must be loaded again, in a new term.
+	outdated   bool
+	nextCheck  *confirmation
+	lastCheck  time.Time
 	formations map[string]grouper.Formation
 	loaded     bool
 	end        Position
@@ -101,14 +109,15 @@
 	var term context.Context
 	resign := func() {}
 	for ctx.Err() == nil {
-		switch leads := con.opt.IsLeader(); {
-		case leads && term == nil:
-			con.reset()
-			term, resign = context.WithCancel(ctx)
-		case !leads && term != nil:
+		leads := con.opt.IsLeader()
+		if term != nil && (!leads || con.isOutdated()) {
 			resign()
 			term = nil
 		}
+		if leads && term == nil {
+			con.reset()
+			term, resign = context.WithCancel(ctx)
+		}
 		if term != nil {
 			if err := con.step(term); err != nil {
 				con.opt.Logger.WithError(err).Info("group decisions postponed to the next step")
@@ -125,7 +134,7 @@
 func (con *Conductor) reset() {
 	con.mux.Lock()
 	defer con.mux.Unlock()
-	con.loaded = false
+	con.loaded, con.outdated, con.nextCheck = false, false, nil
 	con.formations = map[string]grouper.Formation{}
 	con.staging = map[registrar.Instance]string{}
 	con.busy = map[string]bool{}
@@ -202,19 +211,23 @@
 	return nil
 }
 
-// appendRecords appends at the known end of the records. After a failure other than ErrRefused, all decisions are loaded again.
+// appendRecords appends at the known end of the records. A failure other than ErrRefused ends the term.
 func (con *Conductor) appendRecords(ctx context.Context, recs []Record) error {
+	con.recordsMux.Lock()
+	defer con.recordsMux.Unlock()
 	con.mux.Lock()
 	at := con.end
 	con.mux.Unlock()
 	err := con.opt.Records.Append(ctx, at, recs)
-	con.mux.Lock()
-	defer con.mux.Unlock()
 	if err == nil {
+		con.mux.Lock()
 		con.end.Offset = at.Offset + int64(len(recs))
+		con.mux.Unlock()
 		return nil
 	}
-	con.loaded = con.loaded && errors.Is(err, ErrRefused)
+	if !errors.Is(err, ErrRefused) {
+		con.endTerm()
+	}
 	return errors.Annotate(err, "conductor: append decisions")
 }
 
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -91,10 +91,18 @@
 	if err != nil {
 		return err
 	}
+	return con.sendAfter(ctx, ser, ord, num)
+}
+
+// sendAfter sends an order once to a server that has begun num orders. The count was read before the records are checked: an order of a leader that was replaced in between has a count that the next leader's orders change.
+func (con *Conductor) sendAfter(ctx context.Context, ser registrar.Server, ord Order, num int64) error {
+	if err := con.confirm(ctx); err != nil {
+		return err
+	}
 	ord.ExpectedOrders = num
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err = con.opt.Engines.Order(call, ser, ord)
+	err := con.opt.Engines.Order(call, ser, ord)
 	con.mux.Lock()
 	defer con.mux.Unlock()
 	if err == nil {
--- a/conductor/restore_test.go
+++ b/conductor/restore_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lovagelever/lovagelever/conductor"
 	"github.com/lovagelever/lovagelever/registrar"
 )
 
@@ -88,6 +89,27 @@
 		Expect(wor.violationsFound()).To(BeEmpty())
 	})
 
+	It("sends no order on a decision that the store has lost", func() {
+		wor := startWorldOf(25, 16)
+		Expect(wor.standbyHeads()).NotTo(BeEmpty())
+		wor.restore(1000)
+		var unrecorded []string
+		wor.mux.Lock()
+		wor.beforeOrder = func(_ *engine, ord conductor.Order) {
+			if (ord.Kind == conductor.Join || ord.Kind == conductor.Open) && !wor.hasRecord(ord.Group) {
+				unrecorded = append(unrecorded, ord.Group)
+			}
+		}
+		wor.mux.Unlock()
+		for _, head := range wor.openHeads("small") {
+			wor.change(head, func(eng *engine) { eng.Draining = true })
+		}
+		wor.run(8 * time.Second)
+		wor.mux.Lock()
+		defer wor.mux.Unlock()
+		Expect(unrecorded).To(BeEmpty())
+	})
+
 	It("gives out no number twice and takes no server from an open group under losses, late orders, leader changes and copies", func() {
 		for _, seed := range restoreSeeds() {
 			playCopies(5000+seed, func(wor *world, ctx context.Context) {
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -542,6 +542,31 @@
 	return out
 }
 
+// standbyHeads returns the sorted IDs of the heads of groups that are complete and not open.
+func (wor *world) standbyHeads() []string {
+	wor.mux.Lock()
+	defer wor.mux.Unlock()
+	var out []string
+	for _, eng := range wor.engines {
+		if eng.Group.State == registrar.Ready && eng.Group.Rank == 0 && len(eng.members) > 1 && wor.hasRecord(eng.Group.Name) {
+			out = append(out, eng.ID)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// hasRecord reports whether the records list a group. The caller holds the lock.
+func (wor *world) hasRecord(group string) bool {
+	recorded := false
+	for _, rec := range wor.records {
+		if rec.Name == group {
+			recorded = len(rec.Value) > 0
+		}
+	}
+	return recorded
+}
+
 func (wor *world) violationsFound() []string {
 	wor.mux.Lock()
 	defer wor.mux.Unlock()
--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -83,6 +83,7 @@
 func (stubs) Newest(context.Context) ([]conductor.Record, conductor.Position, error) {
 	return nil, conductor.Position{}, nil
 }
+func (stubs) Check(context.Context, conductor.Position) error                      { return nil }
 func (stubs) Append(context.Context, conductor.Position, []conductor.Record) error { return nil }
 func (stubs) Report(context.Context, registrar.Server) (conductor.Report, error) {
 	return conductor.Report{}, nil
