Open no group that comes back with a copy whose end is lost

Cause: the end of a group can be lost, while orders that followed it, of members to leave, are still on their way. The group comes back with the copy, whole and ready; the leader opened it, and a late order took a member out of the open group. Counts of orders do not help, since the members have begun no other order.

Change: a decision names the era in which it was made. An open group stays: it was open before, so no member was ordered to leave it. Members that still load go on loading.

Tests: conductor "opens no group that comes back while orders of its lost end may still arrive" (fails before, passes now); grouper, four rows of groups decided before the store lost records.

--- a/conductor/adopt.go
+++ b/conductor/adopt.go
@@ -33,12 +33,18 @@
 
 // groupName returns a name that no group of another era of the store has.
 func (con *Conductor) groupName(epoch int64) string {
-	con.mux.Lock()
-	defer con.mux.Unlock()
-	if con.end.Era == 0 {
+	era := con.era()
+	if era == 0 {
 		return fmt.Sprintf("g%d", epoch)
 	}
-	return fmt.Sprintf("g%d-%d", con.end.Era, epoch)
+	return fmt.Sprintf("g%d-%d", era, epoch)
+}
+
+// era returns the era of the store in which the decisions were loaded.
+func (con *Conductor) era() int64 {
+	con.mux.Lock()
+	defer con.mux.Unlock()
+	return con.end.Era
 }
 
 // isDecided reports whether the decision on a group stands.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -314,7 +314,7 @@
 	con.mux.Lock()
 	defer con.mux.Unlock()
 	inp := grouper.Input{
-		Service: ser.Name, Engine: *ser.Engine, View: vie, BeforeFirstRequest: con.opt.BeforeFirstRequest(),
+		Service: ser.Name, Engine: *ser.Engine, View: vie, Era: con.end.Era, BeforeFirstRequest: con.opt.BeforeFirstRequest(),
 		Busy: maps.Clone(con.busy), Dissolving: maps.Clone(con.dissolving), Ended: maps.Clone(con.ended), Staging: maps.Clone(con.staging), Loads: map[string]grouper.Load{},
 	}
 	for _, frm := range con.formations {
@@ -353,7 +353,7 @@
 	go con.formGroup(ctx, frm, open)
 }
 
-// resumeForming continues forming the recorded groups that are healthy but not finished, which means open, or ready for a standby group.
+// resumeForming continues forming the recorded groups that are healthy but not finished, which means open, or ready for a standby group. A group that was decided before the store lost records is not opened: its members join another one once they are ready.
 func (con *Conductor) resumeForming(ctx context.Context, vie *registrar.View) {
 	con.mux.Lock()
 	var waiting []grouper.Formation
@@ -366,7 +366,7 @@
 	}
 	con.mux.Unlock()
 	for _, frm := range waiting {
-		con.startForming(ctx, frm, !frm.Standby)
+		con.startForming(ctx, frm, !frm.Standby && frm.Era == con.era())
 	}
 }
 
@@ -379,7 +379,7 @@
 		if !con.canLoad(ser, pro) {
 			continue
 		}
-		frm := grouper.Formation{Name: con.groupName(epoch), Epoch: epoch, Service: ser.Name, Model: pro.Model.Name, Standby: pro.Standby}
+		frm := grouper.Formation{Name: con.groupName(epoch), Epoch: epoch, Era: con.era(), Service: ser.Name, Model: pro.Model.Name, Standby: pro.Standby}
 		for _, mem := range pro.Members {
 			frm.Members = append(frm.Members, mem.Instance())
 		}
--- a/conductor/restore_test.go
+++ b/conductor/restore_test.go
@@ -110,6 +110,29 @@
 		Expect(unrecorded).To(BeEmpty())
 	})
 
+	It("opens no group that comes back while orders of its lost end may still arrive", func() {
+		wor := startWorldOf(26, 16)
+		heads := wor.standbyHeads()
+		Expect(heads).NotTo(BeEmpty())
+		wor.mux.Lock()
+		late := wor.clk.Now().Add(3 * time.Second)
+		for _, head := range heads {
+			for _, id := range wor.engines[head].members[1:] {
+				mem := wor.engines[id]
+				ord := conductor.Order{Kind: conductor.Leave, ExpectedOrders: mem.orders, Group: mem.Group.Name, Epoch: mem.Group.Epoch}
+				wor.pending = append(wor.pending, lateOrder{at: late, id: id, ord: ord, leader: "leader 0"})
+			}
+		}
+		wor.mux.Unlock()
+		wor.restore(0)
+		for _, head := range wor.openHeads("small") {
+			wor.change(head, func(eng *engine) { eng.unreachable = true })
+			wor.reg.Suspect(registrar.Instance{ID: head, Started: 1}, wor.clk.Now().Add(time.Hour), true)
+		}
+		wor.run(8 * time.Second)
+		Expect(wor.violationsFound()).To(BeEmpty(), func() string { return wor.explain(26) })
+	})
+
 	It("gives out no number twice and takes no server from an open group under losses, late orders, leader changes and copies", func() {
 		for _, seed := range restoreSeeds() {
 			playCopies(5000+seed, func(wor *world, ctx context.Context) {
--- a/grouper/formation.go
+++ b/grouper/formation.go
@@ -6,10 +6,11 @@
 	"github.com/lovagelever/lovagelever/registrar"
 )
 
-// Formation is the recorded decision to form a replica group. Epoch is the offset of its record.
+// Formation is the recorded decision to form a replica group. Epoch is the offset of its record, or more after the store has lost records. Era is the era of the store in which it was decided.
 type Formation struct {
 	Name    string               `json:"name"`
 	Epoch   int64                `json:"epoch"`
+	Era     int64                `json:"era,omitempty"`
 	Service string               `json:"service"`
 	Model   string               `json:"model"`
 	Members []registrar.Instance `json:"members"`
@@ -50,6 +51,11 @@
 	return out
 }
 
+// Includes reports whether a membership is one in this group.
+func (frm Formation) Includes(mem registrar.Membership) bool {
+	return mem.Name == frm.Name && mem.Epoch == frm.Epoch
+}
+
 // IsSuperseded reports whether a member reports a later group: the record of this formation's end was lost.
 func (frm Formation) IsSuperseded(vie *registrar.View) bool {
 	for _, ins := range frm.Members {
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -34,6 +34,8 @@
 	Service string
 	Engine  router.Engine
 	View    *registrar.View
+	// Era is the present era of the store.
+	Era int64
 	// Formations are all groups that were decided on and not yet retired.
 	Formations []Formation
 	// Busy holds the names of the formations that are being formed, opened or dissolved.
@@ -209,6 +211,9 @@
 		rnd.out.Dissolve = append(rnd.out.Dissolve, frm)
 	case rnd.isSpare(frm):
 		rnd.classifySpare(frm)
+	case frm.Era < rnd.inp.Era && frm.isReady(vie) && !frm.IsOpen(vie):
+		// The store may have lost its end: orders to leave it may still be on their way. They have no effect after a join.
+		rnd.out.Dissolve = append(rnd.out.Dissolve, frm)
 	case vie.ZoneOut(vie.Servers[frm.Members[0].ID].Zone):
 		// It serves again when its availability zone is back.
 	case frm.Standby && !frm.IsOpen(vie) && !rnd.inp.Busy[frm.Name]:
--- a/grouper/plan_test.go
+++ b/grouper/plan_test.go
@@ -175,6 +175,28 @@
 		Expect(plan.Dissolve).To(BeEmpty())
 	})
 
+	for _, cas := range []struct {
+		name      string
+		state     registrar.State
+		era       int64
+		dissolved bool
+	}{
+		{"opens no group that was ready when the store lost records", registrar.Ready, 1, true},
+		{"keeps a group that was open when the store lost records", registrar.Open, 1, false},
+		{"keeps a group loading that was decided before the store lost records", registrar.Joining, 1, false},
+		{"keeps a ready group while the store has lost nothing since", registrar.Ready, 0, false},
+	} {
+		It(cas.name, func() {
+			fix := newFixture()
+			fix.addServingGroups()
+			fix.addGroup("y", "small", "d0", true, cas.state)
+			fix.inp.Era = cas.era
+			plan := fix.plan()
+			Expect(slices.Contains(names(plan.Dissolve), "y")).To(Equal(cas.dissolved))
+			Expect(names(plan.Open)).NotTo(ContainElement("y"))
+		})
+	}
+
 	It("plans nothing more while servers are about to be released", func() {
 		fix := newFixture()
 		fix.addServingGroups()
