--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -38,9 +38,10 @@
 	Offset int64
 }
 
-// Records stores the latest decision on each group. Append fails with ErrConflict, ErrRefused, or another error when its outcome is unknown.
+// Records stores the latest decision on each group. Append fails with ErrConflict, ErrRefused, or another error when its outcome is unknown. Check fails with ErrConflict unless the records end at the position at.
 type Records interface {
 	Newest(ctx context.Context) (recs []Record, end Position, err error)
+	Check(ctx context.Context, at Position) error
 	Append(ctx context.Context, at Position, recs []Record) error
 }
 
@@ -70,7 +71,14 @@
 type Conductor struct {
 	opt Options
 
-	mux        sync.Mutex
+	// recordsMux is held during an append and during a check of the records. It is locked before mux.
+	recordsMux sync.Mutex
+
+	mux sync.Mutex
+	// outdated is set when the decisions must be loaded again, in a new term.
+	outdated   bool
+	nextCheck  *confirmation
+	lastCheck  time.Time
 	formations map[string]grouper.Formation
 	loaded     bool
 	end        Position
@@ -82,7 +90,9 @@
 	ended        map[string]bool
 	unknownSince map[string]time.Time
 	orderCounts  map[registrar.Instance]int64
+	orderedAt    map[registrar.Instance]time.Time
 	servers      map[registrar.Instance]registrar.Server
+	lastListed   map[registrar.Instance]time.Time
 	loadStarts   []time.Time
 	forming      int
 	// supply holds the state of each service's models in the last plan.
@@ -91,7 +101,7 @@
 
 // New returns a conductor that has loaded no decisions.
 func New(opt Options) *Conductor {
-	con := &Conductor{opt: opt, servers: map[registrar.Instance]registrar.Server{}, supply: map[string][]grouper.ModelState{}}
+	con := &Conductor{opt: opt, servers: map[registrar.Instance]registrar.Server{}, lastListed: map[registrar.Instance]time.Time{}, supply: map[string][]grouper.ModelState{}}
 	con.reset()
 	return con
 }
@@ -101,14 +111,15 @@
 	var term context.Context
 	resign := func() {}
 	for ctx.Err() == nil {
-		switch leads := con.opt.IsLeader(); {
-		case leads && term == nil:
-			con.reset()
-			term, resign = context.WithCancel(ctx)
-		case !leads && term != nil:
+		leads := con.opt.IsLeader()
+		if term != nil && (!leads || con.isOutdated()) {
 			resign()
 			term = nil
 		}
+		if leads && term == nil {
+			con.reset()
+			term, resign = context.WithCancel(ctx)
+		}
 		if term != nil {
 			if err := con.step(term); err != nil {
 				con.opt.Logger.WithError(err).Info("group decisions postponed to the next step")
@@ -125,12 +136,13 @@
 func (con *Conductor) reset() {
 	con.mux.Lock()
 	defer con.mux.Unlock()
-	con.loaded = false
+	con.loaded, con.outdated, con.nextCheck = false, false, nil
 	con.formations = map[string]grouper.Formation{}
 	con.staging = map[registrar.Instance]string{}
 	con.busy = map[string]bool{}
 	con.dissolving = map[string]bool{}
 	con.orderCounts = map[registrar.Instance]int64{}
+	con.orderedAt = map[registrar.Instance]time.Time{}
 	con.retired = nil
 	con.ended = map[string]bool{}
 	con.unknownSince = map[string]time.Time{}
@@ -166,8 +178,10 @@
 func (con *Conductor) rememberServers(vie *registrar.View) {
 	con.mux.Lock()
 	defer con.mux.Unlock()
+	now := con.opt.Clock.Now()
 	for _, ser := range vie.Servers {
 		con.servers[ser.Instance()] = ser
+		con.lastListed[ser.Instance()] = now
 	}
 }
 
@@ -202,19 +216,23 @@
 	return nil
 }
 
-// appendRecords appends at the known end of the records. After a failure other than ErrRefused, all decisions are loaded again.
+// appendRecords appends at the known end of the records. A failure other than ErrRefused ends the term.
 func (con *Conductor) appendRecords(ctx context.Context, recs []Record) error {
+	con.recordsMux.Lock()
+	defer con.recordsMux.Unlock()
 	con.mux.Lock()
 	at := con.end
 	con.mux.Unlock()
 	err := con.opt.Records.Append(ctx, at, recs)
-	con.mux.Lock()
-	defer con.mux.Unlock()
 	if err == nil {
+		con.mux.Lock()
 		con.end.Offset = at.Offset + int64(len(recs))
+		con.mux.Unlock()
 		return nil
 	}
-	con.loaded = con.loaded && errors.Is(err, ErrRefused)
+	if !errors.Is(err, ErrRefused) {
+		con.endTerm()
+	}
 	return errors.Annotate(err, "conductor: append decisions")
 }
 
@@ -301,7 +319,7 @@
 	con.mux.Lock()
 	defer con.mux.Unlock()
 	inp := grouper.Input{
-		Service: ser.Name, Engine: *ser.Engine, View: vie, BeforeFirstRequest: con.opt.BeforeFirstRequest(),
+		Service: ser.Name, Engine: *ser.Engine, View: vie, Era: con.end.Era, BeforeFirstRequest: con.opt.BeforeFirstRequest(),
 		Busy: maps.Clone(con.busy), Dissolving: maps.Clone(con.dissolving), Ended: maps.Clone(con.ended), Staging: maps.Clone(con.staging), Loads: map[string]grouper.Load{},
 	}
 	for _, frm := range con.formations {
@@ -340,7 +358,7 @@
 	go con.formGroup(ctx, frm, open)
 }
 
-// resumeForming continues forming the recorded groups that are healthy but not finished, which means open, or ready for a standby group.
+// resumeForming continues forming the recorded groups that are healthy but not finished, which means open, or ready for a standby group. A group that was decided before the store lost records is not opened: its members join another one once they are ready.
 func (con *Conductor) resumeForming(ctx context.Context, vie *registrar.View) {
 	con.mux.Lock()
 	var waiting []grouper.Formation
@@ -353,7 +371,7 @@
 	}
 	con.mux.Unlock()
 	for _, frm := range waiting {
-		con.startForming(ctx, frm, !frm.Standby)
+		con.startForming(ctx, frm, !frm.Standby && frm.Era == con.era())
 	}
 }
 
@@ -366,7 +384,7 @@
 		if !con.canLoad(ser, pro) {
 			continue
 		}
-		frm := grouper.Formation{Name: con.groupName(epoch), Epoch: epoch, Service: ser.Name, Model: pro.Model.Name, Standby: pro.Standby}
+		frm := grouper.Formation{Name: con.groupName(epoch), Epoch: epoch, Era: con.era(), Service: ser.Name, Model: pro.Model.Name, Standby: pro.Standby}
 		for _, mem := range pro.Members {
 			frm.Members = append(frm.Members, mem.Instance())
 		}
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -91,20 +91,44 @@
 	if err != nil {
 		return err
 	}
+	return con.sendAfter(ctx, ser, ord, num)
+}
+
+// sendAfter sends an order once to a server that has begun num orders. The count was read before the records are checked: an order of a leader that was replaced in between has a count that the next leader's orders change.
+func (con *Conductor) sendAfter(ctx context.Context, ser registrar.Server, ord Order, num int64) error {
+	if err := con.confirm(ctx); err != nil {
+		return err
+	}
 	ord.ExpectedOrders = num
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err = con.opt.Engines.Order(call, ser, ord)
+	err := con.opt.Engines.Order(call, ser, ord)
 	con.mux.Lock()
 	defer con.mux.Unlock()
 	if err == nil {
 		con.orderCounts[ser.Instance()] = num + 1
+		con.orderedAt[ser.Instance()] = con.opt.Clock.Now()
 	} else {
 		delete(con.orderCounts, ser.Instance())
 	}
 	return err
 }
 
+// isStale reports whether a report may be older than the last order that the server has accepted from this entry. The count of an order that changed nothing is too high: it is dropped once reports must show the order.
+func (con *Conductor) isStale(ser registrar.Server, rep Report) bool {
+	con.mux.Lock()
+	defer con.mux.Unlock()
+	ins := ser.Instance()
+	if rep.Orders >= con.orderCounts[ins] {
+		return false
+	}
+	if con.opt.Clock.Since(con.orderedAt[ins]) < reportLag {
+		return true
+	}
+	delete(con.orderCounts, ins)
+	return false
+}
+
 // sendUntilDone repeats an order until the server accepts it or reports its effect. It fails when the server is gone or the context ends.
 func (con *Conductor) sendUntilDone(ctx context.Context, ser registrar.Server, ord Order, done func(gro registrar.Membership) bool) error {
 	for {
