Let a head that misses a report finish its requests when its group is closed

A review showed on that one unanswered report (0.4 s) of a head that finishes its requests ended its group: its members were ordered away, and its requests lost.

--- a/conductor/build.go
+++ b/conductor/build.go
@@ -193,16 +193,20 @@
 // dissolve closes the head of a group, as far as it can be reached. The other members leave when they join another group.
 func (con *Conductor) dissolve(ctx context.Context, frm grouper.Formation) {
 	began := con.opt.Clock.Now()
+	lastAnswer := began
 	head := con.server(frm.Members[0])
 	vie := con.opt.View()
 	con.logGroup(frm, began).WithFields(logrus.Fields{"health": frm.Check(vie).String(), "unhealthy": frm.UnhealthyMembers(vie)}).Info("dissolving group")
 	for ctx.Err() == nil {
 		rep, err := con.report(ctx, head)
+		if err == nil {
+			lastAnswer = con.opt.Clock.Now()
+		}
 		switch {
 		case head.ID == "" || con.hasEnded(head, err):
 			con.finishDissolving(frm, began, "its head has ended")
 			return
-		case err != nil && con.mayStillDrain(frm, began):
+		case err != nil && (con.mayStillDrain(frm, began) || con.mayBeSilent(head, lastAnswer)):
 		case err != nil:
 			con.finishDissolving(frm, began, "its head does not answer")
 			return
@@ -225,6 +229,11 @@
 	return frm.Check(con.opt.View()) == grouper.Leaving && con.opt.Clock.Since(began) < leaveTimeout
 }
 
+// mayBeSilent reports whether a head that does not answer may be sound and finish its requests: it has not been silent for long, and its loss is not confirmed.
+func (con *Conductor) mayBeSilent(head registrar.Server, lastAnswer time.Time) bool {
+	return con.opt.Clock.Since(lastAnswer) < registrar.SilenceTolerance && !con.opt.View().SuspicionConfirmed(head.Instance())
+}
+
 // hasEnded reports whether a head has certainly ended, given the error of a call to it: it has restarted, or nothing listens although it is listed and does not drain. A leaving server stops listening while it still finishes its requests.
 func (con *Conductor) hasEnded(head registrar.Server, err error) bool {
 	if errors.Is(err, ErrServerReplaced) {
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -40,6 +40,9 @@
 	members      []string
 	readyAt      time.Time
 	unreachable  bool
+	// drainsFor is how long the engine finishes its requests after a graceful close, until drainedAt.
+	drainsFor time.Duration
+	drainedAt time.Time
 	notListening bool
 	unlisted     bool
 	stalledSince time.Time
@@ -205,6 +208,9 @@
 			eng.Group.State = registrar.Ready
 			wor.ready[readyKey(eng.Group, eng.ID)] = true
 		}
+		if eng.Group.State == registrar.Draining && !now.Before(eng.drainedAt) {
+			eng.Group.State = registrar.Ready
+		}
 		wor.breakStalled(eng, now)
 	}
 }
@@ -262,6 +268,9 @@
 			return errors.WithType(errors.New("head is not open"), conductor.ErrOrderMismatch)
 		}
 		eng.Group.State = registrar.Ready
+		if ord.Kind == conductor.CloseGracefully && eng.drainsFor > 0 {
+			eng.Group.State, eng.drainedAt = registrar.Draining, wor.clk.Now().Add(eng.drainsFor)
+		}
 	case conductor.Leave:
 		if !own {
 			return errors.WithType(errors.New("server is not in the group"), conductor.ErrOrderMismatch)
