--- a/prover/gate_fault_test.go
+++ b/prover/gate_fault_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lovagelever/lovagelever/disturber"
 	"github.com/lovagelever/lovagelever/platform/storefaker"
+	"github.com/lovagelever/lovagelever/platform/workerfaker"
 )
 
 type gateFaultGenerator = func(gts *gates, rng *rand.Rand) fault
@@ -24,7 +25,7 @@
 	storeBusy   = storeFault("store refuses two entries as busy", func(flt *storefaker.Faults) { flt.BusySources = []string{gateIP(1), gateIP(3)} })
 	// gateFaults lists the fault generators of the soak test.
 	gateFaults = []gateFaultGenerator{
-		killGate, pauseGate, stopGate, reloadGate, partitionFromStore, partitionFromWorker, resetWorker, slowNetwork, killWorker, killWorker, drainWorker, delayOrders,
+		killGate, pauseGate, stopGate, reloadGate, partitionFromStore, partitionFromWorker, resetWorker, slowNetwork, killWorker, killWorker, drainWorker, delayOrders, spoilAnswers, spoilAnswers,
 		storeDown, storePause, storeSlow, storeLosing, storeBusy, dropHistory, restoreStore, reassignLeases, takeZoneOut, changeRoutes,
 	}
 )
@@ -177,6 +178,17 @@
 	}
 }
 
+// spoilAnswers makes a backend server end its answers with the connection, end them early, or send them without end.
+func spoilAnswers(gts *gates, rng *rand.Rand) fault {
+	zone, num := randomWorker(rng)
+	id := workerID(zone, num)
+	flt := workerfaker.AnswerFaults[rng.IntN(len(workerfaker.AnswerFaults))]
+	return fault{
+		name: fmt.Sprintf("answer of %s %s", id, flt), target: "worker at " + workerIP(zone, num),
+		begin: func() { gts.wor.SetAnswerFault(id, flt) }, end: func() { gts.wor.SetAnswerFault(id, "") },
+	}
+}
+
 func delayOrders(gts *gates, _ *rand.Rand) fault {
 	return fault{
 		name: "delay orders", target: "orders",
--- a/prover/network_test.go
+++ b/prover/network_test.go
@@ -3,10 +3,12 @@
 package prover
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	. "github.com/onsi/gomega"
 )
 
@@ -73,7 +75,14 @@
 	buf := make([]byte, copyBuffer)
 	for {
 		num, err := src.Read(buf)
-		if !ntw.awaitOpen(from, to) || err != nil {
+		if !ntw.awaitOpen(from, to) {
+			return
+		}
+		if err != nil {
+			// An answer may end with its connection: only a clean end may look like one.
+			if tcp, ok := dst.(*net.TCPConn); ok && !errors.Is(err, io.EOF) {
+				_ = tcp.SetLinger(0)
+			}
 			return
 		}
 		ntw.applyDelay()
