--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -121,9 +121,11 @@
 			const most = 6*collector.MaxHeadBytes + 8<<20
 			sent := make(chan int, 1)
 			address := listen(func(con net.Conn) {
-				num, _ := io.WriteString(con, cas.begin)
-				for more, err := 0, error(nil); err == nil; num += more {
-					more, err = io.WriteString(con, strings.Repeat(cas.text, 4096/len(cas.text)))
+				num, err := io.WriteString(con, cas.begin)
+				for block := strings.Repeat(cas.text, 4096/len(cas.text)); err == nil; {
+					var more int
+					more, err = io.WriteString(con, block)
+					num += more
 					time.Sleep(100 * time.Microsecond)
 				}
 				sent <- num
