Stop sending to a server whose answer says that it leaves

Cause: an entry took a server's leaving from the list only. While the store is out, slow or behind, its record says "ready", and the entry goes on sending requests although the server's own answers carry Server-Leaving.

The registrar marks the instance, and its view shows the server as draining from then on, so that units, groups, standby groups and spares follow the path that a record with "draining" takes. The mark holds for ID and start time: later records of the same instance do not undo it, a new instance is not affected. It is kept for 10 minutes after the instance is off the list. An answer with 421 counts only if it names the server that was asked, since another one may have the address.

--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/lovagelever/lovagelever/registrar"
 )
 
 // Readiness says which requests a unit can run.
@@ -21,8 +23,10 @@
 	// ID identifies this run of the server and its group; a restart gets a new ID.
 	ID string
 	// Pool is the key shared by all units that can serve the same requests.
-	Pool      string
-	ServerID  string
+	Pool     string
+	ServerID string
+	// Started is the start time of the server in Unix milliseconds.
+	Started   int64
 	Address   string
 	Zone      string
 	Slots     int
@@ -34,6 +38,11 @@
 	TypicalEventInterval time.Duration
 }
 
+// Instance returns the identity of the unit's server.
+func (uni Unit) Instance() registrar.Instance {
+	return registrar.Instance{ID: uni.ServerID, Started: uni.Started}
+}
+
 const (
 	// zonePenalty is how much lower the load of a unit in another availability zone must be, as a share of its slots, to justify traffic between zones.
 	zonePenalty = 0.3
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -117,6 +117,7 @@
 	gat.reg = registrar.New(clk)
 	gat.units.Store(&unitTable{})
 	gat.bounds.Store(&set.Bounds)
+	gat.pla.OnLeaving(gat.onLeaving)
 	gat.buildRequestPath(source)
 	if err := gat.buildPeerExchange(); err != nil {
 		return nil, err
@@ -137,7 +138,7 @@
 	})
 	gat.gat = gateway.New(gateway.Options{
 		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, Budget: gat.bud, Detector: gat.det,
-		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
+		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
 	})
 }
 
--- a/gateserver/platform.go
+++ b/gateserver/platform.go
@@ -31,11 +31,13 @@
 
 // Platform has the interfaces to the environment: the store, the backend servers and the HTTP headers of callers.
 type Platform struct {
-	Topics      Topics
-	Store       tailer.Store
-	Records     conductor.Records
-	Lease       elector.Lease
-	Engines     conductor.EngineClient
+	Topics  Topics
+	Store   tailer.Store
+	Records conductor.Records
+	Lease   elector.Lease
+	Engines conductor.EngineClient
+	// OnLeaving sets the function that receives the backend servers whose responses to Engines say that they leave.
+	OnLeaving   func(receive func(ins registrar.Instance))
 	HeaderCodec gateway.HeaderCodec
 	// DecodeOperatorRecord and DecodeServer decode one record of the operator and server topics.
 	DecodeOperatorRecord func(rec tailer.Record) (OperatorRecord, error)
--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -86,6 +86,13 @@
 	gat.reg.Apply(upd)
 }
 
+// onLeaving marks a backend server that has said in a response that it leaves.
+func (gat *Server) onLeaving(ins registrar.Instance) {
+	if gat.reg.MarkLeaving(ins) {
+		gat.log.WithFields(logrus.Fields{"server": ins.ID, "started": ins.Started}).Info("backend server says that it leaves")
+	}
+}
+
 // maxLoggedServers is the number of backend servers up to which a change of the list is logged one by one.
 const maxLoggedServers = 8
 
@@ -94,6 +101,7 @@
 	vie := gat.reg.View()
 	var changed []registrar.Server
 	for _, ser := range upd.Put {
+		ser.Draining = ser.Draining || vie.Leaving(ser.Instance())
 		if old, known := vie.Servers[ser.ID]; !known || old.Started != ser.Started || old.Draining != ser.Draining {
 			changed = append(changed, ser)
 		}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -41,6 +41,18 @@
 	Misdirected bool
 	// Verified means that the response is signed and belongs to this request.
 	Verified bool
+	// ServerID is the ID that the backend server states, empty if it states none.
+	ServerID string
+	// Leaving means that the backend server is about to stop and takes no new requests.
+	Leaving bool
+}
+
+// concerns reports whether the response was sent by the backend server that the request was meant for.
+func (inf ResponseInfo) concerns(server string) bool {
+	if inf.ServerID == "" {
+		return !inf.Misdirected
+	}
+	return inf.ServerID == server
 }
 
 // HeaderCodec converts between the types of this package and HTTP headers.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/lovagelever/lovagelever/dispatcher"
 	"github.com/lovagelever/lovagelever/refuser"
+	"github.com/lovagelever/lovagelever/registrar"
 	"github.com/lovagelever/lovagelever/router"
 	"github.com/lovagelever/lovagelever/sender"
 )
@@ -55,8 +56,10 @@
 	Detector    Detector
 	HeaderCodec HeaderCodec
 	Meter       Meter
-	Clock       clockwork.Clock
-	Logger      *logrus.Entry
+	// OnLeaving receives the backend servers whose responses say that they leave.
+	OnLeaving func(ins registrar.Instance)
+	Clock     clockwork.Clock
+	Logger    *logrus.Entry
 	// Stopping reports whether the entry is shutting down, so that connections are closed after the response, and when it ends.
 	Stopping func() (ends time.Time, stopping bool)
 }
@@ -298,6 +301,15 @@
 	return time.Duration((read + write) * pace * float64(time.Second))
 }
 
+// parseResponse classifies the response of a unit, and reports a backend server that leaves.
+func (job *job) parseResponse(pla *dispatcher.Placement, res *http.Response) ResponseInfo {
+	ver := job.gat.opt.HeaderCodec.ParseResponse(job.cal, res)
+	if ver.Leaving && ver.concerns(pla.Unit.ServerID) {
+		job.gat.opt.OnLeaving(pla.Unit.Instance())
+	}
+	return ver
+}
+
 func (job *job) buildRequest(pla *dispatcher.Placement, after string) sender.Request {
 	within := job.gat.opt.Clock.Until(job.deadline)
 	head := job.gat.opt.HeaderCodec.RequestHeader(job.req.Header, job.cal, Hop{
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -88,7 +88,7 @@
 		}
 		return reply{}, err
 	}
-	rep := reply{res: exc.Response, ver: job.gat.opt.HeaderCodec.ParseResponse(job.cal, exc.Response)}
+	rep := reply{res: exc.Response, ver: job.parseResponse(pla, exc.Response)}
 	rep.body, err = readAll(exc.Response.Body, exc.Response.ContentLength)
 	exc.End(err == nil && rep.ver.Verified)
 	out.Result, err = job.classify(rep, err)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -100,7 +100,7 @@
 		out.Result = rel.unitResult(ctx)
 		return reply{}, preferCause(ctx, err)
 	}
-	rep := reply{res: exc.Response, ver: rel.gat.opt.HeaderCodec.ParseResponse(rel.cal, exc.Response)}
+	rep := reply{res: exc.Response, ver: rel.parseResponse(pla, exc.Response)}
 	if rep.ver.NotRun || rep.res.StatusCode != http.StatusOK || !rep.ver.Verified {
 		out.Result, err = rel.finishNonStream(exc, &rep)
 		return rep, err
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -23,6 +23,7 @@
 	"github.com/lovagelever/lovagelever/breaker"
 	"github.com/lovagelever/lovagelever/dispatcher"
 	"github.com/lovagelever/lovagelever/gateway"
+	"github.com/lovagelever/lovagelever/registrar"
 	"github.com/lovagelever/lovagelever/router"
 	"github.com/lovagelever/lovagelever/sender"
 )
@@ -51,7 +52,10 @@
 }
 
 func (codecStub) ParseResponse(cal gateway.Call, res *http.Response) gateway.ResponseInfo {
-	return gateway.ResponseInfo{NotRun: res.Header.Get("X-Not-Run") != "", Verified: res.Header.Get("X-Signed") != "" && res.Header.Get("X-Id") == cal.ID}
+	return gateway.ResponseInfo{
+		NotRun: res.Header.Get("X-Not-Run") != "", Verified: res.Header.Get("X-Signed") != "" && res.Header.Get("X-Id") == cal.ID,
+		Misdirected: res.StatusCode == http.StatusMisdirectedRequest, Leaving: res.Header.Get("X-Leaving") != "", ServerID: res.Header.Get("X-Server-Id"),
+	}
 }
 
 // worker is a backend server with a scripted response to each request.
@@ -195,10 +199,12 @@
 	web  *httptest.Server
 	pool string
 	log  *logtest.Hook
+	// leaving receives the backend servers that say that they leave.
+	leaving chan registrar.Instance
 }
 
 func newWorld(rou router.Route, workers ...*worker) *world {
-	wor := &world{bud: &budgetStub{}, det: &detectorStub{}, mtr: &meterStub{seen: map[string]int{}}, pool: "s"}
+	wor := &world{bud: &budgetStub{}, det: &detectorStub{}, mtr: &meterStub{seen: map[string]int{}}, pool: "s", leaving: make(chan registrar.Instance, 100)}
 	wor.bud.left.Store(10)
 	clk := clockwork.NewRealClock()
 	wor.dis = dispatcher.New(dispatcher.Options{Zone: "z0", Clock: clk, Breaker: breaker.New(breaker.Options{Clock: clk})})
@@ -210,7 +216,7 @@
 	wor.setUnits(dispatcher.Serving, workers...)
 	gat := gateway.New(gateway.Options{
 		Table: wor.tab.Load, Dispatcher: wor.dis, Sender: sender.New(&net.Dialer{}, clk, time.Second), Budget: wor.bud, Detector: wor.det,
-		HeaderCodec: codecStub{}, Meter: wor.mtr, Clock: clk, Logger: log.WithField("test", true),
+		HeaderCodec: codecStub{}, Meter: wor.mtr, OnLeaving: func(ins registrar.Instance) { wor.leaving <- ins }, Clock: clk, Logger: log.WithField("test", true),
 		Stopping: func() (time.Time, bool) {
 			if at := wor.ends.Load(); at != nil {
 				return *at, true
@@ -235,7 +241,7 @@
 	var units []dispatcher.Unit
 	for num, one := range workers {
 		units = append(units, dispatcher.Unit{
-			ID: fmt.Sprint("u", num), Pool: wor.pool, ServerID: fmt.Sprint("i", num), Address: one.lis.Addr().String(),
+			ID: fmt.Sprint("u", num), Pool: wor.pool, ServerID: fmt.Sprint("i", num), Started: 7, Address: one.lis.Addr().String(),
 			Zone: fmt.Sprint("z", num), Slots: 4,
 		})
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -12,6 +12,9 @@
 // RelistTimeout is how long a server that disappeared from the list around a store outage is kept: its lease may have expired unnoticed, and its next heartbeat lists it again. It is below 2 s, the time within which a server that leaves must stop receiving requests.
 const RelistTimeout = 1500 * time.Millisecond
 
+// leavingTTL is for how long a leaving instance that is off the list is remembered, in case it is listed again.
+const leavingTTL = 10 * time.Minute
+
 // Registrar holds the latest record of each backend server; it is safe for concurrent use.
 type Registrar struct {
 	clk              clockwork.Clock
@@ -22,8 +25,10 @@
 	remoteSuspicions map[Instance]time.Time
 	noPeers          bool
 	zonesOut         map[string]bool
-	view             atomic.Pointer[View]
-	changed          chan struct{}
+	// leaving holds when each instance said that it leaves.
+	leaving map[Instance]time.Time
+	view    atomic.Pointer[View]
+	changed chan struct{}
 }
 
 // suspicion is this entry's suspicion of a server instance: it lasts until a deadline, and is certain if the VM answered that nothing listens at the address.
@@ -41,6 +46,7 @@
 		suspicions:       map[Instance]suspicion{},
 		remoteSuspicions: map[Instance]time.Time{},
 		zonesOut:         map[string]bool{},
+		leaving:          map[Instance]time.Time{},
 		changed:          make(chan struct{}),
 	}
 	reg.publish()
@@ -164,6 +170,24 @@
 	}
 }
 
+// MarkLeaving records that a server instance has said that it leaves: it counts as draining from now on, whatever its records say. It reports false if that was known.
+func (reg *Registrar) MarkLeaving(ins Instance) bool {
+	reg.mux.Lock()
+	_, known := reg.leaving[ins]
+	reg.mux.Unlock()
+	if known {
+		return false
+	}
+	reg.update(func() {
+		now := reg.clk.Now()
+		maps.DeleteFunc(reg.leaving, func(old Instance, at time.Time) bool {
+			return reg.servers[old.ID].Instance() != old && now.Sub(at) >= leavingTTL
+		})
+		reg.leaving[ins] = now
+	})
+	return true
+}
+
 // SetZonesOut replaces the set of availability zones that get no new work.
 func (reg *Registrar) SetZonesOut(zones map[string]bool) {
 	reg.update(func() { reg.zonesOut = maps.Clone(zones) })
@@ -210,7 +234,7 @@
 }
 
 func (reg *Registrar) publish() {
-	vie := newView(reg.servers, reg.zonesOut)
+	vie := newView(reg.servers, reg.leaving, reg.zonesOut)
 	for ins, sus := range reg.suspicions {
 		_, corroborated := reg.remoteSuspicions[ins]
 		vie.suspicions[ins] = sus.certain || corroborated || reg.noPeers
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -160,6 +160,75 @@
 		Expect(reg.View().Suspected(ins)).To(BeFalse())
 	})
 
+	// Guards against requests to a server that has said in an answer that it leaves, at an entry that reads its records late or not at all.
+	DescribeTable("counts a server that says that it leaves as draining until another instance of it is listed",
+		func(follow func(reg *registrar.Registrar), usable bool) {
+			reg.Put(complete[0])
+			Expect(reg.MarkLeaving(complete[0].Instance())).To(BeTrue())
+			Expect(reg.MarkLeaving(complete[0].Instance())).To(BeFalse())
+			follow(reg)
+			for _, ser := range reg.View().Servers {
+				Expect(reg.View().Usable(ser)).To(Equal(usable))
+				Expect(ser.Draining).To(Equal(!usable))
+			}
+			Expect(reg.View().Servers).NotTo(BeEmpty())
+		},
+		Entry("nothing follows", func(*registrar.Registrar) {}, false),
+		Entry("its record still says ready", func(reg *registrar.Registrar) { reg.Put(complete[0]) }, false),
+		Entry("the whole list is read again", func(reg *registrar.Registrar) {
+			reg.Replace(map[string]registrar.Server{"a": complete[0]}, false)
+		}, false),
+		Entry("it is off the list and listed again", func(reg *registrar.Registrar) {
+			reg.Remove("a", false)
+			reg.Put(complete[0])
+		}, false),
+		Entry("a store outage ends", func(reg *registrar.Registrar) {
+			reg.Remove("a", true)
+			reg.Put(complete[0])
+		}, false),
+		Entry("the record of an earlier instance arrives late", func(reg *registrar.Registrar) {
+			reg.Put(registrar.Server{ID: "a", Started: 0})
+			reg.Put(complete[0])
+		}, false),
+		Entry("it is off the list for almost as long as it is remembered while others leave", func(reg *registrar.Registrar) {
+			reg.Remove("a", false)
+			clk.Advance(10*time.Minute - 1)
+			reg.MarkLeaving(registrar.Instance{ID: "c", Started: 1})
+			reg.Put(complete[0])
+		}, false),
+		Entry("it is off the list for as long as it is remembered", func(reg *registrar.Registrar) {
+			reg.Remove("a", false)
+			clk.Advance(10 * time.Minute)
+			reg.MarkLeaving(registrar.Instance{ID: "c", Started: 1})
+			reg.Put(complete[0])
+		}, true),
+		Entry("it is listed for longer than it would be remembered", func(reg *registrar.Registrar) {
+			clk.Advance(time.Hour)
+			reg.MarkLeaving(registrar.Instance{ID: "c", Started: 1})
+			reg.Put(complete[0])
+		}, false),
+		Entry("it starts again under its ID", func(reg *registrar.Registrar) {
+			ser := complete[0]
+			ser.Started = 2
+			reg.Put(ser)
+		}, true),
+		Entry("it starts again under another ID", func(reg *registrar.Registrar) {
+			ser := complete[0]
+			ser.ID = "new"
+			reg.Apply(registrar.Change{Put: []registrar.Server{ser}, Remove: []string{"a"}})
+		}, true),
+	)
+
+	It("lets no group serve whose head or member says that it leaves", func() {
+		for _, ins := range []registrar.Instance{complete[0].Instance(), complete[1].Instance()} {
+			reg := registrar.New(clk)
+			reg.Apply(registrar.Change{Put: complete})
+			Expect(reg.View().Serves(reg.View().Groups[0], 2)).To(BeTrue())
+			reg.MarkLeaving(ins)
+			Expect(reg.View().Serves(reg.View().Groups[0], 2)).To(BeFalse())
+		}
+	})
+
 	It("gives no work to servers in an availability zone that is out of service", func() {
 		reg.Put(complete[0])
 		reg.SetZonesOut(map[string]bool{"z": true})
--- a/registrar/view.go
+++ b/registrar/view.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 )
 
 // View is a snapshot of all backend servers.
@@ -14,6 +15,7 @@
 	Groups []Group
 	// suspicions maps each suspected instance to whether the suspicion is confirmed.
 	suspicions map[Instance]bool
+	leaving    map[Instance]time.Time
 	zonesOut   map[string]bool
 }
 
@@ -34,8 +36,14 @@
 	return head, listed
 }
 
-func newView(servers map[string]Server, zonesOut map[string]bool) *View {
-	vie := &View{Servers: maps.Clone(servers), suspicions: map[Instance]bool{}, zonesOut: maps.Clone(zonesOut)}
+func newView(servers map[string]Server, leaving map[Instance]time.Time, zonesOut map[string]bool) *View {
+	vie := &View{Servers: maps.Clone(servers), suspicions: map[Instance]bool{}, leaving: maps.Clone(leaving), zonesOut: maps.Clone(zonesOut)}
+	for ins := range leaving {
+		if ser := servers[ins.ID]; ser.Instance() == ins {
+			ser.Draining = true
+			vie.Servers[ins.ID] = ser
+		}
+	}
 	type key struct {
 		name  string
 		epoch int64
@@ -68,6 +76,12 @@
 	return !ser.Draining && !vie.zonesOut[ser.Zone] && !vie.Suspected(ser.Instance())
 }
 
+// Leaving reports whether a server instance has said in an answer that it leaves.
+func (vie *View) Leaving(ins Instance) bool {
+	_, leaving := vie.leaving[ins]
+	return leaving
+}
+
 // Suspected reports whether this entry suspects a server instance.
 func (vie *View) Suspected(ins Instance) bool {
 	_, suspected := vie.suspicions[ins]
