Leave a server alone for as long as its 503 asks for

Cause: Retry-After of a backend server's 503 was not read. The unit counted as full for 60 ms, or as faulty if the response did not say that the request had not run, and then got requests, retries and health checks again.

The dispatcher keeps the end of the pause by server instance, in one place for selection, queue and breaker: a paused unit is not chosen, a rejection with a pause is no fault and uses up no trial of a half-open circuit, and a request that no unit can start before its latest start is refused at once with the rest of the shortest pause. It is bounded to an hour, with a log line. Answers to orders and reports count as well.

Ruled out: a time in the breaker or on the unit alone; the first takes the server for broken, the second is lost when its group changes.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +11,7 @@
 
 	"github.com/lovagelever/lovagelever/queuer"
 	"github.com/lovagelever/lovagelever/refuser"
+	"github.com/lovagelever/lovagelever/registrar"
 )
 
 // Breaker is a circuit breaker that keeps requests away from units that fail repeatedly.
@@ -84,6 +84,8 @@
 	totals      map[string]int
 	totalsUntil time.Time
 	totalsAge   time.Duration
+	// pauses holds until when backend servers want no requests from this entry.
+	pauses map[registrar.Instance]time.Time
 }
 
 type pool struct {
@@ -111,7 +113,7 @@
 	if opt.Random == nil {
 		opt.Random = rand.Float64
 	}
-	return &Dispatcher{opt: opt, units: map[string]*unitState{}, pools: map[string]*pool{}, remoteByEntry: map[string]map[string]int{}, entries: 1}
+	return &Dispatcher{opt: opt, units: map[string]*unitState{}, pools: map[string]*pool{}, remoteByEntry: map[string]map[string]int{}, entries: 1, pauses: map[registrar.Instance]time.Time{}}
 }
 
 // Placement is the right to send one request to a unit; the holder must call Release.
@@ -166,15 +168,18 @@
 	dis.mux.Lock()
 	defer dis.mux.Unlock()
 	poo := dis.pools[req.Pool]
-	if poo == nil || !poo.anyServing(req) {
+	if poo == nil {
 		return nil, answer{err: refuser.NotRun("no unit of "+req.Pool+" is serving", refuser.DefaultRetryAfter)}
 	}
+	if err := dis.unavailable(poo, req); err != nil {
+		return nil, answer{err: err}
+	}
 	if poo.queue.Len() == 0 {
 		if sta := dis.selectUnit(poo, req); sta != nil {
 			return nil, answer{placement: dis.grant(sta, req)}
 		}
 	}
-	poo.queue.SetSlots(poo.localSlots())
+	poo.queue.SetSlots(dis.localSlots(poo, req.StartBy))
 	evicted, err := poo.queue.Push(queueItem(req))
 	if err != nil {
 		return nil, answer{err: err}
@@ -266,6 +271,7 @@
 func (dis *Dispatcher) DispatchWaiting() {
 	dis.mux.Lock()
 	defer dis.mux.Unlock()
+	dis.expirePauses()
 	if dis.totals != nil && !dis.totalsApply() {
 		dis.totals = nil
 		dis.refreshRemote()
@@ -275,24 +281,17 @@
 	}
 }
 
-// anyServing reports whether any unit that has not yet received the request is serving.
-func (poo *pool) anyServing(req Request) bool {
-	return slices.ContainsFunc(poo.units, func(sta *unitState) bool {
-		return sta.Readiness == Serving && !slices.Contains(req.Exclude, sta.ID)
-	})
-}
-
 // loadSummary formats the load of the pool for the message of a refusal.
 func (poo *pool) loadSummary() string {
 	loa := poo.load()
 	return fmt.Sprintf(" (%d of %d places in use, %d requests waiting at this entry)", loa.InUse, loa.Slots, loa.Waiting)
 }
 
-// localSlots returns how many slots of the pool this entry uses or could use now, at least 1.
-func (poo *pool) localSlots() int {
+// localSlots returns how many slots of the pool this entry uses or could use by a time, at least 1.
+func (dis *Dispatcher) localSlots(poo *pool, by time.Time) int {
 	num := 0
 	for _, sta := range poo.units {
-		if sta.Readiness == Serving {
+		if dis.canStart(sta, by) {
 			num += sta.running + max(0, sta.Slots-sta.running-sta.remote)
 		}
 	}
--- /dev/null
+++ b/dispatcher/pause.go
@@ -0,0 +1,78 @@
+package dispatcher
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lovagelever/lovagelever/refuser"
+	"github.com/lovagelever/lovagelever/registrar"
+)
+
+// Pause keeps the requests of this entry away from a backend server for a while; of several pauses the one that ends last holds. Waiting requests that no other unit can start in time are refused. It reports false if the server was paused already.
+func (dis *Dispatcher) Pause(ins registrar.Instance, dur time.Duration) bool {
+	dis.mux.Lock()
+	defer dis.mux.Unlock()
+	now := dis.opt.Clock.Now()
+	was, until := dis.pauses[ins], now.Add(dur)
+	if until.After(was) {
+		dis.pauses[ins] = until
+	}
+	for _, poo := range dis.pools {
+		dis.refuseUnavailable(poo)
+	}
+	return !was.After(now)
+}
+
+// Paused reports whether a backend server wants no requests from this entry now.
+func (dis *Dispatcher) Paused(ins registrar.Instance) bool {
+	dis.mux.Lock()
+	defer dis.mux.Unlock()
+	return dis.pauses[ins].After(dis.opt.Clock.Now())
+}
+
+func (dis *Dispatcher) expirePauses() {
+	now := dis.opt.Clock.Now()
+	maps.DeleteFunc(dis.pauses, func(_ registrar.Instance, until time.Time) bool { return !until.After(now) })
+}
+
+// canStart reports whether a unit serves, and takes requests by a time as far as pauses are concerned.
+func (dis *Dispatcher) canStart(sta *unitState, by time.Time) bool {
+	if sta.Readiness != Serving {
+		return false
+	}
+	until := dis.pauses[sta.Instance()]
+	return until.Before(by) || !until.After(dis.opt.Clock.Now())
+}
+
+// unavailable returns the refusal of a request that no unit can start in time, because none serves or those that do are paused, or nil.
+func (dis *Dispatcher) unavailable(poo *pool, req Request) error {
+	now, serving := dis.opt.Clock.Now(), 0
+	var free time.Time
+	for _, sta := range poo.units {
+		if sta.Readiness != Serving {
+			continue
+		}
+		if !slices.Contains(req.Exclude, sta.ID) && dis.canStart(sta, req.StartBy) {
+			return nil
+		}
+		if until := dis.pauses[sta.Instance()]; serving == 0 || until.Before(free) {
+			free = until
+		}
+		serving++
+	}
+	if free.After(now) {
+		return refuser.NotRun("every unit of "+req.Pool+" has asked for a pause", free.Sub(now))
+	}
+	return refuser.NotRun("no unit of "+req.Pool+" is serving", refuser.DefaultRetryAfter)
+}
+
+// refuseUnavailable refuses the waiting requests that no unit can start in time.
+func (dis *Dispatcher) refuseUnavailable(poo *pool) {
+	for _, id := range slices.Sorted(maps.Keys(poo.waiting)) {
+		if err := dis.unavailable(poo, poo.waiting[id].req); err != nil {
+			poo.queue.Remove(id)
+			poo.refuse(id, err)
+		}
+	}
+}
--- a/dispatcher/update.go
+++ b/dispatcher/update.go
@@ -1,13 +1,11 @@
 package dispatcher
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/lovagelever/lovagelever/queuer"
-	"github.com/lovagelever/lovagelever/refuser"
 )
 
 // SetUnits replaces the list of units; a unit missing from it gets no new requests, and its running requests continue.
@@ -208,7 +206,7 @@
 	}
 }
 
-// rebuildPools assigns the units to their pools and refuses the waiting requests that no serving unit is left for.
+// rebuildPools assigns the units to their pools and refuses the waiting requests that no unit is left for.
 func (dis *Dispatcher) rebuildPools() {
 	for _, poo := range dis.pools {
 		poo.units = poo.units[:0]
@@ -223,14 +221,9 @@
 	}
 	dis.sumReported()
 	dis.refreshRemote()
-	for name, poo := range dis.pools {
+	for _, poo := range dis.pools {
 		slices.SortFunc(poo.units, func(one, two *unitState) int { return strings.Compare(one.ID, two.ID) })
-		for _, id := range slices.Sorted(maps.Keys(poo.waiting)) {
-			if wai := poo.waiting[id]; !poo.anyServing(wai.req) {
-				poo.queue.Remove(id)
-				poo.refuse(id, refuser.NotRun("no unit of "+name+" is serving any longer", refuser.DefaultRetryAfter))
-			}
-		}
+		dis.refuseUnavailable(poo)
 		dis.dispatchWaiting(poo)
 	}
 }
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -45,6 +45,8 @@
 	unwrittenEntryTTL = 30 * time.Second
 	// registerSpread is the time over which entries distribute their calls to register again.
 	registerSpread = time.Second
+	// maxPause bounds the pause that a backend server may ask for.
+	maxPause = time.Hour
 	// tickInterval is the interval at which expiring state is checked.
 	tickInterval = 20 * time.Millisecond
 	// sweepTicks is the number of ticks between sweeps of idle connections.
@@ -118,6 +120,7 @@
 	gat.units.Store(&unitTable{})
 	gat.bounds.Store(&set.Bounds)
 	gat.pla.OnLeaving(gat.onLeaving)
+	gat.pla.OnPause(gat.onPause)
 	gat.buildRequestPath(source)
 	if err := gat.buildPeerExchange(); err != nil {
 		return nil, err
@@ -138,7 +141,7 @@
 	})
 	gat.gat = gateway.New(gateway.Options{
 		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, Budget: gat.bud, Detector: gat.det,
-		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
+		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, OnPause: gat.onPause, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
 	})
 }
 
@@ -191,8 +194,11 @@
 	gat *Server
 }
 
-// Probe requests a report and counts any response as a sign of life; it fails with detector.ErrDown, or with another error if there was no response.
+// Probe requests a report and counts any response as a sign of life; it fails with detector.ErrDown, or with another error if there was no response. A server that has asked for a pause is sent nothing and counts as alive.
 func (pro prober) Probe(ctx context.Context, ser registrar.Server) error {
+	if pro.gat.dis.Paused(ser.Instance()) {
+		return nil
+	}
 	_, err := pro.gat.pla.Engines.Report(ctx, ser)
 	if errors.Is(err, conductor.ErrServerReplaced) || errors.Is(err, conductor.ErrUnexpectedAnswer) {
 		return nil
--- a/gateserver/platform.go
+++ b/gateserver/platform.go
@@ -37,7 +37,9 @@
 	Lease   elector.Lease
 	Engines conductor.EngineClient
 	// OnLeaving sets the function that receives the backend servers whose responses to Engines say that they leave.
-	OnLeaving   func(receive func(ins registrar.Instance))
+	OnLeaving func(receive func(ins registrar.Instance))
+	// OnPause sets the function that receives those that want no requests for a while.
+	OnPause     func(receive func(ins registrar.Instance, dur time.Duration))
 	HeaderCodec gateway.HeaderCodec
 	// DecodeOperatorRecord and DecodeServer decode one record of the operator and server topics.
 	DecodeOperatorRecord func(rec tailer.Record) (OperatorRecord, error)
--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -112,7 +112,7 @@
 func platform(sto *store) gateserver.Platform {
 	return gateserver.Platform{
 		Topics: topics, Store: sto, Records: stubs{}, Lease: stubs{}, Engines: stubs{},
-		OnLeaving: func(func(ins registrar.Instance)) {},
+		OnLeaving: func(func(ins registrar.Instance)) {}, OnPause: func(func(ins registrar.Instance, dur time.Duration)) {},
 		DecodeOperatorRecord: func(rec tailer.Record) (gateserver.OperatorRecord, error) {
 			return gateserver.OperatorRecord{Config: &router.Config{Version: 1}}, nil
 		},
--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -93,6 +94,18 @@
 	}
 }
 
+// onPause keeps requests away from a backend server that wants none for a while.
+func (gat *Server) onPause(ins registrar.Instance, dur time.Duration) {
+	log := gat.log.WithFields(logrus.Fields{"server": ins.ID, "started": ins.Started, "pause_ms": dur.Milliseconds()})
+	if dur > maxPause {
+		log.WithField("limit_ms", maxPause.Milliseconds()).Warn("backend server asks for a pause beyond the limit")
+		dur = maxPause
+	}
+	if gat.dis.Pause(ins, dur) {
+		log.Info("backend server asks for a pause")
+	}
+}
+
 // maxLoggedServers is the number of backend servers up to which a change of the list is logged one by one.
 const maxLoggedServers = 8
 
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -45,10 +45,12 @@
 	ServerID string
 	// Leaving means that the backend server is about to stop and takes no new requests.
 	Leaving bool
+	// PauseFor is how long the backend server, which has rejected the request, wants no requests from this entry.
+	PauseFor time.Duration
 }
 
-// concerns reports whether the response was sent by the backend server that the request was meant for.
-func (inf ResponseInfo) concerns(server string) bool {
+// Concerns reports whether the response was sent by the backend server that the request was meant for.
+func (inf ResponseInfo) Concerns(server string) bool {
 	if inf.ServerID == "" {
 		return !inf.Misdirected
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,8 +58,10 @@
 	Meter       Meter
 	// OnLeaving receives the backend servers whose responses say that they leave.
 	OnLeaving func(ins registrar.Instance)
-	Clock     clockwork.Clock
-	Logger    *logrus.Entry
+	// OnPause receives the backend servers that want no requests for a while.
+	OnPause func(ins registrar.Instance, dur time.Duration)
+	Clock   clockwork.Clock
+	Logger  *logrus.Entry
 	// Stopping reports whether the entry is shutting down, so that connections are closed after the response, and when it ends.
 	Stopping func() (ends time.Time, stopping bool)
 }
@@ -301,12 +303,18 @@
 	return time.Duration((read + write) * pace * float64(time.Second))
 }
 
-// parseResponse classifies the response of a unit, and reports a backend server that leaves.
+// parseResponse classifies the response of a unit, and reports a backend server that leaves or wants a pause.
 func (job *job) parseResponse(pla *dispatcher.Placement, res *http.Response) ResponseInfo {
 	ver := job.gat.opt.HeaderCodec.ParseResponse(job.cal, res)
-	if ver.Leaving && ver.concerns(pla.Unit.ServerID) {
+	if !ver.Concerns(pla.Unit.ServerID) {
+		return ver
+	}
+	if ver.Leaving {
 		job.gat.opt.OnLeaving(pla.Unit.Instance())
 	}
+	if ver.PauseFor > 0 {
+		job.gat.opt.OnPause(pla.Unit.Instance(), ver.PauseFor)
+	}
 	return ver
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -110,8 +110,16 @@
 	return exc, err
 }
 
-// classify returns the result of an attempt for its unit; it fails with sender.ErrLost if the response is incomplete or does not belong to the request.
+// classify returns the result of an attempt for its unit, where a server that wants a pause has no fault; it fails with sender.ErrLost if the response is incomplete or does not belong to the request.
 func (job *job) classify(rep reply, err error) (dispatcher.Result, error) {
+	res, err := job.classifyRun(rep, err)
+	if res == dispatcher.Fault && rep.ver.PauseFor > 0 {
+		res = dispatcher.Rejected
+	}
+	return res, err
+}
+
+func (job *job) classifyRun(rep reply, err error) (dispatcher.Result, error) {
 	if rep.ver.NotRun {
 		if rep.ver.Misdirected {
 			return dispatcher.Fault, nil
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -52,8 +52,10 @@
 }
 
 func (codecStub) ParseResponse(cal gateway.Call, res *http.Response) gateway.ResponseInfo {
+	pause, _ := strconv.Atoi(res.Header.Get("X-Pause"))
 	return gateway.ResponseInfo{
-		NotRun: res.Header.Get("X-Not-Run") != "", Verified: res.Header.Get("X-Signed") != "" && res.Header.Get("X-Id") == cal.ID,
+		PauseFor: time.Duration(pause) * time.Millisecond,
+		NotRun:   res.Header.Get("X-Not-Run") != "", Verified: res.Header.Get("X-Signed") != "" && res.Header.Get("X-Id") == cal.ID,
 		Misdirected: res.StatusCode == http.StatusMisdirectedRequest, Leaving: res.Header.Get("X-Leaving") != "", ServerID: res.Header.Get("X-Server-Id"),
 	}
 }
@@ -216,7 +218,8 @@
 	wor.setUnits(dispatcher.Serving, workers...)
 	gat := gateway.New(gateway.Options{
 		Table: wor.tab.Load, Dispatcher: wor.dis, Sender: sender.New(&net.Dialer{}, clk, time.Second), Budget: wor.bud, Detector: wor.det,
-		HeaderCodec: codecStub{}, Meter: wor.mtr, OnLeaving: func(ins registrar.Instance) { wor.leaving <- ins }, Clock: clk, Logger: log.WithField("test", true),
+		HeaderCodec: codecStub{}, Meter: wor.mtr, OnLeaving: func(ins registrar.Instance) { wor.leaving <- ins },
+		OnPause: func(ins registrar.Instance, dur time.Duration) { wor.dis.Pause(ins, dur) }, Clock: clk, Logger: log.WithField("test", true),
 		Stopping: func() (time.Time, bool) {
 			if at := wor.ends.Load(); at != nil {
 				return *at, true
