--- a/prover/gate_soak_test.go
+++ b/prover/gate_soak_test.go
@@ -12,7 +12,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lovagelever/lovagelever/disturber"
 	"github.com/lovagelever/lovagelever/platform/callerfaker"
+	"github.com/lovagelever/lovagelever/platform/storefaker"
 	"github.com/lovagelever/lovagelever/router"
 )
 
@@ -89,6 +91,26 @@
 		gts.expectGuarantees()
 	})
 
+	It("send nothing to servers that leave while the store is down or that ask for a pause", func() {
+		rng := newRandom()
+		gts := newGates(rng)
+		stop := gts.load(rng)
+		time.Sleep(time.Second)
+		zone := rng.IntN(gateZones)
+		gts.setStoreUnreachable(true)
+		Expect(gts.sto.Set(storefaker.Faults{Faults: disturber.Faults{Down: true}})).To(Succeed())
+		for _, num := range []int{0, enginesPerZone} {
+			gts.wor.Drain(workerID(zone, num))
+		}
+		gts.wor.Pause(workerID((zone+1)%gateZones, enginesPerZone), 3*time.Second)
+		time.Sleep(5 * time.Second)
+		Expect(gts.sto.Set(storefaker.Faults{})).To(Succeed())
+		gts.setStoreUnreachable(false)
+		time.Sleep(time.Second)
+		stop()
+		gts.expectGuarantees()
+	})
+
 	It("apply every configuration within seconds and never revert", func() {
 		rng := newRandom()
 		gts := newGates(rng)
