--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -86,6 +87,25 @@
 	gat.reg.Apply(upd)
 }
 
+// onLeaving marks a backend server that has said in a response that it leaves.
+func (gat *Server) onLeaving(ins registrar.Instance) {
+	if gat.reg.MarkLeaving(ins) {
+		gat.log.WithFields(logrus.Fields{"server": ins.ID, "started": ins.Started}).Info("backend server says that it leaves")
+	}
+}
+
+// onPause keeps requests away from a backend server that wants none for a while.
+func (gat *Server) onPause(ins registrar.Instance, dur time.Duration) {
+	log := gat.log.WithFields(logrus.Fields{"server": ins.ID, "started": ins.Started, "pause_ms": dur.Milliseconds()})
+	if dur > maxPause {
+		log.WithField("limit_ms", maxPause.Milliseconds()).Warn("backend server asks for a pause beyond the limit")
+		dur = maxPause
+	}
+	if gat.dis.Pause(ins, dur) {
+		log.Info("backend server asks for a pause")
+	}
+}
+
 // maxLoggedServers is the number of backend servers up to which a change of the list is logged one by one.
 const maxLoggedServers = 8
 
@@ -94,6 +114,7 @@
 	vie := gat.reg.View()
 	var changed []registrar.Server
 	for _, ser := range upd.Put {
+		ser.Draining = ser.Draining || vie.Leaving(ser.Instance())
 		if old, known := vie.Servers[ser.ID]; !known || old.Started != ser.Started || old.Draining != ser.Draining {
 			changed = append(changed, ser)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/lovagelever/lovagelever/collector"
 	"github.com/lovagelever/lovagelever/dispatcher"
 	"github.com/lovagelever/lovagelever/refuser"
+	"github.com/lovagelever/lovagelever/registrar"
 	"github.com/lovagelever/lovagelever/router"
 	"github.com/lovagelever/lovagelever/sender"
 )
@@ -57,8 +58,12 @@
 	Detector    Detector
 	HeaderCodec HeaderCodec
 	Meter       Meter
-	Clock       clockwork.Clock
-	Logger      *logrus.Entry
+	// OnLeaving receives the backend servers whose responses say that they leave.
+	OnLeaving func(ins registrar.Instance)
+	// OnPause receives the backend servers that want no requests for a while.
+	OnPause func(ins registrar.Instance, dur time.Duration)
+	Clock   clockwork.Clock
+	Logger  *logrus.Entry
 	// Stopping reports whether the entry is shutting down, so that connections are closed after the response, and when it ends.
 	Stopping func() (ends time.Time, stopping bool)
 }
@@ -317,6 +322,21 @@
 	return time.Duration((read + write) * pace * float64(time.Second))
 }
 
+// parseResponse classifies the response of a unit, and reports a backend server that leaves or wants a pause.
+func (job *job) parseResponse(pla *dispatcher.Placement, res *http.Response) ResponseInfo {
+	ver := job.gat.opt.HeaderCodec.ParseResponse(job.cal, res)
+	if !ver.Concerns(pla.Unit.ServerID) {
+		return ver
+	}
+	if ver.Leaving {
+		job.gat.opt.OnLeaving(pla.Unit.Instance())
+	}
+	if ver.PauseFor > 0 {
+		job.gat.opt.OnPause(pla.Unit.Instance(), ver.PauseFor)
+	}
+	return ver
+}
+
 func (job *job) buildRequest(pla *dispatcher.Placement, after string) sender.Request {
 	within := job.gat.opt.Clock.Until(job.deadline)
 	head := job.gat.opt.HeaderCodec.RequestHeader(job.req.Header, job.cal, Hop{
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -155,7 +155,7 @@
 		}
 		return result{err: err, sent: !notSent, mayRun: !notSent}
 	}
-	rep := reply{res: exc.Response, ver: job.gat.opt.HeaderCodec.ParseResponse(job.cal, exc.Response)}
+	rep := reply{res: exc.Response, ver: job.parseResponse(pla, exc.Response)}
 	err = job.receive(pla, exc, &rep)
 	exc.End(err == nil && rep.ver.Verified)
 	res, err := classify(rep, err)
@@ -184,8 +184,16 @@
 	return err
 }
 
-// classify returns the result of an attempt for its unit; it fails with sender.ErrLost if the response is incomplete or does not belong to the request.
+// classify returns the result of an attempt for its unit, where a server that wants a pause has no fault; it fails with sender.ErrLost if the response is incomplete or does not belong to the request.
 func classify(rep reply, err error) (dispatcher.Result, error) {
+	res, err := classifyRun(rep, err)
+	if res == dispatcher.Fault && rep.ver.PauseFor > 0 {
+		res = dispatcher.Rejected
+	}
+	return res, err
+}
+
+func classifyRun(rep reply, err error) (dispatcher.Result, error) {
 	if rep.ver.NotRun {
 		if err != nil {
 			return dispatcher.Rejected, errors.WithType(errors.Annotate(err, "gateway: rejection ended early"), sender.ErrLost)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -128,7 +128,7 @@
 		}
 	}
 	exc := att.exc
-	rep = reply{res: exc.Response, ver: rel.gat.opt.HeaderCodec.ParseResponse(rel.cal, exc.Response)}
+	rep = reply{res: exc.Response, ver: rel.parseResponse(pla, exc.Response)}
 	if rep.ver.NotRun || rep.res.StatusCode != http.StatusOK || !rep.ver.Verified {
 		out.Result, err = rel.finishNonStream(exc, &rep)
 		return rep, nil, err
