Close the unreachable unit's listener once the test's others have their ports

Cause: "requests a check of an unreachable unit and tries another one" failed once in a run of the suite beside load. The spec closed the unit's listener and then started the gateway's own, which may get the same port: the log of the failure has a refusal with status 401 by the spec's own gateway, to which the entry's request had gone.

Change: the listener is closed after the gateway has started. The spec checks the same.

--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -269,8 +269,9 @@
 
 	It("requests a check of an unreachable unit and tries another one", func() {
 		gone := newWorker(whole(200, "never"))
-		_ = gone.lis.Close()
 		wor := newWorld(unsafe, gone, newWorker(whole(200, "good")))
+		// Closed last, so that no listener of the test gets the port.
+		_ = gone.lis.Close()
 		Expect(wor.call(context.Background()).body).To(Equal("good"))
 		Expect(wor.det.suspects.Load()).To(BeNumerically(">=", 1))
 	})
