Show that a prompt part crashes one backend server after the other

Cause: gate counts no crash against a request or a part of its prompt. The test lets a part crash five servers, and expects that further requests with it are refused and its siblings served.

--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,67 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// crashes returns a worker that ends, with its listener, when it begins to answer a request with the part "bad".
+func crashes() *worker {
+	var wor *worker
+	wor = newWorker(func(con net.Conn, req *http.Request, body []byte) bool {
+		if !strings.Contains(req.Header.Get("X-Parts"), "bad") {
+			return events(lastEvent, complete)(con, req, body)
+		}
+		_ = wor.lis.Close()
+		reset(con)
+		return false
+	})
+	return wor
+}
+
+var _ = Describe("Gateway with a prompt part that crashes backend servers", func() {
+	It("sends no further request with the part once five servers have crashed, and serves its siblings", func() {
+		const crashLimit, pause = 5, 250 * time.Millisecond
+		var workers []*worker
+		for range 3 * crashLimit {
+			workers = append(workers, crashes())
+		}
+		wor := newWorld(resumable, workers...)
+		send := func(num int, parts string) result {
+			return wor.call(context.Background(), "X-Id", fmt.Sprint(num), "X-Parts", parts)
+		}
+		crashed := func() int {
+			num := 0
+			for _, one := range workers {
+				con, err := net.Dial("tcp", one.lis.Addr().String())
+				if err != nil {
+					num++
+					continue
+				}
+				_ = con.Close()
+			}
+			return num
+		}
+		num := 0
+		for ; crashed() < crashLimit && num < 2*crashLimit; num++ {
+			send(num, fmt.Sprintf("common,bad,%d", num))
+			time.Sleep(pause)
+		}
+		before := crashed()
+		for range 4 {
+			num++
+			res := send(num, fmt.Sprintf("common,bad,%d", num))
+			Expect(res.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(res.head.Get("Retry-After")).NotTo(BeEmpty())
+		}
+		Expect(crashed()).To(Equal(before))
+		Expect(send(num+1, "common,own").body).To(Equal(eventsFrom(1)))
+	})
+})
