Find the parts of prompts that crash backend servers

Cause: crashes counted against whole requests only, and those that share a part of their prompt are never the same twice.

A request now has subjects: its fingerprint and the parts of its prompt. The quarantiner looks for the subjects that explain most crashes, charges each crash to those alone, and clears subjects by requests that ran since. Subjects that were at the same crashes are refused together only, so that a part that all requests of a class share cannot be condemned for another one. Entries exchange crashes and proofs by their age, in datagrams of a new version.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -12,6 +12,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+
+	"github.com/lovagelever/lovagelever/quarantiner"
 )
 
 const (
@@ -58,7 +60,8 @@
 // Options configures a Heartbeater: Peers returns the other entries, Collectors those of them that get a heartbeat every
 // MinInterval, Rate how often this entry sends heartbeats to all, Heartbeat the heartbeat to send to a collector or to another peer,
 // Totals the totals to send every MinInterval, by peer, OnHeartbeat and OnTotals handle what is received, and OnSilent an entry that
-// has become silent.
+// has become silent. Evidence returns the evidence about crashes to send to all peers now, and OnEvidence handles that of others; both
+// may be nil.
 type Options struct {
 	Address     netip.AddrPort
 	Peers       func() []Peer
@@ -69,6 +72,8 @@
 	OnHeartbeat func(bea Heartbeat)
 	OnTotals    func(tot Totals)
 	OnSilent    func(name string)
+	Evidence    func() quarantiner.Evidence
+	OnEvidence  func(evi quarantiner.Evidence)
 	Clock       clockwork.Clock
 	Logger      *logrus.Entry
 }
@@ -150,6 +155,7 @@
 	if len(peers) == 0 {
 		return
 	}
+	hea.sendEvidence(peers)
 	num := hea.dueNow(len(peers))
 	for pee, tot := range hea.opt.Totals(peers) {
 		hea.write(EncodeTotals(tot), pee)
@@ -174,6 +180,18 @@
 	}
 }
 
+// sendEvidence sends the evidence that is due to all peers, since each must refuse a request that crashes its backend servers.
+func (hea *Heartbeater) sendEvidence(peers []Peer) {
+	if hea.opt.Evidence == nil {
+		return
+	}
+	for _, data := range EncodeEvidence(hea.opt.Evidence()) {
+		for _, pee := range peers {
+			hea.write(data, pee)
+		}
+	}
+}
+
 // dueNow returns how many of the peers get a heartbeat in this MinInterval.
 func (hea *Heartbeater) dueNow(peers int) int {
 	every := hea.opt.Rate().interval(peers)
@@ -203,6 +221,10 @@
 			hea.receiveTotals(buf[:num])
 			continue
 		}
+		if num > 0 && buf[0] == evidenceVersion {
+			hea.receiveEvidence(buf[:num])
+			continue
+		}
 		bea, err := Decode(buf[:num])
 		if err != nil {
 			hea.opt.Logger.WithError(err).Debug("ignoring datagram that is not a valid heartbeat")
@@ -228,6 +250,17 @@
 	hea.opt.OnTotals(tot)
 }
 
+func (hea *Heartbeater) receiveEvidence(data []byte) {
+	evi, err := DecodeEvidence(data)
+	if err != nil {
+		hea.opt.Logger.WithError(err).Debug("ignoring datagram that holds no valid evidence")
+		return
+	}
+	if hea.opt.OnEvidence != nil {
+		hea.opt.OnEvidence(evi)
+	}
+}
+
 // accept records a heartbeat, and reports false if it is no newer than the last one of the same entry.
 func (hea *Heartbeater) accept(bea Heartbeat) bool {
 	hea.mux.Lock()
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 
 	"github.com/lovagelever/lovagelever/recorder"
 )
@@ -20,10 +21,22 @@
 	DefaultMaxAge          = 30 * time.Minute
 )
 
+// maxSoundParts and maxSoundRequests are the numbers of parts and of requests of which a Quarantiner knows when they last proved sound.
+const (
+	maxSoundParts    = 16384
+	maxSoundRequests = 4096
+)
+
 // Settings limits the number and the age of the observations that a Quarantiner keeps; zero fields take their defaults.
 type Settings struct {
 	MaxObservations int
 	MaxAge          time.Duration
+	// RequestCrashes is the number of crashes after which a request is quarantined, CrashesToCondemn by default.
+	RequestCrashes int
+	// Tries reports whether this entry may run a request to find out whether a quarantine still holds; at most one entry may, by default none.
+	Tries func() bool
+	// Logger logs quarantines; nil logs none.
+	Logger logrus.FieldLogger
 }
 
 // CondemnedSet reports whether the state applied from the replicated log condemns a fingerprint.
@@ -56,9 +69,21 @@
 	mu           sync.Mutex
 	observations map[string]map[string]CrashObservation
 	count        int
+	// soundParts and soundRequests hold when parts and requests last proved sound.
+	soundParts    *history
+	soundRequests *history
+	// ownSound holds when requests of this entry last proved a part sound.
+	ownSound *history
+	// verdicts holds the verdicts of the last evaluation by their first subject, and explained the crashes that they explain; stale means that there is evidence since.
+	verdicts    map[string][]Verdict
+	explained   map[string]bool
+	evaluatedAt time.Time
+	stale       bool
+	// tried holds when this entry last ran a quarantined request, by the key of the verdict.
+	tried map[string]time.Time
 }
 
-// New returns a Quarantiner without observations.
+// New returns a Quarantiner without observations; without a replicated log, the set and the proposer are nil.
 func New(set Settings, clk clockwork.Clock, con CondemnedSet, pro Proposer) *Quarantiner {
 	if set.MaxObservations <= 0 {
 		set.MaxObservations = DefaultMaxObservations
@@ -66,7 +91,13 @@
 	if set.MaxAge <= 0 {
 		set.MaxAge = DefaultMaxAge
 	}
-	return &Quarantiner{set: set, clk: clk, con: con, pro: pro, observations: map[string]map[string]CrashObservation{}}
+	if set.RequestCrashes <= 0 {
+		set.RequestCrashes = CrashesToCondemn
+	}
+	return &Quarantiner{
+		set: set, clk: clk, con: con, pro: pro, observations: map[string]map[string]CrashObservation{},
+		soundParts: newHistory(maxSoundParts), soundRequests: newHistory(maxSoundRequests), ownSound: newHistory(maxSoundParts), tried: map[string]time.Time{},
+	}
 }
 
 // RecordCrash records that a request of a workspace was running on a unit when the unit crashed.
@@ -74,13 +105,51 @@
 	qua.Merge(CrashObservation{Fingerprint: fpr, Workspace: workspace, Unit: unit, CrashID: crashID, At: qua.clk.Now()})
 }
 
+// RecordSuspects records the subjects of requests that were running on a unit when the unit crashed.
+func (qua *Quarantiner) RecordSuspects(subs []string, crashID string, at time.Time) {
+	for _, sub := range subs {
+		qua.Merge(CrashObservation{Fingerprint: sub, CrashID: crashID, At: at})
+	}
+}
+
+func (qua *Quarantiner) soundHistory(sub string) *history {
+	if IsPart(sub) {
+		return qua.soundParts
+	}
+	return qua.soundRequests
+}
+
+func (qua *Quarantiner) lastSound(sub string) time.Time {
+	return qua.soundHistory(sub).last(sub)
+}
+
 // RecordCompletion records that a request completed, which clears it of all crashes known so far.
 func (qua *Quarantiner) RecordCompletion(fpr string) {
+	qua.RecordSound([]string{fpr}, qua.clk.Now())
+}
+
+// RecordSound records that a request with the given subjects began at a time and proved sound, which clears them of earlier crashes.
+func (qua *Quarantiner) RecordSound(subs []string, began time.Time) {
 	qua.mu.Lock()
 	defer qua.mu.Unlock()
-	for id, obs := range qua.observations[fpr] {
-		obs.Cleared = true
-		qua.observations[fpr][id] = obs
+	for _, sub := range subs {
+		if IsPart(sub) {
+			qua.ownSound.record(sub, began)
+		}
+		qua.clear(sub, began)
+	}
+}
+
+// clear clears a subject of the crashes up to a time at which it proved sound.
+func (qua *Quarantiner) clear(sub string, began time.Time) {
+	byCrash := qua.observations[sub]
+	if !qua.soundHistory(sub).record(sub, began) || byCrash == nil {
+		return
+	}
+	qua.stale = true
+	for id, obs := range byCrash {
+		obs.Cleared = obs.Cleared || !obs.At.After(began)
+		byCrash[id] = obs
 	}
 }
 
@@ -93,7 +162,7 @@
 
 // Condemned reports whether a request is condemned, by the applied log or by the observations of this entry.
 func (qua *Quarantiner) Condemned(fpr string) bool {
-	if qua.con.Condemned(fpr) {
+	if qua.inLog(fpr) {
 		return true
 	}
 	qua.mu.Lock()
@@ -104,16 +173,26 @@
 // Merge adds an observation of this or another entry, and proposes a condemnation when it reaches CrashesToCondemn; duplicates count once.
 func (qua *Quarantiner) Merge(obs CrashObservation) {
 	qua.mu.Lock()
+	if qua.pro == nil || IsPart(obs.Fingerprint) {
+		qua.add(obs)
+		qua.mu.Unlock()
+		return
+	}
 	before := len(qua.countedCrashes(obs.Fingerprint))
 	qua.add(obs)
 	crashes := qua.countedCrashes(obs.Fingerprint)
 	qua.mu.Unlock()
-	if before >= CrashesToCondemn || len(crashes) < CrashesToCondemn || qua.con.Condemned(obs.Fingerprint) {
+	if before >= CrashesToCondemn || len(crashes) < CrashesToCondemn || qua.inLog(obs.Fingerprint) {
 		return
 	}
 	qua.pro.Propose(recorder.Condemn{Fingerprint: obs.Fingerprint, Workspace: obs.Workspace, Crashed: crashes})
 }
 
+// inLog reports whether the replicated log condemns a request.
+func (qua *Quarantiner) inLog(fpr string) bool {
+	return qua.con != nil && qua.con.Condemned(fpr)
+}
+
 // Observations returns the observations that have not expired, for other entries to merge.
 func (qua *Quarantiner) Observations() []CrashObservation {
 	qua.mu.Lock()
@@ -151,7 +230,12 @@
 	if qua.expired(obs) {
 		return
 	}
+	if obs.Cleared {
+		qua.soundHistory(obs.Fingerprint).record(obs.Fingerprint, obs.At)
+	}
+	obs.Cleared = obs.Cleared || !obs.At.After(qua.lastSound(obs.Fingerprint))
 	known, exists := qua.observations[obs.Fingerprint][obs.CrashID]
+	qua.stale = qua.stale || !exists || obs.Cleared && !known.Cleared
 	if exists {
 		known.Cleared = known.Cleared || obs.Cleared
 		qua.observations[obs.Fingerprint][obs.CrashID] = known
