Refuse requests that crash backend servers, at all entries of gate

The gateway reports attempts that broke off before they proved sound; investigator checks the unit and, if it crashed, sends the subjects to all entries. Quarantined requests are refused before and after the wait for a slot and before a resume, and a request that may have crashed its unit is not resumed once its subjects are implicated in another crash.

--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -21,8 +21,10 @@
 	// ID identifies this run of the server and its group; a restart gets a new ID.
 	ID string
 	// Pool is the key shared by all units that can serve the same requests.
-	Pool      string
-	ServerID  string
+	Pool     string
+	ServerID string
+	// Started is the start time of the server in Unix milliseconds.
+	Started   int64
 	Address   string
 	Zone      string
 	Slots     int
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -24,8 +24,10 @@
 	"github.com/lovagelever/lovagelever/gateconfigurer"
 	"github.com/lovagelever/lovagelever/gateway"
 	"github.com/lovagelever/lovagelever/heartbeater"
+	"github.com/lovagelever/lovagelever/investigator"
 	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/nominator"
+	"github.com/lovagelever/lovagelever/quarantiner"
 	"github.com/lovagelever/lovagelever/registrar"
 	"github.com/lovagelever/lovagelever/router"
 	"github.com/lovagelever/lovagelever/sender"
@@ -71,6 +73,8 @@
 	mes *messenger.Messenger
 	nom *nominator.Nominator
 	mtr *meter
+	qua *quarantiner.Quarantiner
+	inv *investigator.Investigator
 	com *compressor.Compressor
 
 	tailers      map[string]*tailer.Tailer
@@ -135,8 +139,9 @@
 	gat.det = detector.New(detector.Options{
 		Members: gat.members, Prober: prober{gat: gat}, Registrar: gat.reg, Clock: gat.clk, Logger: gat.log,
 	})
+	gat.buildInvestigator()
 	gat.gat = gateway.New(gateway.Options{
-		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, Budget: gat.bud, Detector: gat.det,
+		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, Budget: gat.bud, Detector: gat.det, Quarantine: gat.inv,
 		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
 	})
 }
@@ -153,6 +158,7 @@
 	})
 	gat.hea, err = heartbeater.New(heartbeater.Options{
 		Address: address, Peers: gat.peers, Collectors: gat.collectorPeers, Rate: gat.heartbeatRate, Heartbeat: gat.heartbeat, Totals: gat.totalsFor, OnHeartbeat: gat.onHeartbeat, OnTotals: gat.onTotals, OnSilent: gat.onPeerSilent,
+		Evidence: gat.inv.Due, OnEvidence: gat.inv.Receive,
 		Clock: gat.clk, Logger: gat.log,
 	})
 	return errors.Annotate(err, "gateserver: listen for heartbeats")
--- a/gateserver/run.go
+++ b/gateserver/run.go
@@ -73,7 +73,7 @@
 }
 
 func (gat *Server) start(ctx context.Context) {
-	loops := []func(context.Context){gat.hea.Run, gat.updateUnits, gat.tick, gat.ele.Run, gat.con.Run, gat.register}
+	loops := []func(context.Context){gat.hea.Run, gat.updateUnits, gat.tick, gat.ele.Run, gat.con.Run, gat.register, gat.pullEvidence}
 	for _, tai := range gat.tailers {
 		loops = append(loops, tai.Run)
 	}
--- a/gateserver/units.go
+++ b/gateserver/units.go
@@ -80,7 +80,7 @@
 	}
 	uni := dispatcher.Unit{
 		ID:   fmt.Sprintf("%s@%d/%s", head.ID, head.Started, grp.Name),
-		Pool: gateway.PoolName(ser.Name, mod.Name), ServerID: head.ID, Address: head.Address, Zone: head.Zone,
+		Pool: gateway.PoolName(ser.Name, mod.Name), ServerID: head.ID, Started: head.Started, Address: head.Address, Zone: head.Zone,
 		Slots: ser.Engine.Slots, ColdUntil: head.ColdUntil, ColdPerSecond: ser.ColdRequestsPerSecond,
 		TypicalEventInterval: usualPause(ser.Engine, mod), Readiness: dispatcher.Stopping,
 	}
@@ -113,7 +113,7 @@
 func (tab *unitTable) addPlain(ser router.Service, vie *registrar.View, one registrar.Server) {
 	uni := dispatcher.Unit{
 		ID: fmt.Sprintf("%s@%d", one.ID, one.Started), Pool: gateway.PoolName(ser.Name, ""),
-		ServerID: one.ID, Address: one.Address, Zone: one.Zone, Slots: max(1, one.Slots),
+		ServerID: one.ID, Started: one.Started, Address: one.Address, Zone: one.Zone, Slots: max(1, one.Slots),
 		ColdUntil: one.ColdUntil, ColdPerSecond: ser.ColdRequestsPerSecond, Readiness: dispatcher.Stopping,
 	}
 	if vie.Usable(one) {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -19,6 +19,8 @@
 	OutcomeInvalid    = "invalid"
 	OutcomeCallerLeft = "caller_left"
 	OutcomeBrokenOff  = "broken_off"
+	// OutcomeQuarantined is a refusal because requests like this one crash backend servers.
+	OutcomeQuarantined = "quarantined"
 )
 
 // refuse responds with an error of the gateway in place of a response of a backend server.
@@ -40,6 +42,9 @@
 	outcome := OutcomeRefused
 	switch ref.Type {
 	case refuser.TypeNotRun:
+		if job.quarantined != "" {
+			outcome = OutcomeQuarantined
+		}
 	case refuser.TypeOutcomeUnknown:
 		outcome = OutcomeFailed
 	default:
@@ -48,7 +53,7 @@
 	job.log.WithFields(logrus.Fields{
 		"status": ref.Status, "why": ref.Message, "route": job.rou.Name, "workspace": job.wsp.Name, "pool": job.pool(),
 		"sends": job.sends, "may_have_run": job.mayHaveRun, "after_ms": job.gat.opt.Clock.Since(job.arrived).Milliseconds(),
-		"deadline_in_ms": job.gat.opt.Clock.Until(job.deadline).Milliseconds(), "config_version": job.configVersion(),
+		"deadline_in_ms": job.gat.opt.Clock.Until(job.deadline).Milliseconds(), "config_version": job.configVersion(), "quarantined": job.quarantined,
 	}).Info("request refused")
 	head := job.wtr.Header()
 	head.Set("Content-Type", "application/json")
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -21,6 +21,8 @@
 	LengthHint int
 	// LastEventID is the ID of the last event that the caller has received of a stream.
 	LastEventID string
+	// PromptParts identify the parts of the prompt that the request may share with others, in order.
+	PromptParts []string
 }
 
 // Hop is the metadata that an entry adds to a request for one backend server.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,7 @@
 	Sender      Sender
 	Budget      Budget
 	Detector    Detector
+	Quarantine  Quarantine
 	HeaderCodec HeaderCodec
 	Meter       Meter
 	Clock       clockwork.Clock
@@ -101,6 +102,13 @@
 	tried []string
 	// queued is how long the request has waited for slots.
 	queued time.Duration
+	// subjects identify the request and what it has in common with others.
+	subjects []string
+	// brokeAt is the unit of the last attempt if the request broke off there before it proved sound.
+	brokeAt string
+	// trial means that the request runs in spite of a quarantine, and quarantined is the key of the verdict that refuses it.
+	trial       bool
+	quarantined string
 }
 
 // ServeHTTP proxies one request.
@@ -114,6 +122,7 @@
 		job.refuse(err)
 		return
 	}
+	job.identify()
 	gat.opt.Budget.RecordRequest(job.ser.Name)
 	ctx, cancel := context.WithDeadline(req.Context(), job.deadline)
 	defer cancel()
@@ -255,8 +264,23 @@
 	return PoolName(job.ser.Name, job.cal.Model)
 }
 
-// acquire allocates a slot on a unit that the request was not tried on yet.
+// acquire allocates a slot on a unit that the request was not tried on yet, unless the request is quarantined, be it while it waits.
 func (job *job) acquire(ctx context.Context) (*dispatcher.Placement, error) {
+	if err := job.checkQuarantine(); err != nil {
+		return nil, err
+	}
+	pla, err := job.allocate(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := job.checkQuarantine(); err != nil {
+		pla.Release(dispatcher.Outcome{Result: dispatcher.Neutral})
+		return nil, err
+	}
+	return pla, nil
+}
+
+func (job *job) allocate(ctx context.Context) (*dispatcher.Placement, error) {
 	now := job.gat.opt.Clock.Now()
 	cost := job.expectedWork()
 	objective := job.arrived.Add(job.rou.Objective)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -86,6 +86,7 @@
 		if job.req.Context().Err() == nil {
 			out.Result = dispatcher.Fault
 		}
+		job.notePlain(ctx, pla, began, err)
 		return reply{}, err
 	}
 	rep := reply{res: exc.Response, ver: job.gat.opt.HeaderCodec.ParseResponse(job.cal, exc.Response)}
@@ -93,9 +94,23 @@
 	exc.End(err == nil && rep.ver.Verified)
 	out.Result, err = job.classify(rep, err)
 	out.Duration = job.gat.opt.Clock.Since(began)
+	if !rep.ver.NotRun {
+		job.notePlain(ctx, pla, began, err)
+	}
 	return rep, err
 }
 
+// notePlain records whether a plain call proved sound or broke off.
+func (job *job) notePlain(ctx context.Context, pla *dispatcher.Placement, began time.Time, err error) {
+	job.brokeAt = ""
+	switch {
+	case err == nil:
+		job.gat.opt.Quarantine.RecordSound(job.subjects, began)
+	case errors.Is(err, sender.ErrLost) && ctx.Err() == nil:
+		job.recordBreak(pla.Unit)
+	}
+}
+
 // send sends the request to one unit and counts the attempt, and whether the request may have run.
 func (job *job) send(ctx context.Context, pla *dispatcher.Placement, req sender.Request) (*sender.Exchange, error) {
 	exc, err := job.gat.opt.Sender.Send(ctx, req)
@@ -149,6 +164,8 @@
 		return "deadline"
 	case !notRun && !job.rou.Repeatable():
 		return "it may have run and must not run twice"
+	case !notRun && job.mayHaveCrashed():
+		return "it may have crashed its backend server"
 	case job.mayHaveRun >= job.rou.Attempts || job.sends >= maxSends:
 		return "all attempts are used"
 	case job.sends == 0:
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -8,8 +8,14 @@
 	"strings"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lovagelever/lovagelever/dispatcher"
+	"github.com/lovagelever/lovagelever/investigator"
+	"github.com/lovagelever/lovagelever/quarantiner"
 )
 
 // crashes returns a worker that ends, with its listener, when it begins to answer a request with the part "bad".
@@ -26,6 +32,21 @@
 	return wor
 }
 
+// newInvestigator returns an investigator that checks a unit by a connection to its address.
+func newInvestigator(clk clockwork.Clock, log logrus.FieldLogger) *investigator.Investigator {
+	return investigator.New(investigator.Options{
+		Quarantine: quarantiner.New(quarantiner.Settings{Logger: log}, clk, nil, nil), Peers: func() int { return 0 }, Clock: clk, Logger: log,
+		Check: func(ctx context.Context, uni dispatcher.Unit) investigator.Finding {
+			con, err := new(net.Dialer).DialContext(ctx, "tcp", uni.Address)
+			if err != nil {
+				return investigator.Crashed
+			}
+			_ = con.Close()
+			return investigator.Alive
+		},
+	})
+}
+
 var _ = Describe("Gateway with a prompt part that crashes backend servers", func() {
 	It("sends no further request with the part once five servers have crashed, and serves its siblings", func() {
 		const crashLimit, pause = 5, 250 * time.Millisecond
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -33,9 +33,10 @@
 	lastEventID string
 	started     bool
 	ctl         *http.ResponseController
-	// placement is where the last attempt was sent, sentAt when.
+	// placement is where the last attempt was sent, sentAt when, and sound says that the request proved sound there.
 	placement *dispatcher.Placement
 	sentAt    time.Time
+	sound     bool
 }
 
 // serveStream handles a call with an event stream as response, and resumes the stream on another unit where the route allows it.
@@ -93,11 +94,12 @@
 	defer cancel(nil)
 	wat := rel.watch(pla, cancel)
 	defer wat.stop()
-	rel.placement, rel.sentAt = pla, rel.gat.opt.Clock.Now()
+	rel.placement, rel.sentAt, rel.sound, rel.brokeAt = pla, rel.gat.opt.Clock.Now(), false, ""
 	rel.tried = append(rel.tried, pla.Unit.ID)
 	exc, err := rel.send(ctx, pla, rel.buildRequest(pla, rel.lastEventID))
 	if err != nil {
 		out.Result = rel.unitResult(ctx)
+		rel.noteBreak(out.Result, err)
 		return reply{}, preferCause(ctx, err)
 	}
 	rep := reply{res: exc.Response, ver: rel.gat.opt.HeaderCodec.ParseResponse(rel.cal, exc.Response)}
@@ -117,8 +119,12 @@
 		if errors.Is(err, errCallerWrite) {
 			out.Result = dispatcher.Neutral
 		}
+		rel.noteBreak(out.Result, err)
 		return rep, preferCause(ctx, err)
 	}
+	if num > 0 && !rel.sound {
+		rel.gat.opt.Quarantine.RecordSound(rel.subjects, wat.began())
+	}
 	out.Result = dispatcher.Served
 	rel.finish(rep.res)
 	return rep, nil
@@ -177,6 +183,7 @@
 		if eve.hasData {
 			num++
 			wat.noteEvent()
+			rel.noteSound(wat)
 		}
 		if eve.id != "" && !follows(eve.id, rel.lastEventID) {
 			continue
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -95,6 +95,13 @@
 	return wat.lastEvent.Sub(wat.firstEvent)
 }
 
+// began returns when the unit sent the first event.
+func (wat *watchdog) began() time.Time {
+	wat.mux.Lock()
+	defer wat.mux.Unlock()
+	return wat.firstEvent
+}
+
 func (wat *watchdog) stop() {
 	wat.mux.Lock()
 	defer wat.mux.Unlock()
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,9 +33,11 @@
 
 func (codecStub) ParseCall(req *http.Request) gateway.Call {
 	ms, _ := strconv.Atoi(req.Header.Get("X-Within"))
+	parts := strings.Split(req.Header.Get("X-Parts"), ",")
+	parts = parts[:len(parts)-1]
 	return gateway.Call{
 		ID: req.Header.Get("X-Id"), Key: req.Header.Get("X-Key"), Timeout: time.Duration(ms) * time.Millisecond,
-		Model: req.Header.Get("X-Model"), LastEventID: req.Header.Get("X-After"),
+		Model: req.Header.Get("X-Model"), LastEventID: req.Header.Get("X-After"), PromptParts: parts,
 	}
 }
 
@@ -209,7 +212,7 @@
 	wor.table(router.Config{Routes: []router.Route{rou}, Workspaces: []router.Workspace{{Name: "w", Keys: []string{"key"}}}})
 	wor.setUnits(dispatcher.Serving, workers...)
 	gat := gateway.New(gateway.Options{
-		Table: wor.tab.Load, Dispatcher: wor.dis, Sender: sender.New(&net.Dialer{}, clk, time.Second), Budget: wor.bud, Detector: wor.det,
+		Table: wor.tab.Load, Dispatcher: wor.dis, Sender: sender.New(&net.Dialer{}, clk, time.Second), Budget: wor.bud, Detector: wor.det, Quarantine: newInvestigator(clk, log),
 		HeaderCodec: codecStub{}, Meter: wor.mtr, Clock: clk, Logger: log.WithField("test", true),
 		Stopping: func() (time.Time, bool) {
 			if at := wor.ends.Load(); at != nil {
@@ -254,7 +257,11 @@
 }
 
 func (wor *world) call(ctx context.Context, heads ...string) result {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, wor.web.URL+"/p/x?q=1", strings.NewReader("body"))
+	body := "body"
+	if num := slices.Index(heads, "X-Parts"); num >= 0 {
+		body += heads[num+1]
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, wor.web.URL+"/p/x?q=1", strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	req.Host = "h.example"
 	req.Header.Set("X-Id", "one")
--- /dev/null
+++ b/investigator/suite_test.go
@@ -0,0 +1,16 @@
+package investigator_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var suite *testing.T
+
+func TestInvestigator(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "investigator")
+}
