--- a/completer/attempt.go
+++ b/completer/attempt.go
@@ -33,6 +33,9 @@
 	if exe.com.opt.Quarantine.Condemned(exe.fpr) {
 		return streamer.Result{}, true, refuser.Condemned("the request crashed the backend servers that ran it")
 	}
+	if _, refused := exe.com.opt.Quarantine.Check(exe.cal.PromptParts); refused {
+		return streamer.Result{}, true, exe.finalRefusal("requests that share a part of this prompt crashed the backend servers that ran them")
+	}
 	unit, found := exe.pick()
 	if !found {
 		return streamer.Result{}, true, exe.finalRefusal("no replica group of model " + exe.cal.Model + " is serving")
@@ -134,6 +137,9 @@
 		opt.Breaker.Success(hel.Unit)
 		opt.Budget.Success()
 		opt.Quarantine.RecordCompletion(exe.fpr)
+		if began := exe.sink.began(); !began.IsZero() {
+			opt.Quarantine.RecordSound(exe.cal.PromptParts, began)
+		}
 		return res, true, nil
 	}
 	return exe.handleFailure(ctx, hel, cal.Address, out, err)
@@ -163,6 +169,9 @@
 		opt.Breaker.Failure(hel.Unit)
 	}
 	opt.Logger.WithError(err).WithFields(logrus.Fields{"request_id": exe.cal.RequestID, "group": hel.Unit, "tokens": exe.sink.tokens, "crashed": crashed}).Info("stream broken")
+	if crashed && opt.Quarantine.Implicated(exe.cal.PromptParts, crashID(hel)) {
+		return streamer.Result{}, true, exe.finalRefusal("it may have crashed the backend server that ran it")
+	}
 	if callerGone || exe.starts >= maxStarts || !opt.Budget.Allow() || !exe.backOff(ctx) {
 		return streamer.Result{}, true, exe.finalRefusal(err.Error())
 	}
@@ -180,9 +189,14 @@
 	}
 }
 
+func crashID(hel ticketer.HeldTicket) string {
+	return quarantiner.CrashID(hel.Unit, hel.Fence, hel.Started)
+}
+
 // checkCrash reports whether the unit crashed while it ran the request, as opposed to a stream that broke; a status check that is cut short by the end of the call counts as no crash.
 func (exe *execution) checkCrash(callCtx context.Context, hel ticketer.HeldTicket, address string) bool {
 	opt := exe.com.opt
+	brokenAt := opt.Clock.Now()
 	ctx, cancel := context.WithTimeout(callCtx, statusTimeout)
 	defer cancel()
 	vm := ""
@@ -196,6 +210,10 @@
 	if callCtx.Err() != nil {
 		return false
 	}
-	opt.Quarantine.RecordCrash(exe.fpr, exe.cal.Workspace, hel.Unit, quarantiner.CrashID(hel.Unit, hel.Fence, hel.Started))
+	crash := crashID(hel)
+	opt.Quarantine.RecordCrash(exe.fpr, exe.cal.Workspace, hel.Unit, crash)
+	if began := exe.sink.began(); began.IsZero() || brokenAt.Sub(began) < soundAfter {
+		opt.Quarantine.RecordSuspects(exe.cal.PromptParts, crash, brokenAt)
+	}
 	return true
 }
--- a/completer/completer.go
+++ b/completer/completer.go
@@ -23,6 +23,8 @@
 	stallTimeout  = 3 * time.Second
 	statusTimeout = time.Second
 	retryAfter    = time.Second
+	// soundAfter is how long after its first token a request proves that it does not crash the engine, which crashes as it begins to write.
+	soundAfter = 300 * time.Millisecond
 )
 
 // Call is one chat completion request; Body is sent to the engine, and Content identifies the same request under different request IDs.
@@ -33,8 +35,10 @@
 	Prompt    string
 	MaxTokens int
 	Content   []byte
-	Body      []byte
-	Deadline  time.Time
+	// PromptParts are the subjects of the parts of the prompt that other requests may share.
+	PromptParts []string
+	Body        []byte
+	Deadline    time.Time
 }
 
 // Tickets acquires tickets from the homes of units and releases them.
--- a/completer/counter.go
+++ b/completer/counter.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// began returns when the first token of the attempt arrived, zero if none did.
+func (cou *countingSink) began() time.Time {
+	cou.mtx.Lock()
+	defer cou.mtx.Unlock()
+	return cou.firstToken
+}
+
 func (cou *countingSink) outcome(startedAt time.Time, tokensBefore int) limiter.Outcome {
 	cou.mtx.Lock()
 	defer cou.mtx.Unlock()
--- a/server/build.go
+++ b/server/build.go
@@ -155,7 +155,7 @@
 // buildRequestPath builds the components that handle requests.
 func (srv *Server) buildRequestPath() {
 	srv.claimer.Store(srv.newClaimer())
-	srv.quarantiner = quarantiner.New(quarantiner.Settings{}, srv.clock, stateReader{srv: srv}, stateReader{srv: srv})
+	srv.quarantiner = quarantiner.New(quarantiner.Settings{Logger: srv.log}, srv.clock, stateReader{srv: srv}, stateReader{srv: srv})
 	srv.ticketer = ticketer.New(ticketer.Options{
 		View:        srv.view,
 		Self:        srv.self,
--- a/server/complete.go
+++ b/server/complete.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -9,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/lovagelever/lovagelever/completer"
+	"github.com/lovagelever/lovagelever/quarantiner"
 	"github.com/lovagelever/lovagelever/refuser"
 	"github.com/lovagelever/lovagelever/streamer"
 )
@@ -77,15 +79,32 @@
 		return completer.Call{}, chat, err
 	}
 	return completer.Call{
-		Workspace: workspace,
-		Model:     chat.Model,
-		Prompt:    string(chat.Messages),
-		MaxTokens: chat.MaxTokens,
-		Content:   chat.Messages,
-		Body:      body,
+		Workspace:   workspace,
+		Model:       chat.Model,
+		Prompt:      string(chat.Messages),
+		MaxTokens:   chat.MaxTokens,
+		Content:     chat.Messages,
+		Body:        body,
+		PromptParts: promptParts(chat.Messages),
 	}, chat, nil
 }
 
+// promptParts returns the subjects of the messages but the last, which belongs to the request; messages that cannot be read have none.
+func promptParts(list json.RawMessage) []string {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(list, &messages); err != nil {
+		return nil
+	}
+	var out []string
+	for num := 0; num < len(messages)-1 && num < quarantiner.MaxParts; num++ {
+		var text bytes.Buffer
+		if json.Compact(&text, messages[num]) == nil {
+			out = append(out, quarantiner.Part(text.Bytes()))
+		}
+	}
+	return out
+}
+
 // engineBody returns the body for the engine, which always requests a stream and states max_tokens.
 func engineBody(data []byte, chat chatRequest) ([]byte, error) {
 	fields := map[string]json.RawMessage{}
--- a/server/tell.go
+++ b/server/tell.go
@@ -11,11 +11,13 @@
 )
 
 const (
-	factInterval   = 500 * time.Millisecond
-	subjectEntry   = "entry"
-	subjectCrash   = "crash/"
-	subjectControl = "control"
-	subjectLeaving = "leaving"
+	factInterval = 500 * time.Millisecond
+	subjectEntry = "entry"
+	subjectCrash = "crash/"
+	// subjectPartCrash has the crashes under parts of prompts; entries of earlier versions would take the parts for requests.
+	subjectPartCrash = "part_crash/"
+	subjectControl   = "control"
+	subjectLeaving   = "leaving"
 )
 
 // entryFact is the gossip fact in which an entry reports its own status.
@@ -61,7 +63,7 @@
 
 func (srv *Server) syncCrashFacts() {
 	shared := map[string]bool{}
-	for _, got := range srv.gossiper.All(subjectCrash) {
+	for _, got := range append(srv.gossiper.All(subjectCrash), srv.gossiper.All(subjectPartCrash)...) {
 		var fac quarantiner.CrashObservation
 		if got.Origin != srv.self() && json.Unmarshal(got.Body, &fac) == nil {
 			shared[got.Subject] = true
@@ -80,7 +82,11 @@
 	if fac.Cleared {
 		kind = "/cleared/"
 	}
-	return subjectCrash + fac.Fingerprint + kind + fac.CrashID
+	prefix := subjectCrash
+	if quarantiner.IsPart(fac.Fingerprint) {
+		prefix = subjectPartCrash
+	}
+	return prefix + fac.Fingerprint + kind + fac.CrashID
 }
 
 func (srv *Server) setFact(subject string, val any) {
