--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,7 @@
 	Sender      Sender
 	Budget      Budget
 	Detector    Detector
+	Quarantine  Quarantine
 	HeaderCodec HeaderCodec
 	Meter       Meter
 	// OnLeaving receives the backend servers whose responses say that they leave.
@@ -109,6 +110,13 @@
 	tried []string
 	// queued is how long the request has waited for slots.
 	queued time.Duration
+	// subjects identify the request and what it has in common with others.
+	subjects []string
+	// brokeAt is the unit of the last attempt if the request broke off there before it proved sound.
+	brokeAt string
+	// trial means that the request runs in spite of a quarantine, and quarantined is the key of the verdict that refuses it.
+	trial       bool
+	quarantined string
 }
 
 // ServeHTTP proxies one request.
@@ -122,6 +130,7 @@
 		job.refuse(err)
 		return
 	}
+	job.identify()
 	gat.opt.Budget.RecordRequest(job.ser.Name)
 	ctx, cancel := context.WithDeadline(req.Context(), job.deadline)
 	defer cancel()
@@ -263,11 +272,22 @@
 	return PoolName(job.ser.Name, job.cal.Model)
 }
 
-// acquire allocates a slot on a unit that the request was not tried on yet, and counts how long it waited.
+// acquire allocates a slot on a unit that the request was not tried on yet, unless the request is quarantined, be it while it waits. It counts how long the request waited.
 func (job *job) acquire(ctx context.Context) (*dispatcher.Placement, error) {
+	if err := job.checkQuarantine(); err != nil {
+		return nil, err
+	}
 	began := job.gat.opt.Clock.Now()
-	defer func() { job.queued += job.gat.opt.Clock.Since(began) }()
-	return job.place(ctx, placeOptions{exclude: job.tried, resumed: job.mayHaveRun > 0})
+	pla, err := job.place(ctx, placeOptions{exclude: job.tried, resumed: job.mayHaveRun > 0})
+	job.queued += job.gat.opt.Clock.Since(began)
+	if err != nil {
+		return nil, err
+	}
+	if err := job.checkQuarantine(); err != nil {
+		pla.Release(dispatcher.Outcome{Result: dispatcher.Neutral})
+		return nil, err
+	}
+	return pla, nil
 }
 
 // placeOptions says which units must not get a request, whether it has run in part, and whether only a slot that is free at once will do.
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -139,7 +139,7 @@
 // request sends the request to another unit, and returns the attempt if that unit sends an event or the end of the stream.
 func (hed *hedge) request(ctx context.Context, cancel context.CancelCauseFunc) *attempt {
 	job := hed.rel.job
-	if !job.gat.opt.Budget.Allow(job.ser.Name) {
+	if job.isQuarantined() || !job.gat.opt.Budget.Allow(job.ser.Name) {
 		return nil
 	}
 	pla, err := job.place(ctx, placeOptions{exclude: hed.tried, resumed: true})
@@ -162,7 +162,7 @@
 	}
 	if err != nil {
 		hed.count(1)
-		att.release(hed.resultOf(ctx))
+		att.release(hed.noteBreak(att))
 		return nil
 	}
 	att.exc = exc
@@ -187,7 +187,7 @@
 	}
 	eve, err := att.readEvent()
 	if err != nil && !errors.Is(err, io.EOF) {
-		return hed.resultOf(att.ctx)
+		return hed.noteBreak(att)
 	}
 	if err == nil {
 		att.first = &eve
@@ -203,6 +203,15 @@
 	return dispatcher.Fault
 }
 
+// noteBreak records that the stream broke off at the second unit before an event, unless the hedge was abandoned, and returns the result for the unit.
+func (hed *hedge) noteBreak(att *attempt) dispatcher.Result {
+	res := hed.resultOf(att.ctx)
+	if res == dispatcher.Fault {
+		hed.rel.gat.opt.Quarantine.RecordBreak(att.placement.Unit, hed.rel.subjects)
+	}
+	return res
+}
+
 func (hed *hedge) count(runs int) {
 	hed.mux.Lock()
 	defer hed.mux.Unlock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -110,7 +110,7 @@
 
 // placeSecond allocates a slot for a second send of a call that has no response yet, or returns nil if that is not allowed or none is free.
 func (job *job) placeSecond(ctx context.Context) *dispatcher.Placement {
-	if !job.rou.Repeatable() || job.mayHaveRun+1 >= job.rou.Attempts || job.sends+1 >= maxSends || !job.gat.opt.Budget.Allow(job.ser.Name) {
+	if !job.rou.Repeatable() || job.mayHaveRun+1 >= job.rou.Attempts || job.sends+1 >= maxSends || job.isQuarantined() || !job.gat.opt.Budget.Allow(job.ser.Name) {
 		return nil
 	}
 	pla, err := job.place(ctx, placeOptions{exclude: job.tried, atOnce: true})
@@ -121,21 +121,32 @@
 	return pla
 }
 
-// result is the end of one exchange with a unit.
+// result is the end of one exchange with a unit. Cancelled means that the exchange was given up.
 type result struct {
-	rep    reply
-	err    error
-	sent   bool
-	mayRun bool
+	rep       reply
+	err       error
+	unit      dispatcher.Unit
+	began     time.Time
+	sent      bool
+	mayRun    bool
+	cancelled bool
 }
 
-// count adds the end of an exchange to the counts of the request.
+// count adds the end of an exchange to the counts of the request, and records whether the call proved sound or broke off.
 func (job *job) count(res result) {
 	if res.sent {
 		job.sends++
 	}
-	if res.mayRun {
-		job.mayHaveRun++
+	if !res.mayRun {
+		return
+	}
+	job.mayHaveRun++
+	job.brokeAt = ""
+	switch {
+	case res.err == nil:
+		job.gat.opt.Quarantine.RecordSound(job.subjects, res.began)
+	case errors.Is(res.err, sender.ErrLost) && !res.cancelled:
+		job.recordBreak(res.unit)
 	}
 }
 
@@ -153,7 +164,7 @@
 				job.gat.opt.Detector.CheckUnit(pla.Unit.ID)
 			}
 		}
-		return result{err: err, sent: !notSent, mayRun: !notSent}
+		return result{err: err, unit: pla.Unit, began: began, sent: !notSent, mayRun: !notSent, cancelled: ctx.Err() != nil}
 	}
 	rep := reply{res: exc.Response, ver: job.parseResponse(pla, exc.Response)}
 	err = job.receive(pla, exc, &rep)
@@ -163,7 +174,7 @@
 		out.Result = res
 	}
 	out.Duration = job.gat.opt.Clock.Since(began)
-	return result{rep: rep, err: err, sent: true, mayRun: !rep.ver.NotRun}
+	return result{rep: rep, err: err, unit: pla.Unit, began: began, sent: true, mayRun: !rep.ver.NotRun, cancelled: ctx.Err() != nil}
 }
 
 // receive reads the body of a response, unless the response only calls for a retry.
@@ -233,6 +244,8 @@
 		return "deadline"
 	case !notRun && !job.rou.Repeatable():
 		return "it may have run and must not run twice"
+	case !notRun && job.mayHaveCrashed():
+		return "it may have crashed its backend server"
 	case job.mayHaveRun >= job.rou.Attempts || job.sends >= maxSends:
 		return "all attempts are used"
 	case job.sends == 0:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -37,9 +37,10 @@
 	lastEventID string
 	started     bool
 	ctl         *http.ResponseController
-	// placement is where the last attempt was sent, sentAt when.
+	// placement is where the last attempt was sent, sentAt when, and sound says that the request proved sound there.
 	placement *dispatcher.Placement
 	sentAt    time.Time
+	sound     bool
 }
 
 // serveStream handles a call with an event stream as response, and resumes the stream on another unit where the route allows it.
@@ -119,11 +120,12 @@
 	if !taken {
 		att.sentAt = rel.gat.opt.Clock.Now()
 	}
-	rel.placement, rel.sentAt = pla, att.sentAt
+	rel.placement, rel.sentAt, rel.sound, rel.brokeAt = pla, att.sentAt, false, ""
 	if !taken {
 		att.exc, err = rel.send(att.ctx, pla, rel.buildRequest(pla, rel.lastEventID))
 		if err != nil {
 			out.Result = rel.unitResult(att.ctx)
+			rel.noteBreak(out.Result, err)
 			return reply{}, nil, preferCause(att.ctx, err)
 		}
 	}
@@ -147,8 +149,12 @@
 		if errors.Is(err, errCallerWrite) {
 			out.Result = dispatcher.Neutral
 		}
+		rel.noteBreak(out.Result, err)
 		return rep, nil, preferCause(att.ctx, err)
 	}
+	if num > 0 && !rel.sound {
+		rel.gat.opt.Quarantine.RecordSound(rel.subjects, wat.began())
+	}
 	out.Result = dispatcher.Served
 	rel.finish(rep.res)
 	return rep, nil, nil
@@ -230,6 +236,7 @@
 		if eve.hasData {
 			num++
 			wat.noteEvent()
+			rel.noteSound(wat)
 		}
 		if eve.id != "" && !follows(eve.id, rel.lastEventID) {
 			continue
