Take no member from a group that may still open

Cause: a member was ordered to leave whatever group it reported once the plan had taken it for free, and a group of a lost decision counts as free servers until its head is listed as open. The count of the member's orders says nothing about its head.

Change: a server leaves its group only after the head of that group has left, by an order under the count of the report which showed it closed, or has ended. If the head serves and this leader has not ended its group, the new group is withdrawn, and the serving one adopted. Orders to join go by the report under whose count they are sent. The join of a member that had joined since the list was read was sent again after a hand-over; as the same code decides both, that is mended here too.

In the simulation a second join of the same group is now a violation.

--- a/conductor/build.go
+++ b/conductor/build.go
@@ -21,16 +21,27 @@
 // errSuperseded means that a server is in a later group than the one that is being formed.
 const errSuperseded = errors.ConstError("server is in a later group")
 
+// errServing means that a server is in a group that accepts or finishes requests, and that was not ended by this leader.
+const errServing = errors.ConstError("server is in a group that serves")
+
+// errStaleReport means that a report is older than the last order to the server.
+const errStaleReport = errors.ConstError("report is older than the last order")
+
 func isGone(err error) bool {
 	return errors.Is(err, detector.ErrDown) || errors.Is(err, ErrServerReplaced)
 }
 
 // formGroup has all members join, and opens the head once each of them reports ready.
 func (con *Conductor) formGroup(term context.Context, frm grouper.Formation, open bool) {
+	withdrawn := false
 	defer func() {
 		con.mux.Lock()
 		con.forming--
 		con.mux.Unlock()
+		if withdrawn {
+			con.withdraw(term, frm)
+			return
+		}
 		con.clearBusy(term, frm.Name)
 	}()
 	began := con.opt.Clock.Now()
@@ -38,6 +49,7 @@
 	defer cancel()
 	if err := con.joinAll(ctx, frm); err != nil {
 		con.logGroup(frm, began).WithError(err).Info("group not formed")
+		withdrawn = errors.Is(err, errServing)
 		return
 	}
 	if err := con.awaitReady(ctx, frm); err != nil {
@@ -48,11 +60,7 @@
 		con.logGroup(frm, began).Info("group is on standby")
 		return
 	}
-	head := con.server(frm.Members[0])
-	err := con.sendUntilDone(ctx, head, Order{Kind: Open, Group: frm.Name, Epoch: frm.Epoch}, func(gro registrar.Membership) bool {
-		return gro.Name == frm.Name && gro.Epoch == frm.Epoch && gro.State == registrar.Open
-	})
-	if err != nil {
+	if err := con.openHead(ctx, frm); err != nil {
 		con.logGroup(frm, began).WithError(err).Info("group not opened")
 		return
 	}
@@ -90,63 +98,84 @@
 	return con.servers[ins]
 }
 
+// joinAll has the members that are not listed in the group join it. When one of them fails for good, the others stop too.
 func (con *Conductor) joinAll(ctx context.Context, frm grouper.Formation) error {
-	var names []string
-	for _, ins := range frm.Members {
-		names = append(names, ins.ID)
-	}
-	var wgr sync.WaitGroup
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	failed := make(chan error, len(frm.Members))
+	var wgr sync.WaitGroup
 	for _, ins := range frm.Members {
 		ser := con.server(ins)
-		if ser.Group.Name == frm.Name && ser.Group.Epoch == frm.Epoch {
+		if frm.Includes(ser.Group) {
 			continue
 		}
 		wgr.Add(1)
 		go func() {
 			defer wgr.Done()
-			if err := con.leavePrevious(ctx, ser, frm); err != nil {
+			if err := con.joinMember(ctx, ser, frm); err != nil {
 				failed <- err
-				return
+				cancel()
 			}
-			failed <- con.sendUntilDone(ctx, ser, Order{Kind: Join, Group: frm.Name, Epoch: frm.Epoch, Model: frm.Model, Members: names}, func(gro registrar.Membership) bool {
-				return gro.Name == frm.Name && gro.Epoch == frm.Epoch
-			})
 		}()
 	}
 	wgr.Wait()
 	close(failed)
-	for err := range failed {
-		if err != nil {
+	return <-failed
+}
+
+// joinMember repeats the orders that take a server into a group until its report shows that it has joined. It fails when the server is gone, must not be taken, or the context ends.
+func (con *Conductor) joinMember(ctx context.Context, ser registrar.Server, frm grouper.Formation) error {
+	began := con.opt.Clock.Now()
+	for {
+		err := con.tryJoin(ctx, ser, frm, began)
+		if err == nil || isGone(err) || errors.Is(err, errSuperseded) || errors.Is(err, errServing) {
+			return err
+		}
+		con.opt.Logger.WithError(err).WithFields(logrus.Fields{"server": ser.ID, "group": frm.Name}).Info("server has not joined yet; retrying")
+		if err := con.sleep(ctx, reportLag); err != nil {
 			return err
 		}
 	}
-	return nil
 }
 
-// leavePrevious has a server leave its current group, so that no server is taken from a group whose head may still serve.
-func (con *Conductor) leavePrevious(ctx context.Context, ser registrar.Server, frm grouper.Formation) error {
-	for {
-		rep, err := con.report(ctx, ser)
-		if isGone(err) {
+// tryJoin sends a server the orders that its report calls for. Each of them has the count of that report, so that it has no effect if the server has begun another order since.
+func (con *Conductor) tryJoin(ctx context.Context, ser registrar.Server, frm grouper.Formation, began time.Time) error {
+	rep, err := con.report(ctx, ser)
+	if err != nil {
+		return err
+	}
+	num := rep.Orders
+	switch {
+	case con.isStale(ser, rep):
+		return errors.Annotatef(errStaleReport, "conductor: server %s", ser.ID)
+	case frm.Includes(rep.Group):
+		return nil
+	case rep.Group.Epoch > frm.Epoch:
+		return errors.Annotatef(errSuperseded, "conductor: server %s", ser.ID)
+	case rep.Group.Name != "":
+		if err := con.release(ctx, ser, rep, began); errors.Is(err, errServing) {
 			return err
+		} else if err != nil {
+			return errors.Annotatef(errNotReleased, "conductor: server %s: %v", ser.ID, err)
 		}
-		if err == nil {
-			if rep.Group.Epoch > frm.Epoch {
-				return errors.Annotatef(errSuperseded, "conductor: server %s", ser.ID)
-			}
-			if rep.Group.Name == "" || rep.Group.Name == frm.Name && rep.Group.Epoch == frm.Epoch {
-				return nil
-			}
-			if err = con.send(ctx, ser, Order{Kind: Leave, Group: rep.Group.Name, Epoch: rep.Group.Epoch}); err == nil {
-				return nil
-			}
-		}
-		con.opt.Logger.WithError(err).WithFields(logrus.Fields{"server": ser.ID, "group": rep.Group.Name, "for": frm.Name}).Info("server has not left its group yet; retrying")
-		if err := con.sleep(ctx, reportLag); err != nil {
+		if err := con.sendAfter(ctx, ser, Order{Kind: Leave, Group: rep.Group.Name, Epoch: rep.Group.Epoch}, num); err != nil {
 			return err
 		}
+		num++
+	}
+	var names []string
+	for _, ins := range frm.Members {
+		names = append(names, ins.ID)
 	}
+	return con.sendAfter(ctx, ser, Order{Kind: Join, Group: frm.Name, Epoch: frm.Epoch, Model: frm.Model, Members: names}, num)
+}
+
+// openHead opens the head of a group whose members are all ready.
+func (con *Conductor) openHead(ctx context.Context, frm grouper.Formation) error {
+	head := con.server(frm.Members[0])
+	return con.sendUntilDone(ctx, head, Order{Kind: Open, Group: frm.Name, Epoch: frm.Epoch}, func(gro registrar.Membership) bool {
+		return frm.Includes(gro) && gro.State == registrar.Open
+	})
 }
 
 // awaitReady waits until each member reports ready under the group's name and epoch.
@@ -177,10 +206,11 @@
 		case err != nil:
 			con.finishDissolving(frm, began, "its head does not answer")
 			return
-		case rep.Group.Name != frm.Name || rep.Group.Epoch != frm.Epoch:
+		case con.isStale(head, rep):
+		case !frm.Includes(rep.Group):
 			con.finishDissolving(frm, began, "its head is in no group, or in another")
 			return
-		case con.closeHead(ctx, frm, head, rep.Group.State):
+		case con.closeHead(ctx, frm, head, rep):
 			con.finishDissolving(frm, began, "its head has left")
 			return
 		}
@@ -204,9 +234,10 @@
 	return errors.Is(err, detector.ErrDown) && listed && now.Instance() == head.Instance() && !now.Draining
 }
 
-// closeHead takes the next step to close a head that answers. It reports true when the head has left the group.
-func (con *Conductor) closeHead(ctx context.Context, frm grouper.Formation, head registrar.Server, sta registrar.State) bool {
+// closeHead takes the next step to close a head that has answered with a report. It reports true when the head has left the group.
+func (con *Conductor) closeHead(ctx context.Context, frm grouper.Formation, head registrar.Server, rep Report) bool {
 	lost := frm.Check(con.opt.View()) == grouper.Lost
+	sta := rep.Group.State
 	var kinds []Kind
 	switch {
 	case sta == registrar.Open && !lost:
@@ -218,8 +249,8 @@
 	default:
 		kinds = []Kind{Leave}
 	}
-	for _, kin := range kinds {
-		if err := con.send(ctx, head, Order{Kind: kin, Group: frm.Name, Epoch: frm.Epoch}); err != nil {
+	for num, kin := range kinds {
+		if err := con.sendAfter(ctx, head, Order{Kind: kin, Group: frm.Name, Epoch: frm.Epoch}, rep.Orders+int64(num)); err != nil {
 			con.opt.Logger.WithError(err).WithFields(logrus.Fields{"group": frm.Name, "order": kin, "server": head.ID}).Info("order to the head failed; retrying")
 			_ = con.sleep(ctx, reportLag)
 			return false
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -90,7 +90,9 @@
 	ended        map[string]bool
 	unknownSince map[string]time.Time
 	orderCounts  map[registrar.Instance]int64
+	orderedAt    map[registrar.Instance]time.Time
 	servers      map[registrar.Instance]registrar.Server
+	lastListed   map[registrar.Instance]time.Time
 	loadStarts   []time.Time
 	forming      int
 	// supply holds the state of each service's models in the last plan.
@@ -99,7 +101,7 @@
 
 // New returns a conductor that has loaded no decisions.
 func New(opt Options) *Conductor {
-	con := &Conductor{opt: opt, servers: map[registrar.Instance]registrar.Server{}, supply: map[string][]grouper.ModelState{}}
+	con := &Conductor{opt: opt, servers: map[registrar.Instance]registrar.Server{}, lastListed: map[registrar.Instance]time.Time{}, supply: map[string][]grouper.ModelState{}}
 	con.reset()
 	return con
 }
@@ -140,6 +142,7 @@
 	con.busy = map[string]bool{}
 	con.dissolving = map[string]bool{}
 	con.orderCounts = map[registrar.Instance]int64{}
+	con.orderedAt = map[registrar.Instance]time.Time{}
 	con.retired = nil
 	con.ended = map[string]bool{}
 	con.unknownSince = map[string]time.Time{}
@@ -175,8 +178,10 @@
 func (con *Conductor) rememberServers(vie *registrar.View) {
 	con.mux.Lock()
 	defer con.mux.Unlock()
+	now := con.opt.Clock.Now()
 	for _, ser := range vie.Servers {
 		con.servers[ser.Instance()] = ser
+		con.lastListed[ser.Instance()] = now
 	}
 }
 
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lovagelever/lovagelever/conductor"
 	"github.com/lovagelever/lovagelever/registrar"
 )
 
@@ -122,6 +123,54 @@
 		Expect(wor.violationsFound()).To(BeEmpty())
 	})
 
+	It("has no member join again a group that the former leader has formed", func() {
+		wor := newWorld(6, 2, 10)
+		wor.early.Store(true)
+		ctx, cancel := context.WithCancel(context.Background())
+		wor.cancel = cancel
+		DeferCleanup(wor.stop)
+		wor.start(ctx)
+		wor.listDelayed.Store(true)
+		wor.run(500 * time.Millisecond)
+		wor.leaders[0].Store(false)
+		wor.start(ctx)
+		wor.run(500 * time.Millisecond)
+		wor.listDelayed.Store(false)
+		wor.run(8 * time.Second)
+		Expect(wor.violationsFound()).To(BeEmpty(), func() string { return wor.explain(6) })
+		Expect(wor.countOpen("large")).To(Equal(2))
+		Expect(wor.countOpen("small")).To(Equal(4))
+	})
+
+	It("goes on with servers whose last order changed nothing", func() {
+		wor := newWorld(7, 2, 10)
+		staged := 0
+		wor.beforeOrder = func(eng *engine, ord conductor.Order) {
+			if ord.Kind == conductor.Stage {
+				eng.Staged = []string{ord.Model}
+				staged++
+			}
+		}
+		wor.early.Store(true)
+		ctx, cancel := context.WithCancel(context.Background())
+		wor.cancel = cancel
+		DeferCleanup(wor.stop)
+		wor.start(ctx)
+		wor.run(8 * time.Second)
+		wor.early.Store(false)
+		for _, head := range wor.openHeads("large") {
+			wor.change(head, func(eng *engine) { eng.Draining = true })
+		}
+		wor.run(4 * time.Second)
+		for _, ser := range wor.reg.View().Servers {
+			Expect(ser.Draining && ser.Group.Name != "").To(BeFalse(), "%s is still in %s", ser.ID, ser.Group.Name)
+		}
+		Expect(wor.violationsFound()).To(BeEmpty(), func() string { return wor.explain(7) })
+		wor.mux.Lock()
+		defer wor.mux.Unlock()
+		Expect(staged).To(BeNumerically(">=", 20))
+	})
+
 	It("keeps each server in one group under losses, late orders and leader changes", func() {
 		for seed := range uint64(6) {
 			wor := startWorld(100 + seed)
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -107,12 +107,28 @@
 	defer con.mux.Unlock()
 	if err == nil {
 		con.orderCounts[ser.Instance()] = num + 1
+		con.orderedAt[ser.Instance()] = con.opt.Clock.Now()
 	} else {
 		delete(con.orderCounts, ser.Instance())
 	}
 	return err
 }
 
+// isStale reports whether a report may be older than the last order that the server has accepted from this entry. The count of an order that changed nothing is too high: it is dropped once reports must show the order.
+func (con *Conductor) isStale(ser registrar.Server, rep Report) bool {
+	con.mux.Lock()
+	defer con.mux.Unlock()
+	ins := ser.Instance()
+	if rep.Orders >= con.orderCounts[ins] {
+		return false
+	}
+	if con.opt.Clock.Since(con.orderedAt[ins]) < reportLag {
+		return true
+	}
+	delete(con.orderCounts, ins)
+	return false
+}
+
 // sendUntilDone repeats an order until the server accepts it or reports its effect. It fails when the server is gone or the context ends.
 func (con *Conductor) sendUntilDone(ctx context.Context, ser registrar.Server, ord Order, done func(gro registrar.Membership) bool) error {
 	for {
--- a/conductor/restore_test.go
+++ b/conductor/restore_test.go
@@ -89,6 +89,36 @@
 		Expect(wor.violationsFound()).To(BeEmpty())
 	})
 
+	It("takes no member from a group that an order of the former leader opens after its decision is lost", func() {
+		wor := startWorldOf(24, 16)
+		lost := wor.standbyHeads()
+		Expect(lost).NotTo(BeEmpty())
+		wor.leaders[0].Store(false)
+		wor.run(time.Second)
+		wor.restore(1000)
+		var opened []string
+		wor.mux.Lock()
+		wor.beforeOrder = func(eng *engine, ord conductor.Order) {
+			head := wor.headOf(ord.Group)
+			if ord.Kind != conductor.Leave || head == nil || len(head.members) < 2 || head.Group.State != registrar.Ready {
+				return
+			}
+			late := conductor.Order{Kind: conductor.Open, ExpectedOrders: head.orders, Group: ord.Group, Epoch: ord.Epoch}
+			Expect(wor.execute(head, late, "leader 0, late")).To(Succeed())
+			opened = append(opened, ord.Group)
+		}
+		wor.mux.Unlock()
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		wor.start(ctx)
+		wor.run(8 * time.Second)
+		Expect(wor.violationsFound()).To(BeEmpty(), func() string { return wor.explain(24) })
+		Expect(opened).NotTo(BeEmpty())
+		for _, name := range opened {
+			Expect(wor.recordedGroups()).To(HaveKey(name))
+		}
+	})
+
 	It("sends no order on a decision that the store has lost", func() {
 		wor := startWorldOf(25, 16)
 		Expect(wor.standbyHeads()).NotTo(BeEmpty())
@@ -140,6 +170,21 @@
 			})
 		}
 	})
+
+	It("takes no server from an open group while leaders that were replaced or paused go on", func() {
+		for _, seed := range restoreSeeds() {
+			playCopies(7000+seed, func(wor *world, ctx context.Context) {
+				wor.mux.Lock()
+				wor.pauseProbability = 0.05
+				wor.mux.Unlock()
+				last := wor.leaders[len(wor.leaders)-1]
+				wor.start(ctx)
+				wor.injectSomeFaults(ctx, 2)
+				last.Store(false)
+				wor.injectSomeFaults(ctx, 2)
+			})
+		}
+	})
 })
 
 // playCopies plays one seed, in which the store comes back from an older copy several times, and ends its leaders also when it fails.
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -281,6 +281,9 @@
 		wor.addViolation(ord.Group, fmt.Sprintf("%s joins %s of epoch %d with other members", eng.ID, ord.Group, ord.Epoch))
 		return errors.WithType(errors.New("other members"), conductor.ErrOrderMismatch)
 	}
+	if eng.Group.Name == ord.Group && eng.Group.Epoch == ord.Epoch {
+		wor.addViolation(ord.Group, fmt.Sprintf("%s joins %s of epoch %d again", eng.ID, ord.Group, ord.Epoch))
+	}
 	wor.checkFree(eng, ord)
 	wait := loadTime
 	switch {
@@ -556,6 +559,16 @@
 	return out
 }
 
+// headOf returns the head of a group, or nil if no engine is its head. The caller holds the lock.
+func (wor *world) headOf(group string) *engine {
+	for _, eng := range wor.engines {
+		if eng.Group.Name == group && eng.Group.Rank == 0 {
+			return eng
+		}
+	}
+	return nil
+}
+
 // hasRecord reports whether the records list a group. The caller holds the lock.
 func (wor *world) hasRecord(group string) bool {
 	recorded := false
