Give out no epoch twice after the store came back from an older copy

Cause: the epoch was one above those of the recorded groups and of those that servers report. A group that ended before any server had joined it left no trace, and the next one got its name and epoch.

Change: the epoch follows from the position of the record: the era times 2^20 plus the offset. No two records have one position, and epochs of earlier eras are lower, so that servers reject joins of groups from before the copy. In the first era it is the offset, as before.

The simulation compares each decision with all earlier ones when it is appended.

--- a/conductor/adopt.go
+++ b/conductor/adopt.go
@@ -17,18 +17,14 @@
 // adoptAfter is how long a group without a decision must be listed before it is adopted: the end of a group is decided up to this long before its servers are listed without it.
 const adoptAfter = 2 * time.Second
 
-// nextEpoch returns an epoch that no server has seen, though the store may have lost records and give out their offsets again.
+// epochsPerEra is the number of epochs of an era of the store, above the number of decisions that one can hold.
+const epochsPerEra = 1 << 20
+
+// nextEpoch returns the epoch of the decision that is appended next. It follows from the position of its record, so that no other decision has it, also one that ended before any server reported it, and it is above all of earlier eras.
 func (con *Conductor) nextEpoch() int64 {
 	con.mux.Lock()
 	defer con.mux.Unlock()
-	out := con.end.Offset
-	for _, frm := range con.formations {
-		out = max(out, frm.Epoch+1)
-	}
-	for _, ser := range con.opt.View().Servers {
-		out = max(out, ser.Group.Epoch+1)
-	}
-	return out
+	return con.end.Era*epochsPerEra + con.end.Offset
 }
 
 // groupName returns a name that no group of another era of the store has.
@@ -37,7 +33,7 @@
 	if era == 0 {
 		return fmt.Sprintf("g%d", epoch)
 	}
-	return fmt.Sprintf("g%d-%d", era, epoch)
+	return fmt.Sprintf("g%d-%d", era, epoch-era*epochsPerEra)
 }
 
 // era returns the era of the store in which the decisions were loaded.
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -19,7 +19,7 @@
 
 // startWorldOf starts a simulation with as many engines in each of two domains.
 func startWorldOf(seed uint64, each int) *world {
-	wor := newWorld(seed, 2, each)
+	wor := newWorld(seed, each)
 	wor.early.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	wor.cancel = cancel
@@ -39,7 +39,7 @@
 	})
 
 	It("forms groups of servers that are listed while it plans", func() {
-		wor := newWorld(5, 2, 10)
+		wor := newWorld(5, 10)
 		for _, eng := range wor.engines {
 			eng.unlisted = true
 		}
@@ -124,7 +124,7 @@
 	})
 
 	It("has no member join again a group that the former leader has formed", func() {
-		wor := newWorld(6, 2, 10)
+		wor := newWorld(6, 10)
 		wor.early.Store(true)
 		ctx, cancel := context.WithCancel(context.Background())
 		wor.cancel = cancel
@@ -143,7 +143,7 @@
 	})
 
 	It("goes on with servers whose last order changed nothing", func() {
-		wor := newWorld(7, 2, 10)
+		wor := newWorld(7, 10)
 		staged := 0
 		wor.beforeOrder = func(eng *engine, ord conductor.Order) {
 			if ord.Kind == conductor.Stage {
--- a/conductor/restore_test.go
+++ b/conductor/restore_test.go
@@ -163,6 +163,33 @@
 		Expect(wor.violationsFound()).To(BeEmpty(), func() string { return wor.explain(26) })
 	})
 
+	It("gives no number of a group that ended before anyone had joined it to another one", func() {
+		wor := newWorld(28, 10)
+		wor.early.Store(true)
+		wor.restore(0)
+		wor.lateProbability = 1
+		wor.change("e0-00", func(eng *engine) {
+			eng.Group = registrar.Membership{Name: "g30", Epoch: 30, Rank: 1, State: registrar.Ready}
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		wor.cancel = cancel
+		DeferCleanup(wor.stop)
+		wor.start(ctx)
+		wor.run(500 * time.Millisecond)
+		wor.mux.Lock()
+		decided := slices.Clone(wor.decided)
+		wor.mux.Unlock()
+		Expect(decided).NotTo(BeEmpty())
+		for _, frm := range slices.Backward(decided) {
+			wor.change(frm.Members[0].ID, func(eng *engine) {
+				eng.Draining = true
+				wor.pending = nil
+			})
+			wor.run(time.Second)
+		}
+		Expect(wor.violationsFound()).To(BeEmpty(), func() string { return wor.explain(28) })
+	})
+
 	It("gives out no number twice and takes no server from an open group under losses, late orders, leader changes and copies", func() {
 		for _, seed := range restoreSeeds() {
 			playCopies(5000+seed, func(wor *world, ctx context.Context) {
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -91,6 +92,8 @@
 	// ready holds which server was ready in which group and epoch, by readyKey.
 	ready   map[string]bool
 	leaders []*atomic.Bool
+	// decided holds the decisions on groups in the order in which they were appended, also those that are lost.
+	decided []grouper.Formation
 	// events holds what happened so far, for the message of a violation.
 	events []event
 	cancel context.CancelFunc
@@ -105,7 +108,7 @@
 	beforeView func()
 }
 
-func newWorld(seed uint64, domains, each int) *world {
+func newWorld(seed uint64, each int) *world {
 	wor := &world{
 		clk: clockwork.NewFakeClock(), rng: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{}, ready: map[string]bool{},
 		engine: router.Engine{Slots: 8, LoadsPerSecond: 100, Models: []router.Model{
@@ -114,7 +117,7 @@
 		}},
 	}
 	wor.reg = registrar.New(wor.clk)
-	for dom := range domains {
+	for dom := range 2 {
 		for num := range each {
 			id := fmt.Sprintf("e%d-%02d", dom, num)
 			wor.engines[id] = &engine{Server: registrar.Server{
@@ -445,12 +448,31 @@
 		return errors.WithType(errors.New("wrong end of the records"), conductor.ErrConflict)
 	}
 	wor.records = append(wor.records, recs...)
+	if at.Era == wor.era {
+		wor.checkNames(recs)
+	}
 	if at.Era != wor.era {
 		return errors.WithType(errors.New("another era"), conductor.ErrConflict)
 	}
 	return nil
 }
 
+// checkNames records a violation when a group has the name or the epoch of an earlier one. The caller holds the lock.
+func (wor *world) checkNames(recs []conductor.Record) {
+	for _, rec := range recs {
+		var frm grouper.Formation
+		if len(rec.Value) == 0 || json.Unmarshal(rec.Value, &frm) != nil {
+			continue
+		}
+		for _, oth := range wor.decided {
+			if (oth.Name == frm.Name || oth.Epoch == frm.Epoch) && !slices.Equal(oth.Members, frm.Members) {
+				wor.addViolation(frm.Name, fmt.Sprintf("%s of epoch %d is given out after %s of epoch %d", frm.Name, frm.Epoch, oth.Name, oth.Epoch))
+			}
+		}
+		wor.decided = append(wor.decided, frm)
+	}
+}
+
 // restore brings the records back from a copy that lacks the last ones.
 func (wor *world) restore(lost int) {
 	wor.mux.Lock()
--- a/grouper/formation.go
+++ b/grouper/formation.go
@@ -6,7 +6,7 @@
 	"github.com/lovagelever/lovagelever/registrar"
 )
 
-// Formation is the recorded decision to form a replica group. Epoch is the offset of its record, or more after the store has lost records. Era is the era of the store in which it was decided.
+// Formation is the recorded decision to form a replica group. Era is the era of the store in which it was decided. Epoch rises with each decision: in the first era it is the offset of its record.
 type Formation struct {
 	Name    string               `json:"name"`
 	Epoch   int64                `json:"epoch"`
