--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -37,13 +37,13 @@
 // engine is a simulated server that executes orders as the platform's workers do.
 type engine struct {
 	registrar.Server
-	orders       int64
-	members      []string
-	readyAt      time.Time
-	unreachable  bool
+	orders      int64
+	members     []string
+	readyAt     time.Time
+	unreachable bool
 	// drainsFor is how long the engine finishes its requests after a graceful close, until drainedAt.
-	drainsFor time.Duration
-	drainedAt time.Time
+	drainsFor    time.Duration
+	drainedAt    time.Time
 	notListening bool
 	unlisted     bool
 	stalledSince time.Time
