End a hedge whose second unit breaks before it has begun

With the first unit gone, the stream waited for the second until its deadline although nothing listened there any longer. Spec: gateway 'ends at once when the first unit is reset and the second one breaks'.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -148,6 +148,13 @@
 		return nil
 	}
 	att := &attempt{ctx: ctx, cancel: cancel, placement: pla, sentAt: job.gat.opt.Clock.Now()}
+	go func() {
+		select {
+		case <-pla.Broken:
+			cancel(errUnitBroken)
+		case <-ctx.Done():
+		}
+	}()
 	hed.mux.Lock()
 	hed.tried = append(hed.tried, pla.Unit.ID)
 	after := hed.lastEventID
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -81,6 +81,18 @@
 		})
 	}
 
+	It("ends at once when the first unit is reset and the second one breaks", func() {
+		one, two := newWorker(events(7, func(con net.Conn) { time.Sleep(1500 * time.Millisecond); reset(con) })), newWorker(silent)
+		wor := newWorld(resumable, one, two)
+		go func() {
+			time.Sleep(1700 * time.Millisecond)
+			wor.setReadiness(time.Time{}, []dispatcher.Readiness{dispatcher.Serving, dispatcher.Broken}, one, two)
+		}()
+		began := time.Now()
+		Expect(wor.call(context.Background()).err).To(HaveOccurred())
+		Expect(time.Since(began)).To(BeNumerically("<", 2500*time.Millisecond))
+	})
+
 	It("frees the slot of the second unit when the first one answers finally after all", func() {
 		wor := newWorld(resumable, newWorker(after(1250*time.Millisecond, whole(404, "no"))), newWorker(events(lastEvent, complete)))
 		req, err := http.NewRequest(http.MethodPost, "http://h.example/p/x", nil)
