--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -86,3 +86,25 @@
 		Expect(send(num+1, "common,own").body).To(Equal(eventsFrom(1)))
 	})
 })
+
+var _ = Describe("Gateway with a plain call that crashes backend servers", func() {
+	It("sends it no further although servers that fail all calls answer it in between", func() {
+		const pause = 250 * time.Millisecond
+		wor := newWorld(safe)
+		num := 0
+		send := func(one *worker) result {
+			num++
+			wor.dis.SetUnits([]dispatcher.Unit{{ID: fmt.Sprint("server", num), Pool: wor.pool, ServerID: "i", Address: one.lis.Addr().String(), Zone: "z0", Slots: 4}})
+			res := wor.call(context.Background(), "X-Parts", "bad")
+			time.Sleep(pause)
+			return res
+		}
+		for range quarantiner.CrashesToCondemn {
+			Expect(send(crashes()).status).To(Equal(http.StatusBadGateway))
+			Expect(send(newWorker(whole(http.StatusInternalServerError, "failed"))).body).To(Equal("failed"))
+		}
+		last := crashes()
+		Expect(send(last).status).To(Equal(http.StatusServiceUnavailable))
+		Expect(last.runs()).To(BeZero())
+	})
+})
