Keep to the rate limits of backend servers, over all entries

The limit is kept by permits. The owner of a server, chosen by rendezvous hashing among the entries that are heard, issues them at the rate of the limit to those that ask, in turn (ratelimiter); an entry asks for what it has waiting and expects within 250 ms, and a request that would wait too long is refused at once. Permits expire after 0.5 s, so nothing is saved up. A permit that nobody wants is offered to a random entry, since only a response tells that a limit has ended. An owner that hears only a part of the entries issues that part, so that partitions add up to the limit. The dispatcher takes a permit for each request that it places, so first sends, retries, hedges, resumed streams and waiting requests all spend from it, by the head's instance. A unit with a limit has no more slots for the planner than its rate can fill.

An entry that learns of a change tells the owner, which announces it to all; questions carry the limit, and entries that start get all limits with the evidence that they pull.

Simulated with 7, 67, 195 and 390 entries (permitter): lost messages, restarts, cuts, uneven demand, changes and ends.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -23,12 +23,13 @@
 	Forget(unit string)
 }
 
-// Options configure a Dispatcher; Zone is the availability zone of this entry, and Random returns numbers in [0, 1), by default from math/rand.
+// Options configure a Dispatcher; Zone is the availability zone of this entry, RateLimits by default knows of no limits, and Random returns numbers in [0, 1), by default from math/rand.
 type Options struct {
-	Zone    string
-	Clock   clockwork.Clock
-	Breaker Breaker
-	Random  func() float64
+	Zone       string
+	Clock      clockwork.Clock
+	Breaker    Breaker
+	RateLimits RateLimits
+	Random     func() float64
 }
 
 // Request asks for a slot of any unit in a pool.
@@ -94,13 +95,17 @@
 	waiting map[string]*waiter
 	// meanDuration is the moving average of how long served requests took, zero if unknown.
 	meanDuration time.Duration
+	arrivals     arrivalRate
+	arrived      uint64
 	// candidates is a buffer of selectUnit.
 	candidates []candidate
 }
 
 type waiter struct {
-	req  Request
-	done chan answer
+	req Request
+	// place is the place of the request in the order of arrival.
+	place uint64
+	done  chan answer
 }
 
 type answer struct {
@@ -113,6 +118,9 @@
 	if opt.Random == nil {
 		opt.Random = rand.Float64
 	}
+	if opt.RateLimits == nil {
+		opt.RateLimits = noRateLimits{}
+	}
 	return &Dispatcher{opt: opt, units: map[string]*unitState{}, pools: map[string]*pool{}, remoteByEntry: map[string]map[string]int{}, entries: 1, pauses: map[registrar.Instance]time.Time{}}
 }
 
@@ -159,7 +167,7 @@
 	if poo != nil && poo.waiting[wai.req.ID] == wai {
 		delete(poo.waiting, wai.req.ID)
 		poo.queue.Remove(wai.req.ID)
-		return nil, refuser.NotRun(reason+poo.loadSummary(), poo.queue.RetryAfter(queueItem(wai.req)))
+		return nil, refuser.NotRun(reason+dis.loadSummary(poo), poo.queue.RetryAfter(queueItem(wai.req)))
 	}
 	ans := <-wai.done
 	return ans.placement, ans.err
@@ -172,7 +180,9 @@
 	if poo == nil {
 		return nil, answer{err: refuser.NotRun("no unit of "+req.Pool+" is serving", refuser.DefaultRetryAfter)}
 	}
-	if err := dis.unavailable(poo, req); err != nil {
+	poo.arrivals.record(dis.opt.Clock.Now())
+	poo.arrived++
+	if err := dis.unavailable(poo, req, poo.arrived); err != nil {
 		return nil, answer{err: err}
 	}
 	if poo.queue.Len() == 0 {
@@ -188,7 +198,7 @@
 	if evicted != nil {
 		poo.refuse(evicted.ID, refuser.ShareExceeded("workspace "+evicted.Workspace+" is over its share of the full queue", poo.queue.RetryAfter(*evicted)))
 	}
-	wai := &waiter{req: req, done: make(chan answer, 1)}
+	wai := &waiter{req: req, place: poo.arrived, done: make(chan answer, 1)}
 	poo.waiting[req.ID] = wai
 	dis.dispatchWaiting(poo)
 	return wai, answer{}
@@ -231,6 +241,7 @@
 	now := dis.opt.Clock.Now()
 	// Allow uses up the single trial of a half-open circuit; selectUnit only reads the state with Open.
 	dis.opt.Breaker.Allow(sta.ID)
+	dis.opt.RateLimits.Spend(sta.Instance())
 	sta.running++
 	if sta.cold(now) {
 		sta.nextColdStart = now.Add(sta.coldInterval(dis.entries))
@@ -279,12 +290,13 @@
 	}
 	for _, poo := range dis.pools {
 		dis.dispatchWaiting(poo)
+		dis.refuseUnavailable(poo)
 	}
 }
 
 // loadSummary formats the load of the pool for the message of a refusal.
-func (poo *pool) loadSummary() string {
-	loa := poo.load()
+func (dis *Dispatcher) loadSummary(poo *pool) string {
+	loa := dis.load(poo)
 	return fmt.Sprintf(" (%d of %d places in use, %d requests waiting at this entry)", loa.InUse, loa.Slots, loa.Waiting)
 }
 
@@ -293,7 +305,7 @@
 	num := 0
 	for _, sta := range poo.units {
 		if dis.canStart(sta, by) {
-			num += sta.running + max(0, sta.Slots-sta.running-sta.remote)
+			num += sta.running + dis.freeSlots(sta)
 		}
 	}
 	return max(1, num)
--- a/dispatcher/pause.go
+++ b/dispatcher/pause.go
@@ -36,17 +36,20 @@
 	maps.DeleteFunc(dis.pauses, func(_ registrar.Instance, until time.Time) bool { return !until.After(now) })
 }
 
-// canStart reports whether a unit serves, and takes requests by a time as far as pauses are concerned.
+// canStart reports whether a unit serves, and takes requests by a time as far as pauses and rate limits are concerned.
 func (dis *Dispatcher) canStart(sta *unitState, by time.Time) bool {
 	if sta.Readiness != Serving {
 		return false
 	}
-	until := dis.pauses[sta.Instance()]
+	until := dis.blockedUntil(sta)
 	return until.Before(by) || !until.After(dis.opt.Clock.Now())
 }
 
-// unavailable returns the refusal of a request that no unit can start in time, because none serves or those that do are paused, or nil.
-func (dis *Dispatcher) unavailable(poo *pool, req Request) error {
+// unavailable returns the refusal of a request that no unit can start in time, because none serves, or those that do want a pause or are at their rate limit, or nil.
+func (dis *Dispatcher) unavailable(poo *pool, req Request, place uint64) error {
+	if dis.lacksPermits(poo, req, place) {
+		return refuser.NotRun("every unit of "+req.Pool+" is at its rate limit", poo.queue.RetryAfter(queueItem(req)))
+	}
 	now, serving := dis.opt.Clock.Now(), 0
 	var free time.Time
 	for _, sta := range poo.units {
@@ -60,13 +63,13 @@
 		if !slices.Contains(req.Exclude, sta.ID) && dis.canStart(sta, req.StartBy) {
 			return nil
 		}
-		if until := dis.pauses[sta.Instance()]; serving == 0 || until.Before(free) {
+		if until := dis.blockedUntil(sta); serving == 0 || until.Before(free) {
 			free = until
 		}
 		serving++
 	}
 	if free.After(now) {
-		return refuser.NotRun("every unit of "+req.Pool+" has asked for a pause", free.Sub(now))
+		return refuser.NotRun("every unit of "+req.Pool+" wants a pause or is at its rate limit", free.Sub(now))
 	}
 	return refuser.NotRun("no unit of "+req.Pool+" is serving", refuser.DefaultRetryAfter)
 }
@@ -74,7 +77,7 @@
 // refuseUnavailable refuses the waiting requests that no unit can start in time.
 func (dis *Dispatcher) refuseUnavailable(poo *pool) {
 	for _, id := range slices.Sorted(maps.Keys(poo.waiting)) {
-		if err := dis.unavailable(poo, poo.waiting[id].req); err != nil {
+		if err := dis.unavailable(poo, poo.waiting[id].req, poo.waiting[id].place); err != nil {
 			poo.queue.Remove(id)
 			poo.refuse(id, err)
 		}
--- /dev/null
+++ b/dispatcher/ratelimit.go
@@ -0,0 +1,210 @@
+package dispatcher
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/lovagelever/lovagelever/ratelimiter"
+	"github.com/lovagelever/lovagelever/registrar"
+)
+
+const (
+	// permitLead is the time for whose requests an entry asks for permits in advance, so that they need not wait for an answer.
+	permitLead = 250 * time.Millisecond
+	// permitSample is the number of units from whose permits the others' are estimated.
+	permitSample = 2
+	// permitBonus is how much more load, in requests, a unit may have for which there is a permit that would expire.
+	permitBonus = 1.0
+	// askedBonus is how much more load, in requests, a unit may have that permits were asked for already: other entries would wait while this one changes its mind.
+	askedBonus = 1.0
+	// arrivalMemory is the time over which the rate of arriving requests is averaged.
+	arrivalMemory = time.Second
+)
+
+// RateLimits knows which backend servers limit the requests per second of all entries, and holds this entry's permits for them.
+type RateLimits interface {
+	// Limit returns the limit of a server; false means that it has none.
+	Limit(ins registrar.Instance) (perSecond float64, limited bool)
+	// Permits returns how many requests this entry may send to a limited server now, Spend takes one permit, and NextPermit returns when the next one is expected and the time between those that follow, if known.
+	Permits(ins registrar.Instance) int
+	Spend(ins registrar.Instance)
+	NextPermit(ins registrar.Instance) (next time.Time, interval time.Duration, known bool)
+}
+
+// noRateLimits is used where backend servers name no limits.
+type noRateLimits struct{}
+
+func (noRateLimits) Limit(registrar.Instance) (float64, bool) { return 0, false }
+func (noRateLimits) Permits(registrar.Instance) int           { return 0 }
+func (noRateLimits) Spend(registrar.Instance)                 {}
+func (noRateLimits) NextPermit(registrar.Instance) (next time.Time, interval time.Duration, known bool) {
+	return next, interval, known
+}
+
+// lacksPermit reports whether the unit's server has a limit and this entry no permit for it.
+func (dis *Dispatcher) lacksPermit(sta *unitState) bool {
+	ins := sta.Instance()
+	_, limited := dis.opt.RateLimits.Limit(ins)
+	return limited && dis.opt.RateLimits.Permits(ins) == 0
+}
+
+// blockedUntil returns until when this entry may send nothing to a unit that serves, because of a pause or for lack of a permit; the zero time if it may, or nothing is known.
+func (dis *Dispatcher) blockedUntil(sta *unitState) time.Time {
+	until := dis.pauses[sta.Instance()]
+	if dis.lacksPermit(sta) {
+		if next, _, known := dis.opt.RateLimits.NextPermit(sta.Instance()); known && next.After(until) {
+			until = next
+		}
+	}
+	return until
+}
+
+// permitsBy estimates how many requests this entry can start by a time on units whose servers limit them; false means that it may start others, too, or that too little is known. Of many units those that the entry has asked for are a sample.
+func (dis *Dispatcher) permitsBy(poo *pool, by time.Time) (num int, known bool) {
+	limits, told := 0, 0
+	for _, sta := range poo.units {
+		if sta.Readiness != Serving {
+			continue
+		}
+		ins := sta.Instance()
+		if _, limited := dis.opt.RateLimits.Limit(ins); !limited {
+			return 0, false
+		}
+		limits++
+		num += dis.opt.RateLimits.Permits(ins)
+		next, interval, isTold := dis.opt.RateLimits.NextPermit(ins)
+		if !isTold {
+			continue
+		}
+		told++
+		if !next.After(by) && interval > 0 {
+			num += 1 + int(by.Sub(later(next, dis.opt.Clock.Now()))/interval)
+		}
+	}
+	if told < min(limits, permitSample) {
+		return 0, false
+	}
+	return num * limits / max(1, told), true
+}
+
+func later(one, two time.Time) time.Time {
+	if one.After(two) {
+		return one
+	}
+	return two
+}
+
+// lacksPermits reports whether the requests ahead of a request, which has a place in the order of arrival, use up all permits that come before its latest start, and how long it would wait.
+func (dis *Dispatcher) lacksPermits(poo *pool, req Request, place uint64) bool {
+	num, known := dis.permitsBy(poo, req.StartBy)
+	if !known {
+		return false
+	}
+	ahead, rank := 0, queueItem(req).Priority
+	for _, wai := range poo.waiting {
+		if oth := queueItem(wai.req).Priority; oth > rank || oth == rank && wai.place < place {
+			ahead++
+		}
+	}
+	return num <= ahead
+}
+
+// usableSlots returns how many requests the unit can run at a time: at a limited rate not more than come within the time that one takes.
+func (dis *Dispatcher) usableSlots(poo *pool, sta *unitState) int {
+	perSecond, limited := dis.opt.RateLimits.Limit(sta.Instance())
+	if !limited || poo.meanDuration <= 0 {
+		return sta.Slots
+	}
+	return int(min(float64(sta.Slots), math.Ceil(perSecond*poo.meanDuration.Seconds())))
+}
+
+// freeSlots returns how many more requests this entry could send to the unit.
+func (dis *Dispatcher) freeSlots(sta *unitState) int {
+	free := max(0, sta.Slots-sta.running-sta.remote)
+	if _, limited := dis.opt.RateLimits.Limit(sta.Instance()); limited {
+		return min(free, dis.opt.RateLimits.Permits(sta.Instance()))
+	}
+	return free
+}
+
+// PermitDemand returns how many permits this entry wants for each limited server: for its waiting requests, and for those that will arrive within permitLead. It prefers servers for which it has asked already.
+func (dis *Dispatcher) PermitDemand(asked map[registrar.Instance]ratelimiter.Ask) map[registrar.Instance]ratelimiter.Ask {
+	dis.mux.Lock()
+	defer dis.mux.Unlock()
+	out := map[registrar.Instance]ratelimiter.Ask{}
+	for _, poo := range dis.pools {
+		dis.addPermitDemand(poo, asked, out)
+	}
+	return out
+}
+
+// permitCandidate is a limited unit that this entry can ask permits for. Cost is its load in requests, with those that the entry could send already.
+type permitCandidate struct {
+	ins  registrar.Instance
+	cost float64
+	free int
+}
+
+func (dis *Dispatcher) addPermitDemand(poo *pool, asked, out map[registrar.Instance]ratelimiter.Ask) {
+	now, stock := dis.opt.Clock.Now(), 0
+	var list []permitCandidate
+	for _, sta := range poo.units {
+		ins := sta.Instance()
+		perSecond, limited := dis.opt.RateLimits.Limit(ins)
+		if !limited {
+			continue
+		}
+		held := dis.opt.RateLimits.Permits(ins)
+		stock += held
+		free := sta.Slots - sta.running - sta.remote - held
+		if sta.Readiness != Serving || free <= 0 || dis.pauses[ins].After(now) || dis.opt.Breaker.IsOpen(sta.ID) {
+			continue
+		}
+		cost := sta.score(dis.opt.Zone)*float64(max(1, sta.Slots)) + float64(held) + tieBreak*dis.opt.Random()
+		if next, _, known := dis.opt.RateLimits.NextPermit(ins); known && next.After(now) {
+			cost += next.Sub(now).Seconds() * perSecond
+		}
+		if asked[ins].Count > 0 {
+			cost -= askedBonus
+		}
+		list = append(list, permitCandidate{ins: ins, cost: cost, free: free})
+	}
+	within := permitLead
+	for _, wai := range poo.waiting {
+		within = max(within, wai.req.StartBy.Sub(now))
+	}
+	for need := poo.queue.Len() + int(poo.arrivals.perSecond(now)*permitLead.Seconds()) - stock; need > 0 && len(list) > 0; need-- {
+		pos := 0
+		for num := range list {
+			if list[num].cost < list[pos].cost {
+				pos = num
+			}
+		}
+		ask := out[list[pos].ins]
+		out[list[pos].ins] = ratelimiter.Ask{Server: list[pos].ins, Count: ask.Count + 1, Within: within}
+		list[pos].cost++
+		if list[pos].free--; list[pos].free == 0 {
+			list = slices.Delete(list, pos, pos+1)
+		}
+	}
+}
+
+// arrivalRate is the rate of arriving requests, averaged over arrivalMemory.
+type arrivalRate struct {
+	count float64
+	at    time.Time
+}
+
+func (arr *arrivalRate) record(now time.Time) {
+	arr.count = arr.decayed(now) + 1
+	arr.at = now
+}
+
+func (arr *arrivalRate) decayed(now time.Time) float64 {
+	return arr.count * math.Exp(-now.Sub(arr.at).Seconds()/arrivalMemory.Seconds())
+}
+
+func (arr *arrivalRate) perSecond(now time.Time) float64 {
+	return arr.decayed(now) / arrivalMemory.Seconds()
+}
--- a/dispatcher/select.go
+++ b/dispatcher/select.go
@@ -42,13 +42,16 @@
 	expected := poo.unseen(dis.remoteAge()) / float64(max(1, len(poo.units)))
 	list := poo.candidates[:0]
 	for _, sta := range poo.units {
-		if !sta.hasCapacity(now) || slices.Contains(req.Exclude, sta.ID) || dis.pauses[sta.Instance()].After(now) || dis.opt.Breaker.IsOpen(sta.ID) {
+		if !sta.hasCapacity(now) || slices.Contains(req.Exclude, sta.ID) || dis.lacksPermit(sta) || dis.pauses[sta.Instance()].After(now) || dis.opt.Breaker.IsOpen(sta.ID) {
 			continue
 		}
 		can := candidate{sta: sta, cost: sta.score(dis.opt.Zone)*float64(max(1, sta.Slots)) + tieBreak*dis.opt.Random()}
 		if sta.Zone != dis.opt.Zone {
 			can.cost += expected
 		}
+		if _, limited := dis.opt.RateLimits.Limit(sta.Instance()); limited {
+			can.cost -= permitBonus
+		}
 		list = append(list, can)
 	}
 	poo.candidates = list
--- a/dispatcher/update.go
+++ b/dispatcher/update.go
@@ -116,7 +116,7 @@
 	return out
 }
 
-// Load is the load of one pool; Slots and InUse cover all entries.
+// Load is the load of one pool; Slots and InUse cover all entries. A unit whose server limits the rate of requests has no more slots than it can use.
 type Load struct {
 	// Slots is the number of slots of all serving units, InUse the number of slots in use.
 	Slots int
@@ -131,17 +131,17 @@
 	defer dis.mux.Unlock()
 	out := map[string]Load{}
 	for name, poo := range dis.pools {
-		out[name] = poo.load()
+		out[name] = dis.load(poo)
 	}
 	return out
 }
 
-func (poo *pool) load() Load {
+func (dis *Dispatcher) load(poo *pool) Load {
 	out := Load{Waiting: poo.queue.Len()}
 	for _, sta := range poo.units {
 		out.InUse += sta.running + sta.remote
 		if sta.Readiness == Serving {
-			out.Slots += sta.Slots
+			out.Slots += dis.usableSlots(poo, sta)
 		}
 	}
 	return out
--- a/gateserver/evidence.go
+++ b/gateserver/evidence.go
@@ -15,6 +15,7 @@
 	"github.com/lovagelever/lovagelever/investigator"
 	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/quarantiner"
+	"github.com/lovagelever/lovagelever/ratelimiter"
 )
 
 const (
@@ -70,11 +71,13 @@
 type EvidenceAnswer struct {
 	Digest   uint64
 	Evidence quarantiner.Evidence
+	// Limits are the rate limits of backend servers; they are always part of the answer.
+	Limits []ratelimiter.Notice
 }
 
 // Evidence returns the evidence about crashes that this entry knows.
 func (rec *receiver) Evidence(que *EvidenceQuestion, ans *EvidenceAnswer) error {
-	ans.Digest = rec.gat.qua.Digest()
+	ans.Digest, ans.Limits = rec.gat.qua.Digest(), rec.gat.lim.Notices()
 	for _, dig := range que.Digests {
 		if dig == ans.Digest {
 			return nil
@@ -93,6 +96,7 @@
 		switch _, remote := errors.AsType[rpc.ServerError](err); {
 		case err == nil:
 			gat.inv.Receive(ans.Evidence)
+			gat.per.Apply(ans.Limits)
 			last, pause = ans.Digest, evidenceInterval
 		case remote:
 			// An entry of an earlier version does not know the method.
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -27,7 +27,9 @@
 	"github.com/lovagelever/lovagelever/investigator"
 	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/nominator"
+	"github.com/lovagelever/lovagelever/permitter"
 	"github.com/lovagelever/lovagelever/quarantiner"
+	"github.com/lovagelever/lovagelever/ratelimiter"
 	"github.com/lovagelever/lovagelever/registrar"
 	"github.com/lovagelever/lovagelever/router"
 	"github.com/lovagelever/lovagelever/sender"
@@ -78,6 +80,8 @@
 	qua *quarantiner.Quarantiner
 	inv *investigator.Investigator
 	com *compressor.Compressor
+	lim *ratelimiter.RateLimiter
+	per *permitter.Permitter
 
 	tailers      map[string]*tailer.Tailer
 	tab          atomic.Pointer[router.Table]
@@ -126,6 +130,7 @@
 	gat.pla.OnLeaving(gat.onLeaving)
 	gat.pla.OnPause(gat.onPause)
 	gat.buildRequestPath(source)
+	gat.buildPermitter()
 	if err := gat.buildPeerExchange(); err != nil {
 		return nil, err
 	}
@@ -137,7 +142,8 @@
 // buildRequestPath creates the components that handle requests.
 func (gat *Server) buildRequestPath(source net.IP) {
 	bou := gat.set.Bounds
-	gat.dis = dispatcher.New(dispatcher.Options{Zone: gat.set.Zone, Clock: gat.clk, Breaker: breaker.New(breaker.Options{Clock: gat.clk})})
+	gat.lim = ratelimiter.New(gat.clk)
+	gat.dis = dispatcher.New(dispatcher.Options{Zone: gat.set.Zone, Clock: gat.clk, Breaker: breaker.New(breaker.Options{Clock: gat.clk}), RateLimits: gat.lim})
 	gat.bud = budgeter.New(budgeter.Options{Ratio: bou.RetryRatio, Slack: bou.RetrySlack, Window: bou.RetryWindow, Clock: gat.clk})
 	gat.sen = sender.New(&net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, KeepAlive: -1}, gat.clk, dialTimeout)
 	gat.det = detector.New(detector.Options{
@@ -146,7 +152,7 @@
 	gat.buildInvestigator()
 	gat.gat = gateway.New(gateway.Options{
 		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, Budget: gat.bud, Detector: gat.det, Quarantine: gat.inv,
-		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, OnPause: gat.onPause, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
+		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, OnPause: gat.onPause, OnRateLimit: gat.onRateLimit, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
 	})
 }
 
@@ -162,7 +168,7 @@
 	})
 	gat.hea, err = heartbeater.New(heartbeater.Options{
 		Address: address, Peers: gat.peers, Collectors: gat.collectorPeers, Rate: gat.heartbeatRate, Heartbeat: gat.heartbeat, Totals: gat.totalsFor, OnHeartbeat: gat.onHeartbeat, OnTotals: gat.onTotals, OnSilent: gat.onPeerSilent,
-		Evidence: gat.inv.Due, OnEvidence: gat.inv.Receive,
+		Evidence: gat.inv.Due, OnEvidence: gat.inv.Receive, OnLimits: gat.onLimits,
 		Clock: gat.clk, Logger: gat.log,
 	})
 	return errors.Annotate(err, "gateserver: listen for heartbeats")
@@ -246,6 +252,7 @@
 		case <-tic.Chan():
 		}
 		gat.reg.Expire()
+		gat.per.Tick()
 		gat.dis.DispatchWaiting()
 		if num%sweepTicks == 0 {
 			gat.sen.Sweep()
@@ -254,6 +261,7 @@
 			gat.dis.SetLoadAge(gat.loadAge())
 			gat.bud.SetEntries(live)
 			gat.reg.SetNoPeers(live == 1)
+			gat.forgetRateLimits()
 		}
 	}
 }
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -49,6 +49,9 @@
 	Leaving bool
 	// PauseFor is how long the backend server, which has rejected the request, wants no requests from this entry.
 	PauseFor time.Duration
+	// Limited means that the backend server limits the requests that it takes from all entries, to RateLimit per second; negative if it cannot be read.
+	Limited   bool
+	RateLimit float64
 }
 
 // Concerns reports whether the response was sent by the backend server that the request was meant for.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,8 +63,10 @@
 	OnLeaving func(ins registrar.Instance)
 	// OnPause receives the backend servers that want no requests for a while.
 	OnPause func(ins registrar.Instance, dur time.Duration)
-	Clock   clockwork.Clock
-	Logger  *logrus.Entry
+	// OnRateLimit receives the rate limit that a backend server states in a response, or that it states none, and when the request was sent.
+	OnRateLimit func(ins registrar.Instance, limited bool, perSecond float64, sentAt time.Time)
+	Clock       clockwork.Clock
+	Logger      *logrus.Entry
 	// Stopping reports whether the entry is shutting down, so that connections are closed after the response, and when it ends.
 	Stopping func() (ends time.Time, stopping bool)
 }
@@ -342,8 +344,8 @@
 	return time.Duration((read + write) * pace * float64(time.Second))
 }
 
-// parseResponse classifies the response of a unit, and reports a backend server that leaves or wants a pause.
-func (job *job) parseResponse(pla *dispatcher.Placement, res *http.Response) ResponseInfo {
+// parseResponse classifies the response of a unit to a request sent at a time, and reports a backend server that leaves, wants a pause or limits the rate of requests.
+func (job *job) parseResponse(pla *dispatcher.Placement, res *http.Response, sentAt time.Time) ResponseInfo {
 	ver := job.gat.opt.HeaderCodec.ParseResponse(job.cal, res)
 	if !ver.Concerns(pla.Unit.ServerID) {
 		return ver
@@ -354,6 +356,9 @@
 	if ver.PauseFor > 0 {
 		job.gat.opt.OnPause(pla.Unit.Instance(), ver.PauseFor)
 	}
+	if ver.Limited || ver.Verified {
+		job.gat.opt.OnRateLimit(pla.Unit.Instance(), ver.Limited, ver.RateLimit, sentAt)
+	}
 	return ver
 }
 
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -183,7 +183,7 @@
 // awaitEvent waits for the first event of the second unit, or for the end of its stream; any other result than Served means that the unit did not take over.
 func (hed *hedge) awaitEvent(att *attempt) dispatcher.Result {
 	job := hed.rel.job
-	ver := job.parseResponse(att.placement, att.exc.Response)
+	ver := job.parseResponse(att.placement, att.exc.Response, att.sentAt)
 	if ver.NotRun {
 		hed.count(0)
 		return dispatcher.Rejected
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -166,7 +166,7 @@
 		}
 		return result{err: err, unit: pla.Unit, began: began, sent: !notSent, mayRun: !notSent, cancelled: ctx.Err() != nil}
 	}
-	rep := reply{res: exc.Response, ver: job.parseResponse(pla, exc.Response)}
+	rep := reply{res: exc.Response, ver: job.parseResponse(pla, exc.Response, began)}
 	err = job.receive(pla, exc, &rep)
 	exc.End(err == nil && rep.ver.Verified)
 	res, err := classify(rep, err)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -130,7 +130,7 @@
 		}
 	}
 	exc := att.exc
-	rep = reply{res: exc.Response, ver: rel.parseResponse(pla, exc.Response)}
+	rep = reply{res: exc.Response, ver: rel.parseResponse(pla, exc.Response, att.sentAt)}
 	if rep.ver.NotRun || rep.res.StatusCode != http.StatusOK || !rep.ver.Verified {
 		out.Result, err = rel.finishNonStream(exc, &rep)
 		return rep, nil, err
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lovagelever/lovagelever/quarantiner"
+	"github.com/lovagelever/lovagelever/ratelimiter"
 )
 
 const (
@@ -61,7 +62,7 @@
 // MinInterval, Rate how often this entry sends heartbeats to all, Heartbeat the heartbeat to send to a collector or to another peer,
 // Totals the totals to send every MinInterval, by peer, OnHeartbeat and OnTotals handle what is received, and OnSilent an entry that
 // has become silent. Evidence returns the evidence about crashes to send to all peers now, and OnEvidence handles that of others; both
-// may be nil.
+// may be nil. OnLimits handles what other entries tell about the rate limits of backend servers.
 type Options struct {
 	Address     netip.AddrPort
 	Peers       func() []Peer
@@ -74,6 +75,7 @@
 	OnSilent    func(name string)
 	Evidence    func() quarantiner.Evidence
 	OnEvidence  func(evi quarantiner.Evidence)
+	OnLimits    func(msg ratelimiter.Message)
 	Clock       clockwork.Clock
 	Logger      *logrus.Entry
 }
@@ -225,6 +227,10 @@
 			hea.receiveEvidence(buf[:num])
 			continue
 		}
+		if num > 0 && buf[0] == limitsVersion {
+			hea.receiveLimits(buf[:num])
+			continue
+		}
 		bea, err := Decode(buf[:num])
 		if err != nil {
 			hea.opt.Logger.WithError(err).Debug("ignoring datagram that is not a valid heartbeat")
@@ -261,6 +267,26 @@
 	}
 }
 
+// SendLimits sends a message about rate limits to peers at once.
+func (hea *Heartbeater) SendLimits(msg ratelimiter.Message, peers ...Peer) {
+	for _, data := range EncodeLimits(msg) {
+		for _, pee := range peers {
+			hea.write(data, pee)
+		}
+	}
+}
+
+func (hea *Heartbeater) receiveLimits(data []byte) {
+	msg, err := DecodeLimits(data)
+	if err != nil {
+		hea.opt.Logger.WithError(err).Debug("ignoring datagram that holds no valid limits")
+		return
+	}
+	if hea.opt.OnLimits != nil {
+		hea.opt.OnLimits(msg)
+	}
+}
+
 // accept records a heartbeat, and reports false if it is no newer than the last one of the same entry.
 func (hea *Heartbeater) accept(bea Heartbeat) bool {
 	hea.mux.Lock()
