Refuse at once what no permit of a limited server reaches in time

A request before servers at their rate limit could wait until its latest start and be refused only then: the forecast of its permits took each for punctual, and the Retry-After was that of the slots, a second at least. The spec of gateserver showed it once beside other tests (refused after 601 ms, 200 ms are allowed). A permit now counts only if it comes 100 ms before it is needed, waiting requests are checked again only in pools whose units are all limited, and Retry-After is when the permits ahead are used up.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -290,7 +290,9 @@
 	}
 	for _, poo := range dis.pools {
 		dis.dispatchWaiting(poo)
-		dis.refuseUnavailable(poo)
+		if len(poo.waiting) > 0 && dis.allLimited(poo) {
+			dis.refuseUnavailable(poo)
+		}
 	}
 }
 
--- a/dispatcher/pause.go
+++ b/dispatcher/pause.go
@@ -47,8 +47,8 @@
 
 // unavailable returns the refusal of a request that no unit can start in time, because none serves, or those that do want a pause or are at their rate limit, or nil.
 func (dis *Dispatcher) unavailable(poo *pool, req Request, place uint64) error {
-	if dis.lacksPermits(poo, req, place) {
-		return refuser.NotRun("every unit of "+req.Pool+" is at its rate limit", poo.queue.RetryAfter(queueItem(req)))
+	if err := dis.permitRefusal(poo, req, place); err != nil {
+		return err
 	}
 	now, serving := dis.opt.Clock.Now(), 0
 	var free time.Time
--- a/dispatcher/ratelimit.go
+++ b/dispatcher/ratelimit.go
@@ -5,13 +5,17 @@
 	"slices"
 	"time"
 
+	"github.com/lovagelever/lovagelever/queuer"
 	"github.com/lovagelever/lovagelever/ratelimiter"
+	"github.com/lovagelever/lovagelever/refuser"
 	"github.com/lovagelever/lovagelever/registrar"
 )
 
 const (
 	// permitLead is the time for whose requests an entry asks for permits in advance, so that they need not wait for an answer.
 	permitLead = 250 * time.Millisecond
+	// permitDelay is how much later than expected a permit may come.
+	permitDelay = 100 * time.Millisecond
 	// permitSample is the number of units from whose permits the others' are estimated.
 	permitSample = 2
 	// permitBonus is how much more load, in requests, a unit may have for which there is a permit that would expire.
@@ -60,8 +64,16 @@
 	return until
 }
 
-// permitsBy estimates how many requests this entry can start by a time on units whose servers limit them; false means that it may start others, too, or that too little is known. Of many units those that the entry has asked for are a sample.
-func (dis *Dispatcher) permitsBy(poo *pool, by time.Time) (num int, known bool) {
+// forecast is how many permits an entry will probably get for the units of a pool: by a time, and then per second.
+type forecast struct {
+	num       int
+	perSecond float64
+}
+
+// forecastPermits estimates how many requests this entry can start by a time on units whose servers limit them; false means that it may start others, too, or that too little is known. Of many units those that the entry has asked for are a sample.
+func (dis *Dispatcher) forecastPermits(poo *pool, by time.Time) (forecast, bool) {
+	by = by.Add(-permitDelay)
+	var sum forecast
 	limits, told := 0, 0
 	for _, sta := range poo.units {
 		if sta.Readiness != Serving {
@@ -69,23 +81,25 @@
 		}
 		ins := sta.Instance()
 		if _, limited := dis.opt.RateLimits.Limit(ins); !limited {
-			return 0, false
+			return forecast{}, false
 		}
 		limits++
-		num += dis.opt.RateLimits.Permits(ins)
+		sum.num += dis.opt.RateLimits.Permits(ins)
 		next, interval, isTold := dis.opt.RateLimits.NextPermit(ins)
 		if !isTold {
 			continue
 		}
 		told++
-		if !next.After(by) && interval > 0 {
-			num += 1 + int(by.Sub(later(next, dis.opt.Clock.Now()))/interval)
+		interval = max(interval, time.Millisecond)
+		sum.perSecond += 1 / interval.Seconds()
+		if !next.After(by) {
+			sum.num += 1 + int(by.Sub(later(next, dis.opt.Clock.Now()))/interval)
 		}
 	}
-	if told < min(limits, permitSample) {
-		return 0, false
+	if limits == 0 || told < min(limits, permitSample) {
+		return forecast{}, false
 	}
-	return num * limits / max(1, told), true
+	return forecast{num: sum.num * limits / told, perSecond: sum.perSecond * float64(limits) / float64(told)}, true
 }
 
 func later(one, two time.Time) time.Time {
@@ -95,11 +109,11 @@
 	return two
 }
 
-// lacksPermits reports whether the requests ahead of a request, which has a place in the order of arrival, use up all permits that come before its latest start, and how long it would wait.
-func (dis *Dispatcher) lacksPermits(poo *pool, req Request, place uint64) bool {
-	num, known := dis.permitsBy(poo, req.StartBy)
+// permitRefusal returns the refusal of a request if those ahead of it use up all permits that come before its latest start, or nil; place is its place in the order of arrival.
+func (dis *Dispatcher) permitRefusal(poo *pool, req Request, place uint64) error {
+	fore, known := dis.forecastPermits(poo, req.StartBy)
 	if !known {
-		return false
+		return nil
 	}
 	ahead, rank := 0, queueItem(req).Priority
 	for _, wai := range poo.waiting {
@@ -107,7 +121,26 @@
 			ahead++
 		}
 	}
-	return num <= ahead
+	if fore.num > ahead {
+		return nil
+	}
+	wait := time.Duration(min(float64(ahead+1)/fore.perSecond, queuer.MaxRetryAfter.Seconds()) * float64(time.Second))
+	return refuser.NotRun("every unit of "+req.Pool+" is at its rate limit", wait)
+}
+
+// allLimited reports whether the servers of all serving units limit the rate of requests.
+func (dis *Dispatcher) allLimited(poo *pool) bool {
+	num := 0
+	for _, sta := range poo.units {
+		if sta.Readiness != Serving {
+			continue
+		}
+		if _, limited := dis.opt.RateLimits.Limit(sta.Instance()); !limited {
+			return false
+		}
+		num++
+	}
+	return num > 0
 }
 
 // usableSlots returns how many requests the unit can run at a time: at a limited rate not more than come within the time that one takes.
--- a/dispatcher/ratelimit_test.go
+++ b/dispatcher/ratelimit_test.go
@@ -81,9 +81,9 @@
 		waiting int
 		refused bool
 	}{
-		{"the only permit comes in time", []time.Duration{900 * time.Millisecond}, 0, false},
-		{"the only permit comes late", []time.Duration{1100 * time.Millisecond}, 0, true},
-		{"the request before takes it", []time.Duration{900 * time.Millisecond}, 1, true},
+		{"the only permit comes in time", []time.Duration{800 * time.Millisecond}, 0, false},
+		{"the only permit comes too late for an owner that is a little late", []time.Duration{950 * time.Millisecond}, 0, true},
+		{"the request before takes it", []time.Duration{800 * time.Millisecond}, 1, true},
 		{"another server has one", []time.Duration{1100 * time.Millisecond, 500 * time.Millisecond}, 0, false},
 		{"two of two are late", []time.Duration{1100 * time.Millisecond, 3 * time.Second}, 0, true},
 	}
--- a/gateserver/meter.go
+++ b/gateserver/meter.go
@@ -60,6 +60,11 @@
 	mtr.scope.Counter("store_restores").Inc(1)
 }
 
+// RecordRateLimits records how many backend servers limit the rate of requests.
+func (mtr *meter) RecordRateLimits(num int) {
+	mtr.scope.Gauge("rate_limited_servers").Update(float64(num))
+}
+
 // RecordModel records the numbers of replica groups and slots of a model.
 func (mtr *meter) RecordModel(service string, sta grouper.ModelState) {
 	sco := mtr.scope.Tagged(map[string]string{"service": service, "model": sta.Model})
--- a/gateserver/ratelimit.go
+++ b/gateserver/ratelimit.go
@@ -60,11 +60,12 @@
 	}
 }
 
-// forgetRateLimits forgets the limits of servers that are no longer listed.
+// forgetRateLimits forgets the limits of servers that are no longer listed, and records how many there are.
 func (gat *Server) forgetRateLimits() {
 	servers := gat.reg.View().Servers
 	gat.lim.SetListed(func(ins registrar.Instance) bool {
 		ser, listed := servers[ins.ID]
 		return listed && ser.Started == ins.Started
 	})
+	gat.mtr.RecordRateLimits(gat.lim.Limited())
 }
--- a/ratelimiter/ratelimiter.go
+++ b/ratelimiter/ratelimiter.go
@@ -43,6 +43,11 @@
 	return &RateLimiter{clk: clk, limits: map[registrar.Instance]*limit{}, stocks: map[registrar.Instance]*stock{}, buckets: map[registrar.Instance]*bucket{}, share: 1}
 }
 
+// Limited returns the number of servers with a limit.
+func (lim *RateLimiter) Limited() int {
+	return int(lim.limited.Load())
+}
+
 // Limit returns the requests per second that a server takes from all entries; false means that it has no limit.
 func (lim *RateLimiter) Limit(ins registrar.Instance) (perSecond float64, limited bool) {
 	if lim.limited.Load() == 0 {
