--- a/prover/gate_fault_test.go
+++ b/prover/gate_fault_test.go
@@ -25,7 +25,7 @@
 	storeBusy   = storeFault("store refuses two entries as busy", func(flt *storefaker.Faults) { flt.BusySources = []string{gateIP(1), gateIP(3)} })
 	// gateFaults lists the fault generators of the soak test.
 	gateFaults = []gateFaultGenerator{
-		killGate, pauseGate, stopGate, reloadGate, partitionFromStore, partitionFromWorker, resetWorker, slowNetwork, killWorker, killWorker, drainWorker, pauseWorker, delayOrders, spoilAnswers, spoilAnswers,
+		killGate, pauseGate, stopGate, reloadGate, partitionFromStore, partitionFromWorker, resetWorker, slowNetwork, killWorker, killWorker, drainWorker, pauseWorker, limitWorker, delayOrders, spoilAnswers, spoilAnswers,
 		storeDown, storePause, storeSlow, storeLosing, storeBusy, dropHistory, restoreStore, reassignLeases, takeZoneOut, changeRoutes,
 	}
 )
@@ -208,6 +208,17 @@
 	return instantFault(fmt.Sprintf("pause %s for %v", workerID(zone, num), dur), "worker at "+workerIP(zone, num), func() { gts.wor.Pause(workerID(zone, num), dur) })
 }
 
+// limitWorker has a backend server name a rate limit.
+func limitWorker(gts *gates, rng *rand.Rand) fault {
+	zone, num := randomWorker(rng)
+	id := workerID(zone, num)
+	perSecond := 0.5 + 8*rng.Float64()
+	return fault{
+		name: fmt.Sprintf("limit %s to %.1f/s", id, perSecond), target: "worker at " + workerIP(zone, num),
+		begin: func() { gts.wor.Limit(id, perSecond) }, end: func() { gts.wor.Limit(id, 0) },
+	}
+}
+
 // spoilAnswers makes a backend server end its answers with the connection, end them early, or send them without end.
 func spoilAnswers(gts *gates, rng *rand.Rand) fault {
 	zone, num := randomWorker(rng)
