--- a/dispatcher/ratelimit.go
+++ b/dispatcher/ratelimit.go
@@ -2,28 +2,20 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/lovagelever/lovagelever/queuer"
-	"github.com/lovagelever/lovagelever/ratelimiter"
 	"github.com/lovagelever/lovagelever/refuser"
 	"github.com/lovagelever/lovagelever/registrar"
 )
 
 const (
-	// permitLead is the time for whose requests an entry asks for permits in advance, so that they need not wait for an answer.
-	permitLead = 250 * time.Millisecond
 	// permitDelay is how much later than expected a permit may come.
 	permitDelay = 100 * time.Millisecond
 	// permitSample is the number of units from whose permits the others' are estimated.
 	permitSample = 2
 	// permitBonus is how much more load, in requests, a unit may have for which there is a permit that would expire.
 	permitBonus = 1.0
-	// askedBonus is how much more load, in requests, a unit may have that permits were asked for already: other entries would wait while this one changes its mind.
-	askedBonus = 1.0
-	// arrivalMemory is the time over which the rate of arriving requests is averaged.
-	arrivalMemory = time.Second
 )
 
 // RateLimits knows which backend servers limit the requests per second of all entries, and holds this entry's permits for them.
@@ -160,84 +152,3 @@
 	}
 	return free
 }
-
-// PermitDemand returns how many permits this entry wants for each limited server: for its waiting requests, and for those that will arrive within permitLead. It prefers servers for which it has asked already.
-func (dis *Dispatcher) PermitDemand(asked map[registrar.Instance]ratelimiter.Ask) map[registrar.Instance]ratelimiter.Ask {
-	dis.mux.Lock()
-	defer dis.mux.Unlock()
-	out := map[registrar.Instance]ratelimiter.Ask{}
-	for _, poo := range dis.pools {
-		dis.addPermitDemand(poo, asked, out)
-	}
-	return out
-}
-
-// permitCandidate is a limited unit that this entry can ask permits for. Cost is its load in requests, with those that the entry could send already.
-type permitCandidate struct {
-	ins  registrar.Instance
-	cost float64
-	free int
-}
-
-func (dis *Dispatcher) addPermitDemand(poo *pool, asked, out map[registrar.Instance]ratelimiter.Ask) {
-	now, stock := dis.opt.Clock.Now(), 0
-	var list []permitCandidate
-	for _, sta := range poo.units {
-		ins := sta.Instance()
-		perSecond, limited := dis.opt.RateLimits.Limit(ins)
-		if !limited {
-			continue
-		}
-		held := dis.opt.RateLimits.Permits(ins)
-		stock += held
-		free := sta.Slots - sta.running - sta.remote - held
-		if sta.Readiness != Serving || free <= 0 || dis.pauses[ins].After(now) || dis.opt.Breaker.IsOpen(sta.ID) {
-			continue
-		}
-		cost := sta.score(dis.opt.Zone)*float64(max(1, sta.Slots)) + float64(held) + tieBreak*dis.opt.Random()
-		if next, _, known := dis.opt.RateLimits.NextPermit(ins); known && next.After(now) {
-			cost += next.Sub(now).Seconds() * perSecond
-		}
-		if asked[ins].Count > 0 {
-			cost -= askedBonus
-		}
-		list = append(list, permitCandidate{ins: ins, cost: cost, free: free})
-	}
-	within := permitLead
-	for _, wai := range poo.waiting {
-		within = max(within, wai.req.StartBy.Sub(now))
-	}
-	for need := poo.queue.Len() + int(poo.arrivals.perSecond(now)*permitLead.Seconds()) - stock; need > 0 && len(list) > 0; need-- {
-		pos := 0
-		for num := range list {
-			if list[num].cost < list[pos].cost {
-				pos = num
-			}
-		}
-		ask := out[list[pos].ins]
-		out[list[pos].ins] = ratelimiter.Ask{Server: list[pos].ins, Count: ask.Count + 1, Within: within}
-		list[pos].cost++
-		if list[pos].free--; list[pos].free == 0 {
-			list = slices.Delete(list, pos, pos+1)
-		}
-	}
-}
-
-// arrivalRate is the rate of arriving requests, averaged over arrivalMemory.
-type arrivalRate struct {
-	count float64
-	at    time.Time
-}
-
-func (arr *arrivalRate) record(now time.Time) {
-	arr.count = arr.decayed(now) + 1
-	arr.at = now
-}
-
-func (arr *arrivalRate) decayed(now time.Time) float64 {
-	return arr.count * math.Exp(-now.Sub(arr.at).Seconds()/arrivalMemory.Seconds())
-}
-
-func (arr *arrivalRate) perSecond(now time.Time) float64 {
-	return arr.decayed(now) / arrivalMemory.Seconds()
-}
--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -58,7 +58,7 @@
 	// ownedAt is when this entry last worked out which servers it owns.
 	ownedAt time.Time
 	// lastOwners avoids sorting hundreds of entries for each message.
-	lastOwners atomic.Pointer[owners]
+	lastOwners atomic.Pointer[ownership]
 }
 
 // New returns a Permitter.
@@ -195,7 +195,7 @@
 	}
 }
 
-func (per *Permitter) issue(own owners) {
+func (per *Permitter) issue(own ownership) {
 	pick := func() string { return own.names[rand.IntN(len(own.names))] }
 	for name, list := range per.opt.Limiter.Issue(pick) {
 		if name != per.opt.Self {
@@ -221,7 +221,7 @@
 }
 
 // updateOwned tells the rate limiter for which servers this entry issues permits.
-func (per *Permitter) updateOwned(own owners) {
+func (per *Permitter) updateOwned(own ownership) {
 	per.mux.Lock()
 	due := per.opt.Clock.Since(per.ownedAt) >= ownedInterval
 	if due {
@@ -260,20 +260,20 @@
 	per.opt.Limiter.SetShare(float64(heard) / float64(all))
 }
 
-// owners says which entry issues the permits for each limited server.
-type owners struct {
+// ownership says which entry issues the permits for each limited server.
+type ownership struct {
 	pool  *assigner.Pool
 	names []string
 	at    time.Time
 }
 
-func (own owners) of(ins registrar.Instance) string {
+func (own ownership) of(ins registrar.Instance) string {
 	can, _ := own.pool.Pick(ins.ID, "", "")
 	return can.Name
 }
 
 // owners returns the owners among the entries that this one hears, as they were within ownersTTL. A stopping entry owns a server only if there is no other.
-func (per *Permitter) owners() owners {
+func (per *Permitter) owners() ownership {
 	now := per.opt.Clock.Now()
 	if last := per.lastOwners.Load(); last != nil && now.Sub(last.at) < ownersTTL {
 		return *last
@@ -287,7 +287,7 @@
 	if !per.opt.Stopping() || len(list) == 0 {
 		list = append(list, assigner.Candidate{Name: per.opt.Self})
 	}
-	own := owners{pool: assigner.NewPool(list), at: now}
+	own := ownership{pool: assigner.NewPool(list), at: now}
 	for _, can := range list {
 		own.names = append(own.names, can.Name)
 	}
--- a/ratelimiter/notice.go
+++ b/ratelimiter/notice.go
@@ -71,6 +71,7 @@
 	return lim.set(not.Server, not.Limited, not.PerSecond, at)
 }
 
+// set stores a limit and reports whether it differs from the one before; the caller holds the lock.
 func (lim *RateLimiter) set(ins registrar.Instance, limited bool, perSecond float64, at time.Time) bool {
 	if limited && !(perSecond >= 0 && perSecond <= math.MaxFloat64) {
 		return false
@@ -81,14 +82,15 @@
 		lim.limits[ins] = old
 	}
 	changed := old.limited != limited || limited && old.perSecond != perSecond
-	if limited != old.limited {
-		lim.limited.Add(map[bool]int64{true: 1, false: -1}[limited])
-	}
-	old.limited, old.perSecond, old.at = limited, perSecond, at
-	if !limited {
+	switch {
+	case limited && !old.limited:
+		lim.limited.Add(1)
+	case !limited && old.limited:
+		lim.limited.Add(-1)
 		delete(lim.stocks, ins)
 		delete(lim.buckets, ins)
 	}
+	old.limited, old.perSecond, old.at = limited, perSecond, at
 	return changed
 }
 
