--- a/advertiser/advertiser.go
+++ b/advertiser/advertiser.go
@@ -15,7 +15,10 @@
 	// CallerAddress and EntryAddress are the addresses IP:PORT for callers and for other entries.
 	CallerAddress string `json:"callers"`
 	EntryAddress  string `json:"entries"`
-	Incarnation   uint64 `json:"incarnation"`
+	// ForwardingAddress is the address IP:PORT for requests that other entries forward, empty if the entry takes none.
+	ForwardingAddress string `json:"forwarding,omitempty"`
+	Region            string `json:"region,omitempty"`
+	Incarnation       uint64 `json:"incarnation"`
 	// Cores is the processor capacity of the entry's VM, zero if unknown.
 	Cores    float64 `json:"cores,omitempty"`
 	Stopping bool    `json:"stopping"`
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -45,6 +45,14 @@
 	Probe(ctx context.Context, ser registrar.Server) error
 }
 
+// Links says which services this entry reaches at all.
+type Links interface {
+	// Lost reports whether no backend server of a service answers this entry while another entry reaches the service.
+	Lost(service string) bool
+	// ConfirmLost finds that out after a backend server of the service has not answered.
+	ConfirmLost(service string) bool
+}
+
 // Registrar records which instances of backend servers this entry suspects, and holds the server list.
 type Registrar interface {
 	Suspect(ins registrar.Instance, until time.Time, certain bool)
@@ -56,6 +64,7 @@
 type Options struct {
 	Members   func(unit string) []registrar.Server
 	Prober    Prober
+	Links     Links
 	Registrar Registrar
 	Clock     clockwork.Clock
 	Logger    *logrus.Entry
@@ -111,13 +120,15 @@
 	return out
 }
 
-// CheckUnit probes the servers of a unit in the background, unless the unit was checked or showed activity recently or this entry has paused its checks.
+// CheckUnit probes the servers of a unit in the background, unless the unit was checked or showed activity recently this entry has paused its checks or reaches no server of the service.
 func (det *Detector) CheckUnit(unit string) {
 	if !det.needsCheck(unit) {
 		return
 	}
 	for _, ser := range det.opt.Members(unit) {
-		go det.monitorServer(ser)
+		if !det.opt.Links.Lost(ser.Service) {
+			go det.monitorServer(ser)
+		}
 	}
 }
 
@@ -140,9 +151,9 @@
 	return true
 }
 
-// CheckServer probes a server that another entry suspects, in the background, unless this entry suspects it already, has checked it for the same reason recently or has paused its checks.
+// CheckServer probes a server that another entry suspects, in the background, unless this entry suspects it already, has checked it for the same reason recently, has paused its checks or reaches no server of the service.
 func (det *Detector) CheckServer(ser registrar.Server) {
-	if det.needsRemoteCheck(ser.Instance()) {
+	if !det.opt.Links.Lost(ser.Service) && det.needsRemoteCheck(ser.Instance()) {
 		go det.monitorServer(ser)
 	}
 }
@@ -174,10 +185,10 @@
 	return all, recent
 }
 
-// monitorServer probes a server; once it suspects the server, it keeps probing until the server answers, leaves the list or maxSuspicion has passed. The suspicion ends while this entry is too slow to judge.
+// monitorServer probes a server, which is not suspected while this entry reaches no server of its service. Once it suspects the server, it keeps probing until the server answers, leaves the list or maxSuspicion has passed. The suspicion ends while this entry is too slow to judge.
 func (det *Detector) monitorServer(ser registrar.Server) {
 	err := det.probe(ser)
-	if err == nil || errors.Is(err, errOverloaded) || !det.beginSuspicion(ser, err) {
+	if err == nil || errors.Is(err, errOverloaded) || det.opt.Links.ConfirmLost(ser.Service) || !det.beginSuspicion(ser, err) {
 		return
 	}
 	defer det.endSuspicion(ser)
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -54,15 +55,23 @@
 	return pro.probes[id]
 }
 
+// linksStub says whether the entry reaches servers.
+type linksStub struct{ lost atomic.Bool }
+
+func (lin *linksStub) Lost(string) bool        { return false }
+func (lin *linksStub) ConfirmLost(string) bool { return lin.lost.Load() }
+
 var _ = Describe("Detector", func() {
 	errNoAnswer := errors.New("no answer")
 	var clk *clockwork.FakeClock
 	var reg *registrar.Registrar
 	var pro *fakeProber
 	var det *detector.Detector
+	var links *linksStub
 	BeforeEach(func() {
 		clk = clockwork.NewFakeClock()
 		reg = registrar.New(clk)
+		links = &linksStub{}
 		pro = &fakeProber{errs: map[string]error{}, probes: map[string]int{}, clk: clk}
 		for _, id := range []string{"a", "b"} {
 			reg.Put(registrar.Server{ID: id, Started: 1})
@@ -73,13 +82,23 @@
 			Members: func(string) []registrar.Server {
 				return []registrar.Server{{ID: "a", Started: 1}, {ID: "b", Started: 1}}
 			},
-			Prober: pro, Registrar: reg, Clock: clk, Logger: log.WithField("test", true),
+			Prober: pro, Links: links, Registrar: reg, Clock: clk, Logger: log.WithField("test", true),
 		})
 	})
 	suspected := func(id string) func() bool {
 		return func() bool { return reg.View().Suspected(registrar.Instance{ID: id, Started: 1}) }
 	}
 
+	for _, cause := range []error{errNoAnswer, detector.ErrDown} {
+		It("suspects no server while this entry reaches none: "+cause.Error(), func() {
+			links.lost.Store(true)
+			pro.setErr(cause)
+			det.CheckUnit("u")
+			Eventually(func() int { return pro.probeCount("b") }).Should(BeNumerically(">", 0))
+			Consistently(suspected("b"), "100ms").Should(BeFalse())
+		})
+	}
+
 	It("suspects only the member that does not answer", func() {
 		pro.setErr(errNoAnswer)
 		det.CheckUnit("u")
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -249,8 +249,16 @@
 	return &Placement{Unit: sta.Unit, InUse: sta.running + sta.remote, Suspected: sta.suspected, Broken: sta.broken, dis: dis, sta: sta, pool: req.Pool, cost: max(1, req.Cost), since: now}
 }
 
+// NewPlacement returns a placement at a unit whose slots no dispatcher allocates.
+func NewPlacement(uni Unit) *Placement {
+	return &Placement{Unit: uni}
+}
+
 // Release frees the slot and records how the request ended; further calls do nothing.
 func (pla *Placement) Release(out Outcome) {
+	if pla.dis == nil {
+		return
+	}
 	pla.once.Do(func() { pla.dis.release(pla, out) })
 }
 
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -32,8 +32,10 @@
 	Pool     string
 	ServerID string
 	// Started is the start time of the server in Unix milliseconds.
-	Started   int64
-	Address   string
+	Started int64
+	Address string
+	// Entry is the name of the entry that the unit stands for, empty for a backend server.
+	Entry     string
 	Zone      string
 	Slots     int
 	Readiness Readiness
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -21,10 +21,11 @@
 	Release(ctx context.Context) error
 }
 
-// Options configures an elector. IsCandidate reports whether this entry is a candidate, OtherLeads whether another entry has recently said that it is the leader, and TTL is the time to live of the lease. An entry asks for the lease once it has been a candidate for TTL without a break, and for half of TTL more for each candidate that is preferred to it, while no other entry leads: each entry that begins or stops to ask may move the lease.
+// Options configures an elector. IsCandidate reports whether this entry is a candidate, IsFit whether it may lead at all, OtherLeads whether another entry has recently said that it is the leader, and TTL is the time to live of the lease. An entry asks for the lease once it has been a candidate for TTL without a break, and for half of TTL more for each candidate that is preferred to it, while no other entry leads: each entry that begins or stops to ask may move the lease.
 type Options struct {
 	Lease       Lease
 	IsCandidate func() bool
+	IsFit       func() bool
 	// Preferred returns how many candidates are preferred to this one.
 	Preferred  func() int
 	OtherLeads func() bool
@@ -78,8 +79,12 @@
 	now := ele.opt.Clock.Now()
 	ask, release := ele.next(led, now)
 	if release {
+		ele.leaseEnd.Store(nil)
 		ele.release(ctx)
 	}
+	if led && !ask {
+		ele.opt.Logger.WithField("leads", false).Info("leadership changed")
+	}
 	if !ask {
 		return
 	}
@@ -104,9 +109,10 @@
 	}
 }
 
-// next reports whether to ask for the lease now, and whether to release it because this entry is no candidate any longer or another one leads.
+// next reports whether to ask for the lease now, and whether to release it because this entry is not fit, is no candidate any longer, or another one leads.
 func (ele *Elector) next(led bool, now time.Time) (ask, release bool) {
-	candidate := ele.opt.IsCandidate()
+	fit := ele.opt.IsFit()
+	candidate := fit && ele.opt.IsCandidate()
 	ele.mux.Lock()
 	defer ele.mux.Unlock()
 	if ele.resigned {
@@ -118,7 +124,7 @@
 		ele.candidateSince = now
 	}
 	wait := ele.opt.TTL + time.Duration(ele.opt.Preferred())*ele.opt.TTL/2
-	ask = led || candidate && now.Sub(ele.candidateSince) >= wait && !ele.opt.OtherLeads()
+	ask = led && fit || candidate && now.Sub(ele.candidateSince) >= wait && !ele.opt.OtherLeads()
 	release = ele.asked && !ask
 	ele.asked = ask
 	return ask, release
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -45,15 +45,15 @@
 var _ = Describe("Elector", func() {
 	var clk *clockwork.FakeClock
 	var lea *lease
-	var candidate, otherLeads bool
+	var candidate, otherLeads, fit bool
 	var preferred int
 	var ele *elector.Elector
 	BeforeEach(func() {
-		clk, candidate, otherLeads, preferred = clockwork.NewFakeClock(), true, false, 0
+		clk, candidate, otherLeads, fit, preferred = clockwork.NewFakeClock(), true, false, true, 0
 		lea = &lease{held: true, clk: clk}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		ele = elector.New(elector.Options{Lease: lea, TTL: ttl, Clock: clk, Logger: log.WithField("test", true), IsCandidate: func() bool { return candidate }, OtherLeads: func() bool { return otherLeads }, Preferred: func() int { return preferred }})
+		ele = elector.New(elector.Options{Lease: lea, TTL: ttl, Clock: clk, Logger: log.WithField("test", true), IsCandidate: func() bool { return candidate }, IsFit: func() bool { return fit }, OtherLeads: func() bool { return otherLeads }, Preferred: func() int { return preferred }})
 		ele.TryAcquire(context.Background())
 		clk.Advance(ttl)
 	})
--- a/gateconfigurer/gateconfigurer_test.go
+++ b/gateconfigurer/gateconfigurer_test.go
@@ -42,6 +42,7 @@
 		Entry("no zone", "availability_zone: z\n", "", "availability_zone missing"),
 		Entry("a host name", "address: 127.0.0.1\n", "address: host\n", "address"),
 		Entry("an address without a port", `callers: "127.0.0.1:1"`, `callers: "127.0.0.1"`, "listen.callers"),
+		Entry("a forwarding address without a port", `metrics: "127.0.0.1:5"`, `metrics: "127.0.0.1:5", forwarding: "127.0.0.1"`, "listen.forwarding"),
 		Entry("a duration without a unit", "stop_grace: 8s", "stop_grace: [8]", "stop_grace"),
 		Entry("no retry window", "retry_window: 10s, ", "", "bounds.retry_window"),
 		Entry("cores below zero", "cpu_cores: 0.4", "cpu_cores: -0.1", "cpu_cores"),
--- a/gateconfigurer/load.go
+++ b/gateconfigurer/load.go
@@ -68,13 +68,21 @@
 		{"listen.metrics", set.Listen.Metrics}, {"store.address", set.Store.Address},
 	}
 	for _, one := range addresses {
-		if adr, err := netip.ParseAddrPort(one.val); err != nil || adr.Port() == 0 {
+		if !isAddress(one.val) {
 			out = append(out, one.key+" is not IP:PORT")
 		}
 	}
+	if set.Listen.Forwarding != "" && !isAddress(set.Listen.Forwarding) {
+		out = append(out, "listen.forwarding is not IP:PORT")
+	}
 	return append(out, set.numberFaults()...)
 }
 
+func isAddress(text string) bool {
+	adr, err := netip.ParseAddrPort(text)
+	return err == nil && adr.Port() != 0
+}
+
 func (set Settings) numberFaults() []string {
 	var out []string
 	durations := []struct {
--- a/gateconfigurer/settings.go
+++ b/gateconfigurer/settings.go
@@ -16,13 +16,14 @@
 	Bounds   Bounds  `yaml:"bounds"`
 }
 
-// Listen holds the addresses that the entry listens on, one for each kind of client.
+// Listen holds the addresses that the entry listens on, one for each kind of client. Without Forwarding the entry takes no requests that other entries forward.
 type Listen struct {
-	Callers   string `yaml:"callers"`
-	Readiness string `yaml:"readiness"`
-	Directory string `yaml:"directory"`
-	Entries   string `yaml:"entries"`
-	Metrics   string `yaml:"metrics"`
+	Callers    string `yaml:"callers"`
+	Readiness  string `yaml:"readiness"`
+	Directory  string `yaml:"directory"`
+	Entries    string `yaml:"entries"`
+	Metrics    string `yaml:"metrics"`
+	Forwarding string `yaml:"forwarding"`
 }
 
 // Store describes the platform's log store; ShortestLease is the shortest time to live that it accepts for a membership.
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -25,8 +25,10 @@
 	"github.com/lovagelever/lovagelever/gateway"
 	"github.com/lovagelever/lovagelever/heartbeater"
 	"github.com/lovagelever/lovagelever/investigator"
+	"github.com/lovagelever/lovagelever/linkchecker"
 	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/nominator"
+	"github.com/lovagelever/lovagelever/peerpicker"
 	"github.com/lovagelever/lovagelever/permitter"
 	"github.com/lovagelever/lovagelever/quarantiner"
 	"github.com/lovagelever/lovagelever/ratelimiter"
@@ -82,6 +84,10 @@
 	com *compressor.Compressor
 	lim *ratelimiter.RateLimiter
 	per *permitter.Permitter
+	lin *linkchecker.Checker
+	pic *peerpicker.Picker
+	// peerSender sends requests to other entries.
+	peerSender *sender.Sender
 
 	tailers      map[string]*tailer.Tailer
 	tab          atomic.Pointer[router.Table]
@@ -120,7 +126,7 @@
 	gat := &Server{set: set, pla: pla, clk: clk, log: log, mtr: newMeter(), com: compressor.New(), tailers: map[string]*tailer.Tailer{}}
 	gat.self = advertiser.Entry{
 		Name: set.Name, Zone: set.Zone, CallerAddress: set.Listen.Callers, EntryAddress: set.Listen.Entries,
-		Incarnation: uint64(clk.Now().UnixMicro()), Cores: set.CPUCores,
+		Region: set.Region, ForwardingAddress: set.Listen.Forwarding, Incarnation: uint64(clk.Now().UnixMicro()), Cores: set.CPUCores,
 	}
 	gat.started = clk.Now()
 	gat.mes = messenger.New(source, &gat.rpcBytes)
@@ -129,6 +135,7 @@
 	gat.bounds.Store(&set.Bounds)
 	gat.pla.OnLeaving(gat.onLeaving)
 	gat.pla.OnPause(gat.onPause)
+	gat.buildLinks(source)
 	gat.buildRequestPath(source)
 	gat.buildPermitter()
 	if err := gat.buildPeerExchange(); err != nil {
@@ -145,13 +152,13 @@
 	gat.lim = ratelimiter.New(gat.clk)
 	gat.dis = dispatcher.New(dispatcher.Options{Zone: gat.set.Zone, Clock: gat.clk, Breaker: breaker.New(breaker.Options{Clock: gat.clk}), RateLimits: gat.lim})
 	gat.bud = budgeter.New(budgeter.Options{Ratio: bou.RetryRatio, Slack: bou.RetrySlack, Window: bou.RetryWindow, Clock: gat.clk})
-	gat.sen = sender.New(&net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, KeepAlive: -1}, gat.clk, dialTimeout)
+	gat.sen = sender.New(&linkDialer{Dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, KeepAlive: -1}, lin: gat.lin, serviceAt: gat.serviceAt}, gat.clk, dialTimeout)
 	gat.det = detector.New(detector.Options{
-		Members: gat.members, Prober: prober{gat: gat}, Registrar: gat.reg, Clock: gat.clk, Logger: gat.log,
+		Members: gat.members, Prober: prober{gat: gat}, Links: gat.lin, Registrar: gat.reg, Clock: gat.clk, Logger: gat.log,
 	})
 	gat.buildInvestigator()
 	gat.gat = gateway.New(gateway.Options{
-		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, Budget: gat.bud, Detector: gat.det, Quarantine: gat.inv,
+		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, PeerSender: gat.peerSender, Links: gat.lin, Peers: peersOf{gat.pic}, Budget: gat.bud, Detector: gat.det, Quarantine: gat.inv,
 		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, OnPause: gat.onPause, OnRateLimit: gat.onRateLimit, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
 	})
 }
@@ -191,7 +198,7 @@
 		})
 	}
 	gat.ele = elector.New(elector.Options{
-		Lease: gat.pla.Lease, IsCandidate: gat.readsStore, Preferred: gat.nom.Preferred, OtherLeads: gat.otherLeads, TTL: max(leaseTTL, gat.set.Store.ShortestLease),
+		Lease: gat.pla.Lease, IsCandidate: gat.readsStore, IsFit: func() bool { return !gat.lin.AnyLost() }, Preferred: gat.nom.Preferred, OtherLeads: gat.otherLeads, TTL: max(leaseTTL, gat.set.Store.ShortestLease),
 		Clock: gat.clk, Logger: gat.log,
 	})
 	gat.con = conductor.New(conductor.Options{
@@ -256,6 +263,7 @@
 		gat.dis.DispatchWaiting()
 		if num%sweepTicks == 0 {
 			gat.sen.Sweep()
+			gat.peerSender.Sweep()
 			live, rank := gat.adv.Live()
 			gat.dis.SetEntries(live, rank)
 			gat.dis.SetLoadAge(gat.loadAge())
--- a/gateserver/links_test.go
+++ b/gateserver/links_test.go
@@ -325,21 +325,26 @@
 			clu := newCluster(cas.entries)
 			clu.setLinks(cas.lost, cas.state)
 			began := time.Now()
-			for entry := 0; time.Since(began) < noticed; entry++ {
-				clu.call(entry%cas.lost, "/safe/x")
+			for num := 0; time.Since(began) < noticed; num++ {
+				clu.call(num%cas.lost, []string{"/safe/x", "/once/x"}[num/cas.lost%2])
 			}
 			before := clu.sentBy(0)
+			var callers sync.WaitGroup
 			for num := range 60 {
-				path := []string{"/safe/x", "/once/x", "/stream/x"}[num%3]
-				ans := clu.call(num%cas.lost, path)
-				Expect(ans.status).To(Equal(http.StatusOK), path)
-				Expect(clu.runs(ans.id)).To(Equal(1), path)
-				if path == "/stream/x" {
-					Expect(ans.body).To(Equal(wholeStream))
-				} else {
-					Expect(ans.took).To(BeNumerically("<", 300*time.Millisecond))
-				}
+				callers.Go(func() {
+					defer GinkgoRecover()
+					path := []string{"/safe/x", "/once/x", "/stream/x"}[num%3]
+					ans := clu.call(num%cas.lost, path)
+					Expect(ans.status).To(Equal(http.StatusOK), path)
+					Expect(clu.runs(ans.id)).To(Equal(1), path)
+					if path == "/stream/x" {
+						Expect(ans.body).To(Equal(wholeStream))
+					} else {
+						Expect(ans.took).To(BeNumerically("<", 300*time.Millisecond))
+					}
+				})
 			}
+			callers.Wait()
 			Expect(clu.sentBy(0)).To(Equal(before))
 			clu.setLinks(cas.lost, linkUp)
 			Eventually(func() int {
--- a/gateserver/meter.go
+++ b/gateserver/meter.go
@@ -60,6 +60,21 @@
 	mtr.scope.Counter("store_restores").Inc(1)
 }
 
+// RecordForwarded counts a request that is forwarded to another entry.
+func (mtr *meter) RecordForwarded() {
+	mtr.scope.Counter("requests_forwarded").Inc(1)
+}
+
+// RecordFromEntry counts a request that another entry forwards.
+func (mtr *meter) RecordFromEntry() {
+	mtr.scope.Counter("requests_from_entries").Inc(1)
+}
+
+// RecordSilentServices records of how many services no backend server answers this entry.
+func (mtr *meter) RecordSilentServices(num int) {
+	mtr.scope.Gauge("silent_services").Update(float64(num))
+}
+
 // RecordRateLimits records how many backend servers limit the rate of requests.
 func (mtr *meter) RecordRateLimits(num int) {
 	mtr.scope.Gauge("rate_limited_servers").Update(float64(num))
--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -44,6 +44,9 @@
 	alive := gat.det.ActiveUnits()
 	bea.Fresh = gat.upToDate() && gat.nom.Reads()
 	bea.Leads = gat.ele.IsLeader()
+	for _, service := range gat.lin.Silent() {
+		bea.Silent = append(bea.Silent, hash(service))
+	}
 	var eras []int64
 	for _, topic := range gat.heartbeatTopics() {
 		era, end := gat.tailers[topic].End()
@@ -142,7 +145,7 @@
 
 // candidates returns the entries that may read the store; only registered entries are counted, since others cannot be asked for records. At the start all registered ones count as live.
 func (gat *Server) candidates() []nominator.Candidate {
-	out := []nominator.Candidate{{Name: gat.set.Name, Zone: gat.set.Zone, Cores: gat.set.CPUCores}}
+	out := []nominator.Candidate{{Name: gat.set.Name, Zone: gat.set.Zone, Cores: gat.set.CPUCores, Last: len(gat.lin.Silent()) > 0}}
 	starting := gat.clk.Since(gat.started) < startupGrace
 	for _, ent := range gat.adv.Others() {
 		if !starting && !gat.heardRecently(ent.Name) {
@@ -153,7 +156,7 @@
 			continue
 		}
 		reads := fresh && gat.clk.Since(at.(time.Time)) < gat.readerStateTTL()
-		out = append(out, nominator.Candidate{Name: ent.Name, Zone: ent.Zone, Cores: ent.Cores, Reads: reads})
+		out = append(out, nominator.Candidate{Name: ent.Name, Zone: ent.Zone, Cores: ent.Cores, Reads: reads, Last: gat.pic.AnySilent(ent.Name)})
 	}
 	return out
 }
@@ -164,6 +167,7 @@
 }
 
 func (gat *Server) onHeartbeat(bea heartbeater.Heartbeat) {
+	gat.pic.RecordSilent(bea.Name, bea.Silent)
 	gat.notePeerState(bea)
 	unitByHash := gat.units.Load().unitByHash
 	running := map[string]int{}
--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -104,7 +104,7 @@
 	return gateconfigurer.Settings{
 		Name: name, Zone: "z", Region: "r", Address: ip,
 		Listen: gateconfigurer.Listen{
-			Callers: ip + ":9001", Readiness: ip + ":9002", Directory: ip + ":9003", Entries: ip + ":9004", Metrics: ip + ":9005",
+			Callers: ip + ":9001", Readiness: ip + ":9002", Directory: ip + ":9003", Entries: ip + ":9004", Metrics: ip + ":9005", Forwarding: ip + ":9006",
 		},
 		Bounds: gateconfigurer.Bounds{StopGrace: time.Second, RetryWindow: 10 * time.Second, LongestDirectoryValidity: 5 * time.Second},
 	}
--- a/gateserver/run.go
+++ b/gateserver/run.go
@@ -23,6 +23,8 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes limits the headers of a request before the limit of the configuration is applied.
 	maxHeaderBytes = 64 << 10
+	// forwardedHeaderBytes is what another entry may add to the headers of a request that it forwards.
+	forwardedHeaderBytes = 4 << 10
 	// stopMargin is the part of the stop grace period that is reserved for the end of the process itself.
 	stopMargin = 700 * time.Millisecond
 	// minStopDuration is how long a stopping entry keeps serving callers that still use its address, even if no request is running.
@@ -73,7 +75,7 @@
 }
 
 func (gat *Server) start(ctx context.Context) {
-	loops := []func(context.Context){gat.hea.Run, gat.updateUnits, gat.tick, gat.ele.Run, gat.con.Run, gat.register, gat.pullEvidence}
+	loops := []func(context.Context){gat.hea.Run, gat.updateUnits, gat.tick, gat.ele.Run, gat.con.Run, gat.register, gat.pullEvidence, gat.lin.Run}
 	for _, tai := range gat.tailers {
 		loops = append(loops, tai.Run)
 	}
@@ -84,25 +86,35 @@
 
 func (gat *Server) webServers() []*http.Server {
 	callers := &http.Server{
-		Addr: gat.set.Listen.Callers, Handler: http.HandlerFunc(gat.serveCaller),
+		Addr: gat.set.Listen.Callers, Handler: gat.countRunning(gat.gat),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	keep := min(directoryValidity, gat.set.Bounds.LongestDirectoryValidity)
 	metrics := echo.New()
 	metrics.GET("/metrics", echo.WrapHandler(gat.mtr.handler()))
-	return []*http.Server{
+	out := []*http.Server{
 		callers,
 		{Addr: gat.set.Listen.Readiness, Handler: gat.pla.Readiness(gat.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 		{Addr: gat.set.Listen.Directory, Handler: gat.pla.Directory(gat.adv.Addresses, keep), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 		{Addr: gat.set.Listen.Metrics, Handler: metrics, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 	}
+	if gat.set.Listen.Forwarding != "" {
+		out = append(out, &http.Server{
+			Addr: gat.set.Listen.Forwarding, Handler: gat.countRunning(gat.gat.Forwarded()),
+			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes + forwardedHeaderBytes,
+		})
+	}
+	return out
 }
 
-func (gat *Server) serveCaller(wtr http.ResponseWriter, req *http.Request) {
-	gat.sawRequest.Store(true)
-	gat.running.Add(1)
-	defer gat.running.Add(-1)
-	gat.gat.ServeHTTP(wtr, req)
+// countRunning counts the requests that a handler serves, so that a stopping entry waits for them.
+func (gat *Server) countRunning(han http.Handler) http.Handler {
+	return http.HandlerFunc(func(wtr http.ResponseWriter, req *http.Request) {
+		gat.sawRequest.Store(true)
+		gat.running.Add(1)
+		defer gat.running.Add(-1)
+		han.ServeHTTP(wtr, req)
+	})
 }
 
 // Reload applies new bounds; all other settings keep their values from the start.
--- a/gateserver/stop_test.go
+++ b/gateserver/stop_test.go
@@ -30,6 +30,10 @@
 	return gateway.Call{ID: req.Header.Get("X-Id")}
 }
 
+func (idCodec) EntryHeader(in http.Header, _ gateway.Call, _ gateway.Hop) http.Header {
+	return in.Clone()
+}
+
 func (idCodec) RequestHeader(in http.Header, _ gateway.Call, _ gateway.Hop) http.Header {
 	return in.Clone()
 }
--- a/gateserver/units.go
+++ b/gateserver/units.go
@@ -24,6 +24,8 @@
 	unitByHash map[uint64]string
 	// unitByShortHash maps the short hashes in totals to unit IDs.
 	unitByShortHash map[uint32]string
+	// serviceByAddress maps the addresses of backend servers to their services.
+	serviceByAddress map[string]string
 	// serverByHash maps the hashes of suspected instances in heartbeats to backend servers.
 	serverByHash map[uint64]registrar.Server
 }
@@ -46,7 +48,7 @@
 
 func (gat *Server) setUnits(tab *router.Table, vie *registrar.View) {
 	old := gat.units.Load()
-	out := &unitTable{members: map[string][]registrar.Server{}, unitByHash: map[uint64]string{}, unitByShortHash: map[uint32]string{}, serverByHash: make(map[uint64]registrar.Server, len(vie.Servers))}
+	out := &unitTable{members: map[string][]registrar.Server{}, unitByHash: map[uint64]string{}, unitByShortHash: map[uint32]string{}, serverByHash: make(map[uint64]registrar.Server, len(vie.Servers)), serviceByAddress: make(map[string]string, len(vie.Servers))}
 	for _, grp := range vie.Groups {
 		ser, known := tab.Services[grp.Service]
 		if head, listed := grp.Head(); known && listed && ser.Engine != nil {
@@ -55,6 +57,7 @@
 	}
 	for _, one := range vie.Servers {
 		out.serverByHash[instanceHash(one.Instance())] = one
+		out.serviceByAddress[one.Address] = one.Service
 		if ser, known := tab.Services[one.Service]; known && ser.Engine == nil {
 			out.addPlain(ser, vie, one)
 		}
@@ -154,6 +157,11 @@
 	}
 }
 
+// serviceAt returns the service of the backend server at an address, empty if there is none.
+func (gat *Server) serviceAt(address string) string {
+	return gat.units.Load().serviceByAddress[address]
+}
+
 // members returns the backend servers that a unit depends on.
 func (gat *Server) members(unit string) []registrar.Server {
 	return gat.units.Load().members[unit]
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -55,18 +55,19 @@
 		"sends": job.sends, "may_have_run": job.mayHaveRun, "after_ms": job.gat.opt.Clock.Since(job.arrived).Milliseconds(),
 		"deadline_in_ms": job.gat.opt.Clock.Until(job.deadline).Milliseconds(), "config_version": job.configVersion(), "quarantined": job.quarantined,
 	}).Info("request refused")
+	job.markRefusal(err, ref)
 	head := job.wtr.Header()
 	head.Set("Content-Type", "application/json")
 	if ref.Type == refuser.TypeNotRun && ref.RetryAfter > 0 {
 		head.Set("Retry-After", strconv.FormatFloat(ref.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	job.wtr.WriteHeader(ref.Status)
-	body, err := json.Marshal(map[string]string{"type": string(ref.Type), "message": ref.Message})
-	if err == nil {
-		_, err = job.wtr.Write(body)
+	body, fault := json.Marshal(map[string]string{"type": string(ref.Type), "message": ref.Message})
+	if fault == nil {
+		_, fault = job.wtr.Write(body)
 	}
-	if err != nil {
-		job.log.WithError(err).Debug("failed to write the refusal")
+	if fault != nil {
+		job.log.WithError(fault).Debug("failed to write the refusal")
 	}
 	job.recordOutcome(outcome)
 }
@@ -78,7 +79,11 @@
 	return job.tab.Version
 }
 
+// recordOutcome records how the request ended at the entry that the caller is connected to.
 func (job *job) recordOutcome(outcome string) {
+	if job.forwarded != nil {
+		return
+	}
 	job.gat.opt.Meter.RecordRequest(job.rou.Kind, outcome, job.gat.opt.Clock.Since(job.arrived))
 }
 
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -52,6 +52,9 @@
 	// Limited means that the backend server limits the requests that it takes from all entries, to RateLimit per second; negative if it cannot be read.
 	Limited   bool
 	RateLimit float64
+	// Final means that the response was passed on by another entry and is the answer to the caller, Refused that the other entry made it.
+	Final   bool
+	Refused bool
 }
 
 // Concerns reports whether the response was sent by the backend server that the request was meant for.
@@ -66,6 +69,8 @@
 type HeaderCodec interface {
 	ParseCall(req *http.Request) Call
 	RequestHeader(in http.Header, cal Call, hop Hop) http.Header
+	// EntryHeader returns the headers of a request that is forwarded to another entry: those of the caller, with the time left and the last event of the hop.
+	EntryHeader(in http.Header, cal Call, hop Hop) http.Header
 	ParseResponse(cal Call, res *http.Response) ResponseInfo
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,13 +47,20 @@
 type Meter interface {
 	RecordRequest(kind router.Kind, outcome string, took time.Duration)
 	RecordFirstEvent(pool string, queued, unit time.Duration)
+	// RecordForwarded counts a request that is forwarded to another entry, RecordFromEntry one that another entry forwards.
+	RecordForwarded()
+	RecordFromEntry()
 }
 
 // Options configure a Gateway; Table returns nil until a configuration is known.
 type Options struct {
-	Table       func() *router.Table
-	Dispatcher  Dispatcher
-	Sender      Sender
+	Table      func() *router.Table
+	Dispatcher Dispatcher
+	Sender     Sender
+	// PeerSender sends requests to other entries, which Peers selects while Links are lost; all three may be nil.
+	PeerSender  Sender
+	Links       Links
+	Peers       Peers
 	Budget      Budget
 	Detector    Detector
 	Quarantine  Quarantine
@@ -79,6 +86,9 @@
 
 // New returns a gateway with the given options.
 func New(opt Options) *Gateway {
+	if opt.Links == nil {
+		opt.Links = noLinks{}
+	}
 	return &Gateway{opt: opt, bodies: collector.New(collector.MaxBodyBytes, collector.MaxTotalBytes)}
 }
 
@@ -119,12 +129,24 @@
 	// trial means that the request runs in spite of a quarantine, and quarantined is the key of the verdict that refuses it.
 	trial       bool
 	quarantined string
+	// forwarded is the state of a request that another entry has forwarded, nil otherwise.
+	forwarded *forwardState
+	// counted says that the request counts in the retry budget.
+	counted bool
 }
 
-// ServeHTTP proxies one request.
+// ServeHTTP proxies one request of a caller.
 func (gat *Gateway) ServeHTTP(wtr http.ResponseWriter, req *http.Request) {
+	gat.serve(wtr, req, nil)
+}
+
+// serve proxies one request, which another entry may have forwarded.
+func (gat *Gateway) serve(wtr http.ResponseWriter, req *http.Request, sta *forwardState) {
 	job := &job{gat: gat, req: req, wtr: wtr, cal: gat.opt.HeaderCodec.ParseCall(req), arrived: gat.opt.Clock.Now()}
 	job.log = gat.opt.Logger.WithField("request", job.cal.ID)
+	if sta != nil {
+		job.continueForwarded(sta)
+	}
 	if _, stopping := gat.opt.Stopping(); stopping {
 		wtr.Header().Set("Connection", "close")
 	}
@@ -133,7 +155,10 @@
 		return
 	}
 	job.identify()
-	gat.opt.Budget.RecordRequest(job.ser.Name)
+	if !job.counted && (job.forwarded != nil || !job.linksLost()) {
+		gat.opt.Budget.RecordRequest(job.ser.Name)
+		job.counted = true
+	}
 	ctx, cancel := context.WithDeadline(req.Context(), job.deadline)
 	defer cancel()
 	defer job.limitWrites()()
@@ -161,7 +186,7 @@
 func (job *job) prepare() error {
 	job.tab = job.gat.opt.Table()
 	if job.tab == nil {
-		return refuser.NotRun("this entry knows no configuration yet", refuser.DefaultRetryAfter)
+		return elsewhere("this entry knows no configuration yet", refuser.DefaultRetryAfter)
 	}
 	if job.cal.ID == "" {
 		return refuser.Invalid("the request has no ID")
@@ -186,7 +211,7 @@
 		return err
 	}
 	if ends, stopping := job.gat.opt.Stopping(); stopping && job.gat.opt.Clock.Until(ends) < stopWorkFactor*job.expectedWork()+stopMargin {
-		return refuser.NotRun("this entry ends before the request could", retryAfterStopping)
+		return elsewhere("this entry ends before the request could", retryAfterStopping)
 	}
 	return nil
 }
@@ -274,10 +299,12 @@
 	return PoolName(job.ser.Name, job.cal.Model)
 }
 
-// acquire allocates a slot on a unit that the request was not tried on yet, unless the request is quarantined, be it while it waits. It counts how long the request waited.
+// acquire allocates a slot on a unit that the request was not tried on yet, unless the request is quarantined, be it while it waits; another entry checks that itself. It counts how long the request waited.
 func (job *job) acquire(ctx context.Context) (*dispatcher.Placement, error) {
-	if err := job.checkQuarantine(); err != nil {
-		return nil, err
+	if !job.linksLost() {
+		if err := job.checkQuarantine(); err != nil {
+			return nil, err
+		}
 	}
 	began := job.gat.opt.Clock.Now()
 	pla, err := job.place(ctx, placeOptions{exclude: job.tried, resumed: job.mayHaveRun > 0})
@@ -285,6 +312,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if pla.Unit.Entry != "" {
+		return pla, nil
+	}
 	if err := job.checkQuarantine(); err != nil {
 		pla.Release(dispatcher.Outcome{Result: dispatcher.Neutral})
 		return nil, err
@@ -299,8 +329,19 @@
 	atOnce  bool
 }
 
-// place allocates a slot; it does not change the job, so that a hedge can call it beside an attempt.
+// place allocates a slot, or selects another entry while this one reaches no backend server. A hedge can call it beside an attempt.
 func (job *job) place(ctx context.Context, opt placeOptions) (*dispatcher.Placement, error) {
+	if job.linksLost() {
+		return job.placeAtPeer(opt)
+	}
+	pla, err := job.allocate(ctx, opt)
+	if err != nil && job.linksLost() {
+		return job.placeAtPeer(opt)
+	}
+	return pla, err
+}
+
+func (job *job) allocate(ctx context.Context, opt placeOptions) (*dispatcher.Placement, error) {
 	now := job.gat.opt.Clock.Now()
 	cost := job.expectedWork()
 	objective := job.arrived.Add(job.rou.Objective)
@@ -346,7 +387,11 @@
 
 // parseResponse classifies the response of a unit to a request sent at a time, and reports a backend server that leaves, wants a pause or limits the rate of requests.
 func (job *job) parseResponse(pla *dispatcher.Placement, res *http.Response, sentAt time.Time) ResponseInfo {
+	if pla.Unit.Entry != "" {
+		return job.parsePeerResponse(pla, res)
+	}
 	ver := job.gat.opt.HeaderCodec.ParseResponse(job.cal, res)
+	job.markResponse(res.Header, pla.Unit)
 	if !ver.Concerns(pla.Unit.ServerID) {
 		return ver
 	}
@@ -362,13 +407,28 @@
 	return ver
 }
 
-func (job *job) buildRequest(pla *dispatcher.Placement, after string) sender.Request {
-	within := job.gat.opt.Clock.Until(job.deadline)
-	head := job.gat.opt.HeaderCodec.RequestHeader(job.req.Header, job.cal, Hop{
-		ServerID: pla.Unit.ServerID, Workspace: job.wsp.Name, Timeout: within, LastEventID: after,
-	})
+// buildRequest returns the request to a unit. The counts are those of the attempts before.
+func (job *job) buildRequest(pla *dispatcher.Placement, after string, sends, runs int) sender.Request {
+	hop := Hop{ServerID: pla.Unit.ServerID, Workspace: job.wsp.Name, Timeout: job.gat.opt.Clock.Until(job.deadline), LastEventID: after}
+	var head http.Header
+	if pla.Unit.Entry == "" {
+		head = job.gat.opt.HeaderCodec.RequestHeader(job.req.Header, job.cal, hop)
+	} else {
+		head = job.gat.opt.HeaderCodec.EntryHeader(job.req.Header, job.cal, hop)
+		sta := forwardState{age: job.gat.opt.Clock.Since(job.arrived), sends: sends, runs: runs, counted: job.counted}
+		head.Set(forwardedHeader, sta.encode())
+	}
 	return sender.Request{
 		Address: pla.Unit.Address, PoolKey: pla.Unit.Address + "/" + pla.Unit.ServerID, Method: job.req.Method, Target: job.target,
 		Host: job.req.Host, Header: head, Body: job.body, NewConnection: !job.rou.Repeatable(),
 	}
 }
+
+// send sends the request to a backend server or to another entry.
+func (job *job) send(ctx context.Context, pla *dispatcher.Placement, req sender.Request) (*sender.Exchange, error) {
+	if pla.Unit.Entry == "" {
+		return job.gat.opt.Sender.Send(ctx, req)
+	}
+	job.gat.opt.Meter.RecordForwarded()
+	return job.gat.opt.PeerSender.Send(ctx, req)
+}
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -96,9 +96,12 @@
 	hed.running.Go(func() { hed.run(ctx, cancel) })
 }
 
-// allowed reports whether one more unit may get the request.
+// allowed reports whether one more unit may get the request. Another entry that has it requests a silent stream from a second unit itself.
 func (hed *hedge) allowed() bool {
 	job := hed.rel.job
+	if entry := hed.first.placement.Unit.Entry; entry != "" && job.gat.opt.Peers.Usable(job.ser.Name, entry) {
+		return false
+	}
 	return job.rou.Repeatable() && hed.mayRun+hed.moreRuns < job.rou.Attempts && hed.sends+hed.moreSends < maxSends &&
 		job.gat.opt.Clock.Until(job.deadline) > 0
 }
@@ -157,18 +160,18 @@
 	}()
 	hed.mux.Lock()
 	hed.tried = append(hed.tried, pla.Unit.ID)
-	after := hed.lastEventID
+	after, sends, runs := hed.lastEventID, hed.sends+hed.moreSends, hed.mayRun+hed.moreRuns
 	hed.mux.Unlock()
 	job.log.WithFields(logrus.Fields{"unit": hed.first.placement.Unit.ID, "second_unit": pla.Unit.ID, "after": after}).Info("stream is silent, requesting it from a second unit")
-	exc, err := job.gat.opt.Sender.Send(ctx, job.buildRequest(pla, after))
+	exc, err := job.send(ctx, pla, job.buildRequest(pla, after, sends, runs))
 	if errors.Is(err, sender.ErrNotSent) {
 		job.gat.opt.Budget.Return(job.ser.Name)
-		job.gat.opt.Detector.CheckUnit(pla.Unit.ID)
-		att.release(hed.resultOf(ctx))
+		job.noteNotSent(pla.Unit)
+		att.release(hed.resultOf(ctx, pla.Unit))
 		return nil
 	}
 	if err != nil {
-		hed.count(1)
+		hed.count(runsOf(pla.Unit, job.rou.Attempts-runs))
 		att.release(hed.noteBreak(att))
 		return nil
 	}
@@ -185,7 +188,9 @@
 	job := hed.rel.job
 	ver := job.parseResponse(att.placement, att.exc.Response, att.sentAt)
 	if ver.NotRun {
-		hed.count(0)
+		if att.placement.Unit.Entry == "" {
+			hed.count(0)
+		}
 		return dispatcher.Rejected
 	}
 	hed.count(1)
@@ -203,16 +208,16 @@
 }
 
 // resultOf returns the result of a failed send: a fault of the unit unless the hedge was abandoned.
-func (hed *hedge) resultOf(ctx context.Context) dispatcher.Result {
+func (hed *hedge) resultOf(ctx context.Context, uni dispatcher.Unit) dispatcher.Result {
 	if ctx.Err() != nil {
 		return dispatcher.Neutral
 	}
-	return dispatcher.Fault
+	return hed.rel.faultOf(uni)
 }
 
 // noteBreak records that the stream broke off at the second unit before an event, unless the hedge was abandoned, and returns the result for the unit.
 func (hed *hedge) noteBreak(att *attempt) dispatcher.Result {
-	res := hed.resultOf(att.ctx)
+	res := hed.resultOf(att.ctx, att.placement.Unit)
 	if res == dispatcher.Fault {
 		hed.rel.gat.opt.Quarantine.RecordBreak(att.placement.Unit, hed.rel.subjects)
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -34,7 +34,7 @@
 		}
 		rep, err := job.attempt(ctx, pla)
 		if err == nil && !job.retryable(rep) {
-			job.forward(rep.res, rep.body, outcomeOf(rep.res.StatusCode))
+			job.forward(rep.res, rep.body, outcomeOf(rep))
 			return
 		}
 		if err == nil && !rep.ver.NotRun {
@@ -51,8 +51,11 @@
 	}
 }
 
-func outcomeOf(status int) string {
-	if status < http.StatusInternalServerError {
+func outcomeOf(rep reply) string {
+	switch {
+	case rep.ver.Refused && rep.res.StatusCode == http.StatusServiceUnavailable:
+		return OutcomeRefused
+	case rep.res.StatusCode < http.StatusInternalServerError:
 		return OutcomeServed
 	}
 	return OutcomeFailed
@@ -61,12 +64,12 @@
 // finishPlain responds when no retry is allowed: with the last failed response of a unit if there is one, otherwise with a refusal.
 func (job *job) finishPlain(last reply, err error) {
 	if last.res != nil {
-		job.forward(last.res, last.body, outcomeOf(last.res.StatusCode))
+		job.forward(last.res, last.body, outcomeOf(last))
 		return
 	}
 	var ref refuser.Refusal
 	if errors.As(err, &ref) {
-		job.refuse(ref)
+		job.refuse(err)
 		return
 	}
 	job.refuse(job.refusalFor(err))
@@ -81,7 +84,8 @@
 	defer cancel()
 	start := func(pla *dispatcher.Placement) {
 		job.tried = append(job.tried, pla.Unit.ID)
-		running.Go(func() { done <- job.exchange(ctx, pla) })
+		req := job.buildRequest(pla, job.cal.LastEventID, job.sends, job.mayHaveRun)
+		running.Go(func() { done <- job.exchange(ctx, pla, req) })
 	}
 	start(pla)
 	patience := time.Duration(float64(job.rou.Objective) * attemptObjectives)
@@ -90,7 +94,8 @@
 	for pending := 1; ; {
 		select {
 		case <-timer.Chan():
-			second := job.placeSecond(ctx)
+			job.gat.opt.Links.ConfirmLost(job.ser.Name)
+			second := job.placeSecond(ctx, pla)
 			if second == nil {
 				timer.Reset(patience)
 				continue
@@ -108,8 +113,11 @@
 	}
 }
 
-// placeSecond allocates a slot for a second send of a call that has no response yet, or returns nil if that is not allowed or none is free.
-func (job *job) placeSecond(ctx context.Context) *dispatcher.Placement {
+// placeSecond allocates a slot for a second send of a call that has no response yet, or returns nil if that is not allowed or none is free. Another entry that has the call sends it a second time itself.
+func (job *job) placeSecond(ctx context.Context, pla *dispatcher.Placement) *dispatcher.Placement {
+	if pla.Unit.Entry != "" && job.gat.opt.Peers.Usable(job.ser.Name, pla.Unit.Entry) {
+		return nil
+	}
 	if !job.rou.Repeatable() || job.mayHaveRun+1 >= job.rou.Attempts || job.sends+1 >= maxSends || job.isQuarantined() || !job.gat.opt.Budget.Allow(job.ser.Name) {
 		return nil
 	}
@@ -134,15 +142,16 @@
 
 // count adds the end of an exchange to the counts of the request, and records whether the call proved sound or broke off. A server that fails may not have begun to work on it.
 func (job *job) count(res result) {
-	if res.sent {
+	if res.sent && (res.mayRun || res.unit.Entry == "") {
 		job.sends++
 	}
 	if !res.mayRun {
 		return
 	}
-	job.mayHaveRun++
+	job.mayHaveRun += job.runsOf(res.unit)
 	job.brokeAt = ""
 	switch {
+	case res.unit.Entry != "" || job.linksLost():
 	case res.err == nil && res.rep.res.StatusCode < http.StatusInternalServerError:
 		job.gat.opt.Quarantine.RecordSound(job.subjects, res.began)
 	case errors.Is(res.err, sender.ErrLost) && !res.cancelled:
@@ -151,17 +160,17 @@
 }
 
 // exchange sends the call to one unit and reads the complete response.
-func (job *job) exchange(ctx context.Context, pla *dispatcher.Placement) result {
+func (job *job) exchange(ctx context.Context, pla *dispatcher.Placement, req sender.Request) result {
 	out := dispatcher.Outcome{Result: dispatcher.Neutral}
 	defer func() { pla.Release(out) }()
 	began := job.gat.opt.Clock.Now()
-	exc, err := job.gat.opt.Sender.Send(ctx, job.buildRequest(pla, job.cal.LastEventID))
+	exc, err := job.send(ctx, pla, req)
 	if err != nil {
 		notSent := errors.Is(err, sender.ErrNotSent)
 		if ctx.Err() == nil {
-			out.Result = dispatcher.Fault
+			out.Result = job.faultOf(pla.Unit)
 			if notSent {
-				job.gat.opt.Detector.CheckUnit(pla.Unit.ID)
+				job.noteNotSent(pla.Unit)
 			}
 		}
 		return result{err: err, unit: pla.Unit, began: began, sent: !notSent, mayRun: !notSent, cancelled: ctx.Err() != nil}
@@ -170,6 +179,9 @@
 	err = job.receive(pla, exc, &rep)
 	exc.End(err == nil && rep.ver.Verified)
 	res, err := classify(rep, err)
+	if res == dispatcher.Fault && errors.Is(err, sender.ErrLost) && ctx.Err() == nil {
+		res = job.faultOf(pla.Unit)
+	}
 	if ctx.Err() == nil || err == nil {
 		out.Result = res
 	}
@@ -205,6 +217,9 @@
 }
 
 func classifyRun(rep reply, err error) (dispatcher.Result, error) {
+	if rep.ver.Final && err == nil {
+		return dispatcher.Neutral, nil
+	}
 	if rep.ver.NotRun {
 		if err != nil {
 			return dispatcher.Rejected, errors.WithType(errors.Annotate(err, "gateway: rejection ended early"), sender.ErrLost)
@@ -228,6 +243,9 @@
 
 // retryable reports whether a response calls for a retry in place of being forwarded.
 func (job *job) retryable(rep reply) bool {
+	if rep.ver.Final {
+		return false
+	}
 	if rep.ver.NotRun {
 		return rep.res.StatusCode != http.StatusBadRequest
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -75,7 +75,7 @@
 
 // noteSound records that the request proved sound once its stream has lasted long enough.
 func (rel *relay) noteSound(wat *watchdog) {
-	if rel.sound || wat.eventSpan() < soundAfter {
+	if rel.sound || rel.placement.Unit.Entry != "" || wat.eventSpan() < soundAfter {
 		return
 	}
 	rel.sound = true
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -80,7 +80,7 @@
 	if !rel.started {
 		var ref refuser.Refusal
 		if errors.As(err, &ref) {
-			rel.refuse(ref)
+			rel.refuse(err)
 			return
 		}
 		rel.refuse(rel.refusalFor(err))
@@ -122,9 +122,9 @@
 	}
 	rel.placement, rel.sentAt, rel.sound, rel.brokeAt = pla, att.sentAt, false, ""
 	if !taken {
-		att.exc, err = rel.send(att.ctx, pla, rel.buildRequest(pla, rel.lastEventID))
+		att.exc, err = rel.sendOnce(att.ctx, pla, rel.buildRequest(pla, rel.lastEventID, rel.sends, rel.mayHaveRun))
 		if err != nil {
-			out.Result = rel.unitResult(att.ctx)
+			out.Result = rel.unitResult(att.ctx, pla.Unit)
 			rel.noteBreak(out.Result, err)
 			return reply{}, nil, preferCause(att.ctx, err)
 		}
@@ -143,16 +143,16 @@
 	exc.End(err == nil)
 	if err != nil {
 		if !taken {
-			rel.mayHaveRun++
+			rel.mayHaveRun += rel.runsOf(pla.Unit)
 		}
-		out.Result = rel.unitResult(att.ctx)
+		out.Result = rel.unitResult(att.ctx, pla.Unit)
 		if errors.Is(err, errCallerWrite) {
 			out.Result = dispatcher.Neutral
 		}
 		rel.noteBreak(out.Result, err)
 		return rep, nil, preferCause(att.ctx, err)
 	}
-	if num > 0 && !rel.sound {
+	if num > 0 && !rel.sound && pla.Unit.Entry == "" {
 		rel.gat.opt.Quarantine.RecordSound(rel.subjects, wat.began())
 	}
 	out.Result = dispatcher.Served
@@ -160,16 +160,16 @@
 	return rep, nil, nil
 }
 
-// send sends the request to one unit and counts the attempt, and whether the request may have run.
-func (rel *relay) send(ctx context.Context, pla *dispatcher.Placement, req sender.Request) (*sender.Exchange, error) {
-	exc, err := rel.gat.opt.Sender.Send(ctx, req)
+// sendOnce sends the request to one unit and counts the attempt, and whether the request may have run.
+func (rel *relay) sendOnce(ctx context.Context, pla *dispatcher.Placement, req sender.Request) (*sender.Exchange, error) {
+	exc, err := rel.send(ctx, pla, req)
 	if errors.Is(err, sender.ErrNotSent) {
-		rel.gat.opt.Detector.CheckUnit(pla.Unit.ID)
+		rel.noteNotSent(pla.Unit)
 		return nil, err
 	}
 	rel.sends++
 	if err != nil {
-		rel.mayHaveRun++
+		rel.mayHaveRun += rel.runsOf(pla.Unit)
 	}
 	return exc, err
 }
@@ -186,14 +186,17 @@
 func (rel *relay) finishNonStream(exc *sender.Exchange, rep *reply) (dispatcher.Result, error) {
 	err := rel.receive(rel.placement, exc, rep)
 	exc.End(err == nil && (rep.ver.Verified || rep.ver.NotRun))
-	if !rep.ver.NotRun {
-		rel.mayHaveRun++
+	switch {
+	case !rep.ver.NotRun:
+		rel.mayHaveRun += rel.runsOf(rel.placement.Unit)
+	case rel.placement.Unit.Entry != "":
+		rel.sends--
 	}
 	res, err := classify(*rep, err)
 	if err != nil || rep.ver.NotRun && rel.retryable(*rep) {
 		return res, err
 	}
-	if rep.res.StatusCode >= http.StatusInternalServerError && rel.rou.Repeatable() && !rel.started {
+	if rep.res.StatusCode >= http.StatusInternalServerError && rel.rou.Repeatable() && !rel.started && !rep.ver.Final {
 		if rel.mayHaveRun < rel.rou.Attempts {
 			return res, errors.WithType(errors.Errorf("gateway: response with status %d", rep.res.StatusCode), sender.ErrLost)
 		}
@@ -201,15 +204,15 @@
 	if rel.started {
 		return res, errors.WithType(errors.Errorf("gateway: response with status %d to a resumed stream", rep.res.StatusCode), sender.ErrLost)
 	}
-	rel.forward(rep.res, rep.body, outcomeOf(rep.res.StatusCode))
+	rel.forward(rep.res, rep.body, outcomeOf(*rep))
 	return res, errAnswered
 }
 
-// unitResult returns the result of a broken stream: a fault of the unit, or neutral if the caller left or the deadline passed.
-func (rel *relay) unitResult(ctx context.Context) dispatcher.Result {
+// unitResult returns the result of a broken stream: a fault of the unit, or neutral if the caller left, the deadline passed or this entry reaches no unit.
+func (rel *relay) unitResult(ctx context.Context, uni dispatcher.Unit) dispatcher.Result {
 	cause := context.Cause(ctx)
 	if cause == nil || errors.Is(cause, errUnitSilent) || errors.Is(cause, errUnitBroken) {
-		return dispatcher.Fault
+		return rel.faultOf(uni)
 	}
 	return dispatcher.Neutral
 }
@@ -269,6 +272,9 @@
 
 // recordFirstEvent records the parts of the time to the first event, and logs them if the event misses the objective.
 func (rel *relay) recordFirstEvent() {
+	if rel.placement.Unit.Entry != "" {
+		return
+	}
 	now := rel.gat.opt.Clock.Now()
 	rel.gat.opt.Meter.RecordFirstEvent(rel.pool(), rel.queued, now.Sub(rel.sentAt))
 	if now.Sub(rel.arrived) <= rel.rou.Objective {
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -11,11 +11,12 @@
 	"github.com/lovagelever/lovagelever/router"
 )
 
-// watchdog requests a check of the unit when its stream falls silent, asks for a hedge when it stays silent or the unit is suspected, and cancels the attempt when the unit is broken.
+// watchdog requests a check of the unit when its stream falls silent, asks for a hedge when it stays silent, the unit is suspected or the entry reaches no unit, and cancels the attempt when the unit is broken.
 type watchdog struct {
 	clk             clockwork.Clock
 	suspect         func()
 	markAlive       func()
+	linksLost       func() bool
 	hedge           *hedge
 	firstCheckAfter time.Duration
 	checkAfter      time.Duration
@@ -39,6 +40,7 @@
 		clk:             rel.gat.opt.Clock,
 		suspect:         func() { rel.gat.opt.Detector.CheckUnit(pla.Unit.ID) },
 		markAlive:       func() { rel.gat.opt.Detector.RecordActivity(pla.Unit.ID) },
+		linksLost:       rel.linksLost,
 		hedge:           hed,
 		firstCheckAfter: time.Duration(float64(rel.rou.Objective) * firstEventCheckShare),
 		checkAfter:      time.Duration(float64(rel.rou.MaxEventGap) * pauseCheckShare),
@@ -47,6 +49,9 @@
 		firstEvent:      now,
 		lastEvent:       now,
 	}
+	if pla.Unit.Entry != "" {
+		wat.suspect, wat.markAlive, wat.linksLost = func() {}, func() {}, func() bool { return false }
+	}
 	if wat.checkAfter <= 0 {
 		wat.checkAfter = wat.firstCheckAfter
 	}
@@ -111,7 +116,7 @@
 		return
 	}
 	quiet := wat.clk.Since(wat.lastEvent)
-	if wat.suspected || quiet >= wat.hedgeAfter {
+	if wat.suspected || wat.linksLost() || quiet >= wat.hedgeAfter {
 		wat.hedge.start()
 	}
 	next := wat.checkAfter
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -54,6 +54,16 @@
 	return out
 }
 
+func (codecStub) EntryHeader(in http.Header, _ gateway.Call, hop gateway.Hop) http.Header {
+	out := in.Clone()
+	gateway.StripConnection(out)
+	out.Set("X-Within", strconv.FormatInt(hop.Timeout.Milliseconds(), 10))
+	if hop.LastEventID != "" {
+		out.Set("X-After", hop.LastEventID)
+	}
+	return out
+}
+
 func (codecStub) ParseResponse(cal gateway.Call, res *http.Response) gateway.ResponseInfo {
 	pause, _ := strconv.Atoi(res.Header.Get("X-Pause"))
 	return gateway.ResponseInfo{
@@ -188,6 +198,9 @@
 	mtr.seen[outcome]++
 }
 
+func (mtr *meterStub) RecordForwarded() {}
+func (mtr *meterStub) RecordFromEntry() {}
+
 func (mtr *meterStub) RecordFirstEvent(_ string, queued, unit time.Duration) {
 	mtr.mux.Lock()
 	defer mtr.mux.Unlock()
--- a/heartbeater/beat.go
+++ b/heartbeater/beat.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 
 	"github.com/juju/errors"
 )
@@ -13,10 +14,11 @@
 	maxDatagramBytes = 1400
 	// aliveBit is the lowest bit of a unit's value; the number of requests is in the bits above it.
 	aliveBit = 1
-	// stoppingFlag, freshFlag and leadsFlag are bits of the second byte.
+	// stoppingFlag, freshFlag, leadsFlag and silentFlag are bits of the second byte.
 	stoppingFlag = 1
 	freshFlag    = 2
 	leadsFlag    = 4
+	silentFlag   = 8
 )
 
 // Heartbeat is the heartbeat that an entry sends to the others; units and server instances are identified by hashes to save bytes.
@@ -31,6 +33,8 @@
 	TopicEnds []int64
 	// Leads says that the entry is the leader.
 	Leads bool
+	// Silent identifies the services of which no backend server answers the entry.
+	Silent []uint64
 	// Running counts the requests that the entry runs on each unit.
 	Running map[uint64]int
 	// Alive contains the units in Running that have responded to the entry recently.
@@ -51,6 +55,10 @@
 	if bea.Leads {
 		out[1] |= leadsFlag
 	}
+	silent := bea.Silent[:min(len(bea.Silent), maxSilentServices)]
+	if len(silent) > 0 {
+		out[1] |= silentFlag
+	}
 	out = binary.AppendUvarint(out, uint64(len(bea.Name)))
 	out = append(out, bea.Name...)
 	out = binary.BigEndian.AppendUint64(out, bea.Incarnation)
@@ -60,7 +68,11 @@
 		out = binary.AppendUvarint(out, uint64(max(0, end)))
 	}
 	const suspectBytes, runningBytes = 8, 11
-	suspects := bea.Suspects[:min(len(bea.Suspects), (maxDatagramBytes-len(out))/2/suspectBytes)]
+	// Entries of earlier versions take the services among the suspects for servers that they do not know.
+	suspects := bea.Suspects[:min(len(bea.Suspects), (maxDatagramBytes-len(out))/2/suspectBytes-len(silent)-1)]
+	if len(silent) > 0 {
+		suspects = slices.Concat([]uint64{uint64(len(silent))}, silent, suspects)
+	}
 	out = binary.AppendUvarint(out, uint64(len(suspects)))
 	for _, server := range suspects {
 		out = binary.BigEndian.AppendUint64(out, server)
@@ -98,6 +110,10 @@
 	for num := rea.readUvarint(); num > 0 && !rea.malformed; num-- {
 		bea.Suspects = append(bea.Suspects, rea.readUint64())
 	}
+	if flags&silentFlag != 0 && len(bea.Suspects) > 0 {
+		num := min(bea.Suspects[0], uint64(len(bea.Suspects)-1))
+		bea.Silent, bea.Suspects = bea.Suspects[1:1+num], bea.Suspects[1+num:]
+	}
 	bea.Running, bea.Alive = map[uint64]int{}, map[uint64]bool{}
 	for num := rea.readUvarint(); num > 0 && !rea.malformed; num-- {
 		uni := rea.readUint64()
@@ -113,6 +129,9 @@
 	return bea, nil
 }
 
+// maxSilentServices bounds the services that a heartbeat names.
+const maxSilentServices = 16
+
 // maxRunning bounds the number of requests that one entry can report for a unit, so that a damaged datagram does not
 // exclude a unit for long.
 const maxRunning = 1 << 16
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -182,6 +182,14 @@
 	}
 }
 
+// Announce sends a heartbeat to all peers at once, when its content concerns them before their next turn.
+func (hea *Heartbeater) Announce() {
+	data := Encode(hea.opt.Heartbeat(false))
+	for _, pee := range hea.opt.Peers() {
+		hea.write(data, pee)
+	}
+}
+
 // sendEvidence sends the evidence that is due to all peers, since each must refuse a request that crashes its backend servers.
 func (hea *Heartbeater) sendEvidence(peers []Peer) {
 	if hea.opt.Evidence == nil {
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -17,7 +17,7 @@
 )
 
 var full = heartbeater.Heartbeat{
-	Name: "edge-1", Incarnation: 1 << 60, Seq: 300, Stopping: true, Fresh: true, Leads: true, TopicEnds: []int64{5, 0, 700},
+	Name: "edge-1", Incarnation: 1 << 60, Seq: 300, Stopping: true, Fresh: true, Leads: true, Silent: []uint64{77, 1 << 62}, TopicEnds: []int64{5, 0, 700},
 	Running: map[uint64]int{1: 3, 1 << 63: 20}, Alive: map[uint64]bool{1: true}, Suspects: []uint64{9, 8},
 }
 
--- a/nominator/nominator.go
+++ b/nominator/nominator.go
@@ -17,12 +17,13 @@
 // Readers is how many entries read the store for all: two, so that one may fail.
 const Readers = 2
 
-// Candidate is an entry that may read the store. Cores is its processor capacity, zero if unknown, and Reads says that it reads the store and is up to date.
+// Candidate is an entry that may read the store. Cores is its processor capacity, zero if unknown, Reads says that it reads the store and is up to date, and Last ranks it after all others, because it does not reach all services.
 type Candidate struct {
 	Name  string
 	Zone  string
 	Cores float64
 	Reads bool
+	Last  bool
 }
 
 // Options configures a Nominator. Candidates returns the live entries including Self, and Step the time within which entries learn that another one reads the store.
@@ -122,6 +123,11 @@
 		rank[can.Name] = inZone[can.Zone]
 		inZone[can.Zone]++
 	}
+	for _, can := range list {
+		if can.Last {
+			rank[can.Name] += len(list)
+		}
+	}
 	slices.SortStableFunc(list, func(one, two Candidate) int { return cmp.Compare(rank[one.Name], rank[two.Name]) })
 	return list
 }
