Open a connection for each request that is forwarded

A kept connection between entries may die unnoticed; a request on it would wait until its deadline, since the other entry is known to be well. Idle ones would also use up descriptors, as the entry is drawn anew for each request.

--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -244,6 +244,7 @@
 func (gat *Server) onPeerSilent(name string) {
 	gat.dis.SetRemoteLoad(name, nil)
 	gat.upToDatePeers.Delete(name)
+	gat.pic.RecordSilent(name, nil)
 }
 
 // Question requests the records of a topic, starting at an offset of an era of the store.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -417,10 +417,12 @@
 		head = job.gat.opt.HeaderCodec.EntryHeader(job.req.Header, job.cal, hop)
 		sta := forwardState{age: job.gat.opt.Clock.Since(job.arrived), sends: sends, runs: runs, counted: job.counted}
 		head.Set(forwardedHeader, sta.encode())
+		// A kept connection may die unnoticed, and a request on it would wait for nothing.
+		head.Set("Connection", "close")
 	}
 	return sender.Request{
 		Address: pla.Unit.Address, PoolKey: pla.Unit.Address + "/" + pla.Unit.ServerID, Method: job.req.Method, Target: job.target,
-		Host: job.req.Host, Header: head, Body: job.body, NewConnection: !job.rou.Repeatable(),
+		Host: job.req.Host, Header: head, Body: job.body, NewConnection: !job.rou.Repeatable() || pla.Unit.Entry != "",
 	}
 }
 
