--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -66,6 +66,26 @@
 		Expect(ele.IsLeader()).To(BeFalse())
 	})
 
+	// Guards against a leader that takes all groups for lost because it reaches no backend server.
+	It("gives the lease up and does not ask for it while it is not fit", func() {
+		ele.TryAcquire(context.Background())
+		Expect(ele.IsLeader()).To(BeTrue())
+		fit = false
+		for range 10 {
+			clk.Advance(ttl / 3)
+			calls := lea.calls
+			ele.TryAcquire(context.Background())
+			Expect(ele.IsLeader()).To(BeFalse())
+			Expect(lea.calls).To(Equal(calls))
+		}
+		Expect(lea.releases).To(Equal(1))
+		fit = true
+		ele.TryAcquire(context.Background())
+		clk.Advance(ttl)
+		ele.TryAcquire(context.Background())
+		Expect(ele.IsLeader()).To(BeTrue())
+	})
+
 	It("remains the leader without the store until the lease expires, and no longer", func() {
 		ele.TryAcquire(context.Background())
 		lea.err = errors.New("down")
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -207,23 +207,44 @@
 	mtr.firstEvents = append(mtr.firstEvents, firstEvent{queued: queued, unit: unit})
 }
 
+// slowDialer opens connections after a delay.
+type slowDialer struct {
+	net.Dialer
+	delay atomic.Int64
+}
+
+func (dia *slowDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	select {
+	case <-time.After(time.Duration(dia.delay.Load())):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return dia.Dialer.DialContext(ctx, network, address)
+}
+
 // world is a gateway with a listener for callers and workers as backend servers.
 type world struct {
-	dis  *dispatcher.Dispatcher
-	bud  *budgetStub
-	det  *detectorStub
-	mtr  *meterStub
-	tab  atomic.Pointer[router.Table]
-	ends atomic.Pointer[time.Time]
-	web  *httptest.Server
-	pool string
-	log  *logtest.Hook
+	dis   *dispatcher.Dispatcher
+	bud   *budgetStub
+	det   *detectorStub
+	mtr   *meterStub
+	tab   atomic.Pointer[router.Table]
+	ends  atomic.Pointer[time.Time]
+	web   *httptest.Server
+	pool  string
+	log   *logtest.Hook
+	links *linksStub
+	peers *peersStub
+	// dialer opens the connections to the backend servers.
+	dialer *slowDialer
+	// forwarded listens for the requests of other entries.
+	forwarded *httptest.Server
 	// leaving receives the backend servers that say that they leave.
 	leaving chan registrar.Instance
 }
 
 func newWorld(rou router.Route, workers ...*worker) *world {
-	wor := &world{bud: &budgetStub{}, det: &detectorStub{}, mtr: &meterStub{seen: map[string]int{}}, pool: "s", leaving: make(chan registrar.Instance, 100)}
+	wor := &world{bud: &budgetStub{}, det: &detectorStub{}, mtr: &meterStub{seen: map[string]int{}}, pool: "s", leaving: make(chan registrar.Instance, 100), links: &linksStub{}, peers: &peersStub{}, dialer: &slowDialer{}}
 	wor.bud.left.Store(10)
 	clk := clockwork.NewRealClock()
 	wor.dis = dispatcher.New(dispatcher.Options{Zone: "z0", Clock: clk, Breaker: breaker.New(breaker.Options{Clock: clk})})
@@ -234,7 +255,7 @@
 	wor.table(router.Config{Routes: []router.Route{rou}, Workspaces: []router.Workspace{{Name: "w", Keys: []string{"key"}}}})
 	wor.setUnits(dispatcher.Serving, workers...)
 	gat := gateway.New(gateway.Options{
-		Table: wor.tab.Load, Dispatcher: wor.dis, Sender: sender.New(&net.Dialer{}, clk, time.Second), Budget: wor.bud, Detector: wor.det, Quarantine: newInvestigator(clk, log),
+		Table: wor.tab.Load, Dispatcher: wor.dis, Sender: sender.New(wor.dialer, clk, time.Second), PeerSender: sender.New(&net.Dialer{}, clk, time.Second), Links: wor.links, Peers: wor.peers, Budget: wor.bud, Detector: wor.det, Quarantine: newInvestigator(clk, log),
 		HeaderCodec: codecStub{}, Meter: wor.mtr, OnLeaving: func(ins registrar.Instance) { wor.leaving <- ins },
 		OnRateLimit: func(registrar.Instance, bool, float64, time.Time) {}, OnPause: func(ins registrar.Instance, dur time.Duration) { wor.dis.Pause(ins, dur) }, Clock: clk, Logger: log.WithField("test", true),
 		Stopping: func() (time.Time, bool) {
@@ -244,8 +265,9 @@
 			return time.Time{}, false
 		},
 	})
-	wor.web = httptest.NewServer(gat)
+	wor.web, wor.forwarded = httptest.NewServer(gat), httptest.NewServer(gat.Forwarded())
 	DeferCleanup(wor.web.Close)
+	DeferCleanup(wor.forwarded.Close)
 	return wor
 }
 
--- a/nominator/nominator_test.go
+++ b/nominator/nominator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -79,6 +80,29 @@
 		}
 	})
 
+	It("ranks entries that do not reach all services after all others, for themselves as well", func() {
+		for _, entries := range []int{7, 67, 195, 390} {
+			clu := newCluster(entries)
+			clu.known = slices.Clone(clu.list)
+			_, reading := clu.play(6 * step)
+			lost := map[string]bool{}
+			for num, can := range clu.known {
+				if can.Name == reading[0].Name || can.Name == reading[1].Name {
+					clu.known[num].Last, lost[can.Name] = true, true
+				}
+			}
+			clu.clk.Advance(step)
+			for _, can := range clu.known {
+				for _, name := range clu.noms[can.Name].First() {
+					Expect(lost).NotTo(HaveKey(name))
+				}
+				if lost[can.Name] {
+					Expect(clu.noms[can.Name].Preferred()).To(BeNumerically(">=", entries-len(lost)))
+				}
+			}
+		}
+	})
+
 	// Guards against all entries reading the store at once when its two readers fail together.
 	It("has a few entries step in when both readers fail and are still counted as live", func() {
 		for _, entries := range []int{7, 67, 195, 390} {
