--- a/prover/gate_deployment_test.go
+++ b/prover/gate_deployment_test.go
@@ -203,7 +203,7 @@
 availability_zone: %s
 region: r
 address: %s
-listen: {callers: "%[3]s:8000", readiness: "%[3]s:8001", directory: "%[3]s:8002", entries: "%[3]s:8003", metrics: "%[3]s:8004"}
+listen: {callers: "%[3]s:8000", readiness: "%[3]s:8001", directory: "%[3]s:8002", entries: "%[3]s:8003", metrics: "%[3]s:8004", forwarding: "%[3]s:8005"}
 store: {address: %q, shortest_lease: 1000ms}
 memory_mb: 284
 bounds: {stop_grace: %v, longest_directory_validity: 5s, retry_ratio: 0.2, retry_slack: 105, retry_window: 10s, load_window: 5s}
--- a/prover/gate_fault_test.go
+++ b/prover/gate_fault_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"syscall"
 	"time"
 
@@ -25,7 +26,7 @@
 	storeBusy   = storeFault("store refuses two entries as busy", func(flt *storefaker.Faults) { flt.BusySources = []string{gateIP(1), gateIP(3)} })
 	// gateFaults lists the fault generators of the soak test.
 	gateFaults = []gateFaultGenerator{
-		killGate, pauseGate, stopGate, reloadGate, partitionFromStore, partitionFromWorker, resetWorker, slowNetwork, killWorker, killWorker, drainWorker, pauseWorker, limitWorker, delayOrders, spoilAnswers, spoilAnswers,
+		killGate, pauseGate, stopGate, reloadGate, partitionFromStore, partitionFromWorker, cutGate, cutGate, resetWorker, slowNetwork, killWorker, killWorker, drainWorker, pauseWorker, limitWorker, delayOrders, spoilAnswers, spoilAnswers,
 		storeDown, storePause, storeSlow, storeLosing, storeBusy, dropHistory, restoreStore, reassignLeases, takeZoneOut, changeRoutes,
 	}
 )
@@ -160,6 +161,34 @@
 	}
 }
 
+// cutGate cuts some entries off from all backend servers, or resets their new connections while the others live on.
+func cutGate(gts *gates, rng *rand.Rand) fault {
+	var cut []string
+	for num := range 1 + rng.IntN(gateCount-1) {
+		cut = append(cut, gateIP(num+1))
+	}
+	refuse := rng.IntN(2) == 0
+	change := func(by int) {
+		for _, from := range cut {
+			gts.disturb(from, by)
+			if refuse {
+				gts.ntw.addRefusal(from, by)
+				continue
+			}
+			for zone := range gateZones {
+				for num := range enginesPerZone + desksPerZone {
+					gts.ntw.addBlock(from, workerIP(zone, num), by)
+					gts.ntw.addBlock(workerIP(zone, num), from, by)
+				}
+			}
+		}
+	}
+	return fault{
+		name: fmt.Sprintf("cut %s from all workers, refused: %v", strings.Join(cut, " "), refuse), target: "links of entries to workers",
+		begin: func() { change(1) }, end: func() { change(-1) },
+	}
+}
+
 func resetWorker(gts *gates, rng *rand.Rand) fault {
 	ip := workerIP(randomWorker(rng))
 	return instantFault("reset connections to "+ip, "worker at "+ip, func() {
--- a/prover/network_test.go
+++ b/prover/network_test.go
@@ -17,8 +17,10 @@
 // network proxies TCP connections between processes and can block each direction between two addresses.
 // Bytes in a blocked direction are held back, as in a network that loses packets without acknowledging them, and are delivered once it is unblocked.
 type network struct {
-	mtx         sync.Mutex
-	blocked     map[[2]string]int
+	mtx     sync.Mutex
+	blocked map[[2]string]int
+	// refused counts the faults that reset new connections from an IP address to any but the store.
+	refused     map[string]int
 	delay       time.Duration
 	connections map[net.Conn]string
 	changed     chan struct{}
@@ -27,7 +29,7 @@
 }
 
 func newNetwork() *network {
-	return &network{blocked: map[[2]string]int{}, connections: map[net.Conn]string{}, changed: make(chan struct{}), closed: make(chan struct{})}
+	return &network{blocked: map[[2]string]int{}, refused: map[string]int{}, connections: map[net.Conn]string{}, changed: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // forward listens at address and proxies its connections to the given IP address and port.
@@ -49,6 +51,10 @@
 func (ntw *network) proxy(con net.Conn, ip, port string) {
 	defer con.Close()
 	from := con.RemoteAddr().(*net.TCPAddr).IP.String()
+	if ip != storeIP && ntw.refuses(from) {
+		_ = con.(*net.TCPConn).SetLinger(0)
+		return
+	}
 	if !ntw.awaitOpen(from, ip) {
 		return
 	}
@@ -109,6 +115,19 @@
 	}
 }
 
+// addRefusal adds by to the number of faults that reset new connections from an IP address to backend servers.
+func (ntw *network) addRefusal(from string, by int) {
+	ntw.mtx.Lock()
+	defer ntw.mtx.Unlock()
+	ntw.refused[from] += by
+}
+
+func (ntw *network) refuses(from string) bool {
+	ntw.mtx.Lock()
+	defer ntw.mtx.Unlock()
+	return ntw.refused[from] > 0
+}
+
 // addBlock adds by to the number of blocks on a direction, which is open while the number is 0.
 func (ntw *network) addBlock(from, to string, by int) {
 	ntw.mtx.Lock()
