Show that requests reach a server in a pause when their connections open slowly

A server that asks for a pause still gets the requests whose connections were being opened, up to 0.7 s later.

--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -53,6 +53,27 @@
 		})
 	}
 
+	// Guards against BUDGET: connections that take long to open while the server asks for the pause.
+	It("sends it no request whose connection opens during the pause", func() {
+		one := newWorker(plainly("503 Full", "X-Not-Run: 1\r\nX-Pause: 2000\r\n"))
+		rou := unsafe
+		rou.Timeout = 3 * time.Second
+		wor := newWorld(rou, one)
+		wor.dialer.delay.Store(int64(700 * time.Millisecond))
+		results := make(chan result, 3)
+		for num := range cap(results) {
+			go func() { results <- wor.call(context.Background(), "X-Id", strconv.Itoa(num)) }()
+		}
+		time.Sleep(50 * time.Millisecond)
+		wor.dialer.delay.Store(0)
+		wor.call(context.Background())
+		Expect(one.runs()).To(Equal(1))
+		for range cap(results) {
+			Expect((<-results).status).To(Equal(503))
+		}
+		Expect(one.runs()).To(Equal(1))
+	})
+
 	// Guards against a server whose circuit opens because it asks for pauses.
 	DescribeTable("sends to it again after the end, however often it has asked",
 		func(answer answerFunc) {
