Send no request to a server that asked for a pause while the connection was opened

Cause: pauses were checked when a request got its place, not when it was sent. The sender now asks once the connection is open; such a request goes to another unit or is refused with the end of the pause, and is no fault of the unit. The spec that failed (4 requests instead of 1) passes.

--- a/dispatcher/pause.go
+++ b/dispatcher/pause.go
@@ -31,6 +31,11 @@
 	return dis.pauses[ins].After(dis.opt.Clock.Now())
 }
 
+// Paused reports whether the unit has asked for a pause since the slot was allocated.
+func (pla *Placement) Paused() bool {
+	return pla.dis != nil && pla.dis.Paused(pla.Unit.Instance())
+}
+
 func (dis *Dispatcher) expirePauses() {
 	now := dis.opt.Clock.Now()
 	maps.DeleteFunc(dis.pauses, func(_ registrar.Instance, until time.Time) bool { return !until.After(now) })
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -422,7 +422,7 @@
 	}
 	return sender.Request{
 		Address: pla.Unit.Address, PoolKey: pla.Unit.Address + "/" + pla.Unit.ServerID, Method: job.req.Method, Target: job.target,
-		Host: job.req.Host, Header: head, Body: job.body, NewConnection: !job.rou.Repeatable() || pla.Unit.Entry != "",
+		Host: job.req.Host, Header: head, Body: job.body, NewConnection: !job.rou.Repeatable() || pla.Unit.Entry != "", Withdrawn: pla.Paused,
 	}
 }
 
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -166,8 +166,8 @@
 	exc, err := job.send(ctx, pla, job.buildRequest(pla, after, sends, runs))
 	if errors.Is(err, sender.ErrNotSent) {
 		job.gat.opt.Budget.Return(job.ser.Name)
-		job.noteNotSent(pla.Unit)
-		att.release(hed.resultOf(ctx, pla.Unit))
+		job.noteNotSent(pla.Unit, err)
+		att.release(hed.resultOf(ctx, pla.Unit, err))
 		return nil
 	}
 	if err != nil {
@@ -208,16 +208,16 @@
 }
 
 // resultOf returns the result of a failed send: a fault of the unit unless the hedge was abandoned.
-func (hed *hedge) resultOf(ctx context.Context, uni dispatcher.Unit) dispatcher.Result {
+func (hed *hedge) resultOf(ctx context.Context, uni dispatcher.Unit, err error) dispatcher.Result {
 	if ctx.Err() != nil {
 		return dispatcher.Neutral
 	}
-	return hed.rel.faultOf(uni)
+	return hed.rel.faultOf(uni, err)
 }
 
 // noteBreak records that the stream broke off at the second unit before an event, unless the hedge was abandoned, and returns the result for the unit.
 func (hed *hedge) noteBreak(att *attempt) dispatcher.Result {
-	res := hed.resultOf(att.ctx, att.placement.Unit)
+	res := hed.resultOf(att.ctx, att.placement.Unit, nil)
 	if res == dispatcher.Fault {
 		hed.rel.gat.opt.Quarantine.RecordBreak(att.placement.Unit, hed.rel.subjects)
 	}
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -72,6 +72,7 @@
 			Expect((<-results).status).To(Equal(503))
 		}
 		Expect(one.runs()).To(Equal(1))
+		Expect(wor.det.suspects.Load()).To(BeZero())
 	})
 
 	// Guards against a server whose circuit opens because it asks for pauses.
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -13,6 +13,7 @@
 	"github.com/lovagelever/lovagelever/peerpicker"
 	"github.com/lovagelever/lovagelever/refuser"
 	"github.com/lovagelever/lovagelever/registrar"
+	"github.com/lovagelever/lovagelever/sender"
 )
 
 // Links says which services this entry reaches.
@@ -199,17 +200,19 @@
 }
 
 // noteNotSent has a unit checked that could not be reached.
-func (job *job) noteNotSent(uni dispatcher.Unit) {
-	if uni.Entry != "" {
+func (job *job) noteNotSent(uni dispatcher.Unit, err error) {
+	switch {
+	case errors.Is(err, sender.ErrWithdrawn):
+	case uni.Entry != "":
 		job.gat.opt.Peers.Avoid(uni.Entry)
-		return
+	default:
+		job.gat.opt.Detector.CheckUnit(uni.ID)
 	}
-	job.gat.opt.Detector.CheckUnit(uni.ID)
 }
 
-// faultOf returns the result of an attempt that a unit did not answer: no fault of the unit if this entry reaches no unit.
-func (job *job) faultOf(uni dispatcher.Unit) dispatcher.Result {
-	if uni.Entry != "" || job.gat.opt.Links.ConfirmLost(job.ser.Name) {
+// faultOf returns the result of an attempt that a unit did not answer: no fault of the unit if the request was withdrawn or this entry reaches no unit.
+func (job *job) faultOf(uni dispatcher.Unit, err error) dispatcher.Result {
+	if uni.Entry != "" || errors.Is(err, sender.ErrWithdrawn) || job.gat.opt.Links.ConfirmLost(job.ser.Name) {
 		return dispatcher.Neutral
 	}
 	return dispatcher.Fault
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -168,9 +168,9 @@
 	if err != nil {
 		notSent := errors.Is(err, sender.ErrNotSent)
 		if ctx.Err() == nil {
-			out.Result = job.faultOf(pla.Unit)
+			out.Result = job.faultOf(pla.Unit, err)
 			if notSent {
-				job.noteNotSent(pla.Unit)
+				job.noteNotSent(pla.Unit, err)
 			}
 		}
 		return result{err: err, unit: pla.Unit, began: began, sent: !notSent, mayRun: !notSent, cancelled: ctx.Err() != nil}
@@ -180,7 +180,7 @@
 	exc.End(err == nil && rep.ver.Verified)
 	res, err := classify(rep, err)
 	if res == dispatcher.Fault && errors.Is(err, sender.ErrLost) && ctx.Err() == nil {
-		res = job.faultOf(pla.Unit)
+		res = job.faultOf(pla.Unit, err)
 	}
 	if ctx.Err() == nil || err == nil {
 		out.Result = res
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -124,7 +124,7 @@
 	if !taken {
 		att.exc, err = rel.sendOnce(att.ctx, pla, rel.buildRequest(pla, rel.lastEventID, rel.sends, rel.mayHaveRun))
 		if err != nil {
-			out.Result = rel.unitResult(att.ctx, pla.Unit)
+			out.Result = rel.unitResult(att.ctx, pla.Unit, err)
 			rel.noteBreak(out.Result, err)
 			return reply{}, nil, preferCause(att.ctx, err)
 		}
@@ -145,7 +145,7 @@
 		if !taken {
 			rel.mayHaveRun += rel.runsOf(pla.Unit)
 		}
-		out.Result = rel.unitResult(att.ctx, pla.Unit)
+		out.Result = rel.unitResult(att.ctx, pla.Unit, err)
 		if errors.Is(err, errCallerWrite) {
 			out.Result = dispatcher.Neutral
 		}
@@ -164,7 +164,7 @@
 func (rel *relay) sendOnce(ctx context.Context, pla *dispatcher.Placement, req sender.Request) (*sender.Exchange, error) {
 	exc, err := rel.send(ctx, pla, req)
 	if errors.Is(err, sender.ErrNotSent) {
-		rel.noteNotSent(pla.Unit)
+		rel.noteNotSent(pla.Unit, err)
 		return nil, err
 	}
 	rel.sends++
@@ -209,10 +209,10 @@
 }
 
 // unitResult returns the result of a broken stream: a fault of the unit, or neutral if the caller left, the deadline passed or this entry reaches no unit.
-func (rel *relay) unitResult(ctx context.Context, uni dispatcher.Unit) dispatcher.Result {
+func (rel *relay) unitResult(ctx context.Context, uni dispatcher.Unit, err error) dispatcher.Result {
 	cause := context.Cause(ctx)
 	if cause == nil || errors.Is(cause, errUnitSilent) || errors.Is(cause, errUnitBroken) {
-		return rel.faultOf(uni)
+		return rel.faultOf(uni, err)
 	}
 	return dispatcher.Neutral
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -34,7 +34,7 @@
 	return &Sender{dia: dia, clk: clk, dialTimeout: dialTimeout, poo: pool{idle: map[string][]*conn{}}}
 }
 
-// Request is one HTTP request. PoolKey identifies the run of the backend server at Address, so that connections are not reused after the server was restarted or replaced. NewConnection requests a new connection.
+// Request is one HTTP request. PoolKey identifies the run of the backend server at Address, so that connections are not reused after the server was restarted or replaced. NewConnection requests a new connection. Withdrawn, which may be nil, is asked once the connection is open whether the request must not be sent any more.
 type Request struct {
 	Address string
 	PoolKey string
@@ -45,14 +45,19 @@
 	Header        http.Header
 	Body          []byte
 	NewConnection bool
+	Withdrawn     func() bool
 }
 
-// Send sends a request and returns once the response header is read; it fails with ErrNotSent or ErrLost. The caller must call End on the exchange.
+// Send sends a request and returns once the response header is read; it fails with ErrNotSent, ErrWithdrawn or ErrLost. The caller must call End on the exchange.
 func (sen *Sender) Send(ctx context.Context, req Request) (*Exchange, error) {
 	con, err := sen.connect(ctx, req)
 	if err != nil {
 		return nil, err
 	}
+	if req.Withdrawn != nil && req.Withdrawn() {
+		_ = con.Close()
+		return nil, notSent(ErrWithdrawn, "send")
+	}
 	exc := &Exchange{sen: sen, key: req.PoolKey, con: con, written: make(chan error, 1)}
 	exc.stopWatch = context.AfterFunc(ctx, func() { _ = con.Close() })
 	if err := exc.write(req); err != nil {
