Forward requests to no entry whose configuration is older than one in use

An entry whose links are lost draws another one for each request, and these learn of a configuration at different times: its callers could be served by the new one and then by the old one again. Requests now carry the newest version by which the entry's callers were served; an entry that does not know it passes the request on. A stream that a second entry has taken over counts as all attempts that were left, as it may have used them.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -82,6 +83,8 @@
 type Gateway struct {
 	opt    Options
 	bodies *collector.Collector
+	// peerVersion is the newest version of the configuration by which other entries have served callers of this one.
+	peerVersion atomic.Int64
 }
 
 // New returns a gateway with the given options.
@@ -188,6 +191,9 @@
 	if job.tab == nil {
 		return elsewhere("this entry knows no configuration yet", refuser.DefaultRetryAfter)
 	}
+	if err := job.checkVersion(); err != nil {
+		return err
+	}
 	if job.cal.ID == "" {
 		return refuser.Invalid("the request has no ID")
 	}
@@ -415,7 +421,7 @@
 		head = job.gat.opt.HeaderCodec.RequestHeader(job.req.Header, job.cal, hop)
 	} else {
 		head = job.gat.opt.HeaderCodec.EntryHeader(job.req.Header, job.cal, hop)
-		sta := forwardState{age: job.gat.opt.Clock.Since(job.arrived), sends: sends, runs: runs, counted: job.counted}
+		sta := forwardState{age: job.gat.opt.Clock.Since(job.arrived), sends: sends, runs: runs, counted: job.counted, version: max(job.tab.Version, job.gat.peerVersion.Load())}
 		head.Set(forwardedHeader, sta.encode())
 		// A kept connection may die unnoticed, and a request on it would wait for nothing.
 		head.Set("Connection", "close")
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -193,7 +193,7 @@
 		}
 		return dispatcher.Rejected
 	}
-	hed.count(1)
+	hed.count(runsOf(att.placement.Unit, job.rou.Attempts-hed.mayRun))
 	if att.exc.Response.StatusCode != http.StatusOK || !ver.Verified {
 		return dispatcher.Fault
 	}
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -41,12 +41,15 @@
 	refusalHeader = "Entry-Refusal"
 	// serverHeader names the backend server that made the response, as ID@START.
 	serverHeader = "Entry-Server"
+	// versionHeader holds the version of the configuration by which the entry has handled the request.
+	versionHeader = "Entry-Config-Version"
 )
 
-// Values of refusalHeader: the refusal is the answer to the caller, or only concerns this entry, and another one may serve the request.
+// Values of refusalHeader: the refusal is the answer to the caller, or only concerns this entry, and another one may serve the request; an outdated entry may serve others.
 const (
 	refusalFinal     = "final"
 	refusalElsewhere = "elsewhere"
+	refusalOutdated  = "outdated"
 )
 
 // peerPrefix precedes the name of an entry in the ID of a unit that stands for it.
@@ -61,6 +64,8 @@
 	runs  int
 	// counted says that the request counts in the retry budget already.
 	counted bool
+	// version is the newest version of the configuration by which the entry's callers were served.
+	version int64
 }
 
 func (sta forwardState) encode() string {
@@ -69,6 +74,7 @@
 	val.Set("sends", strconv.Itoa(sta.sends))
 	val.Set("runs", strconv.Itoa(sta.runs))
 	val.Set("counted", strconv.FormatBool(sta.counted))
+	val.Set("config_version", strconv.FormatInt(sta.version, 10))
 	return val.Encode()
 }
 
@@ -87,6 +93,7 @@
 	}
 	return forwardState{
 		age: time.Duration(number("age_us")) * time.Microsecond, sends: number("sends"), runs: number("runs"), counted: val.Get("counted") == "true",
+		version: int64(number("config_version")),
 	}
 }
 
@@ -131,6 +138,9 @@
 // errElsewhere is the type of refusals for a reason that concerns only this entry.
 const errElsewhere = errors.ConstError("another entry may serve the request")
 
+// errOutdated is the type of refusals because the entry has an older configuration than the one that forwards the request.
+const errOutdated = errors.ConstError("the configuration is outdated")
+
 func elsewhere(message string, retryAfter time.Duration) error {
 	return errors.WithType(refuser.NotRun(message, retryAfter), errElsewhere)
 }
@@ -140,9 +150,13 @@
 	if job.forwarded == nil {
 		return
 	}
+	job.markVersion(job.wtr.Header())
 	mark := refusalFinal
 	if errors.Is(cause, errElsewhere) && ref.Type == refuser.TypeNotRun && job.mayHaveRun == job.forwarded.runs {
 		mark = refusalElsewhere
+		if errors.Is(cause, errOutdated) {
+			mark = refusalOutdated
+		}
 	}
 	job.wtr.Header().Set(refusalHeader, mark)
 }
@@ -153,18 +167,36 @@
 		return
 	}
 	head.Del(refusalHeader)
+	job.markVersion(head)
 	head.Set(serverHeader, uni.ServerID+"@"+strconv.FormatInt(uni.Started, 10))
 }
 
+func (job *job) markVersion(head http.Header) {
+	head.Set(versionHeader, strconv.FormatInt(job.configVersion(), 10))
+}
+
+// checkVersion fails if this entry has an older configuration than one by which the callers of the forwarding entry were served: for them it must not revert.
+func (job *job) checkVersion() error {
+	if job.forwarded == nil || job.tab.Version >= job.forwarded.version {
+		return nil
+	}
+	return errors.WithType(elsewhere("this entry does not know the configuration yet", retryAfterFailure), errOutdated)
+}
+
 // parsePeerResponse classifies the response of another entry, and reports a backend server that leaves: this entry passes on what it says, too.
 func (job *job) parsePeerResponse(pla *dispatcher.Placement, res *http.Response) ResponseInfo {
 	ver := job.gat.opt.HeaderCodec.ParseResponse(job.cal, res)
 	mark, server := res.Header.Get(refusalHeader), res.Header.Get(serverHeader)
-	res.Header.Del(refusalHeader)
-	res.Header.Del(serverHeader)
-	if mark == refusalElsewhere {
+	job.gat.noteVersion(res.Header.Get(versionHeader))
+	for _, name := range []string{refusalHeader, serverHeader, versionHeader} {
+		res.Header.Del(name)
+	}
+	switch mark {
+	case refusalElsewhere:
 		job.gat.opt.Peers.Avoid(pla.Unit.Entry)
 		return ResponseInfo{NotRun: true}
+	case refusalOutdated:
+		return ResponseInfo{NotRun: true}
 	}
 	if ins, named := parseServer(server); named && ver.Leaving {
 		job.gat.opt.OnLeaving(ins)
@@ -194,6 +226,17 @@
 	return max(1, left)
 }
 
+// noteVersion records the version of the configuration by which another entry has served a caller of this one.
+func (gat *Gateway) noteVersion(text string) {
+	version, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return
+	}
+	for old := gat.peerVersion.Load(); version > old && !gat.peerVersion.CompareAndSwap(old, version); {
+		old = gat.peerVersion.Load()
+	}
+}
+
 // linksLost reports whether this entry has lost its links to the service of the request.
 func (job *job) linksLost() bool {
 	return job.gat.opt.Links.Lost(job.ser.Name)
--- a/gateway/peer_test.go
+++ b/gateway/peer_test.go
@@ -99,7 +99,7 @@
 			res := wor.call(context.Background())
 			Expect(res.status).To(Equal(http.StatusOK))
 			Expect(res.body).To(Equal(want))
-			Expect(res.head).NotTo(Or(HaveKey("Entry-Server"), HaveKey("Entry-Refusal")))
+			Expect(res.head).NotTo(Or(HaveKey("Entry-Server"), HaveKey("Entry-Refusal"), HaveKey("Entry-Config-Version")))
 			Expect(one.runs()).To(Equal(1))
 			Expect(wor.mtr.count()).To(Equal(1))
 			Expect(peer.mtr.count()).To(BeZero())
@@ -142,6 +142,21 @@
 		Expect(one.runs()).To(Equal(1))
 	})
 
+	// Guards against callers for whom a configuration reverts because the next entry knows it later.
+	It("go to no entry with an older configuration than one that has served the callers before", func() {
+		old, other := newWorker(whole(200, "old")), newWorker(whole(200, "new"))
+		second, third := newWorld(unsafe, old), newWorld(unsafe, other)
+		tab := *third.tab.Load()
+		tab.Version = 2
+		third.tab.Store(&tab)
+		wor := lostBefore(unsafe, third, second)
+		Expect(wor.call(context.Background()).body).To(Equal("new"))
+		wor.peers.list[0], wor.peers.list[1] = wor.peers.list[1], wor.peers.list[0]
+		Expect(wor.call(context.Background(), "X-Id", "two").body).To(Equal("new"))
+		Expect(old.runs()).To(BeZero())
+		Expect(wor.peers.avoided).To(BeEmpty())
+	})
+
 	It("go to a third entry when the second one ends", func() {
 		second := newWorld(unsafe, newWorker(whole(200, "wrong")))
 		ends := time.Now()
