--- a/gateway/peer_test.go
+++ b/gateway/peer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -35,7 +36,7 @@
 	pee.mux.Lock()
 	defer pee.mux.Unlock()
 	for _, one := range pee.list {
-		if !contains(exclude, one.Name) && !contains(pee.avoided, one.Name) {
+		if !slices.Contains(exclude, one.Name) && !slices.Contains(pee.avoided, one.Name) {
 			return one, true
 		}
 	}
@@ -45,7 +46,7 @@
 func (pee *peersStub) Usable(_, name string) bool {
 	pee.mux.Lock()
 	defer pee.mux.Unlock()
-	return !contains(pee.avoided, name)
+	return !slices.Contains(pee.avoided, name)
 }
 
 func (pee *peersStub) Avoid(name string) {
@@ -54,15 +55,6 @@
 	pee.avoided = append(pee.avoided, name)
 }
 
-func contains(list []string, name string) bool {
-	for _, one := range list {
-		if one == name {
-			return true
-		}
-	}
-	return false
-}
-
 // lostBefore returns an entry whose links are lost, and which can forward to the others.
 func lostBefore(rou router.Route, others ...*world) *world {
 	wor := newWorld(rou, newWorker(whole(200, "wrong")))
