Add the estimator's interface and the engine's further figures

Requests of one engine differ fourfold in prompt tokens, and entries know of each other only how many requests run. The estimator predicts times from work in tokens; the dispatcher's loads of other entries become work, of which only the requests are exchanged so far. Decisions are unchanged.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/lovagelever/lovagelever/estimator"
 	"github.com/lovagelever/lovagelever/queuer"
 	"github.com/lovagelever/lovagelever/refuser"
 	"github.com/lovagelever/lovagelever/registrar"
@@ -41,6 +42,8 @@
 	Priority int
 	// Cost is the expected amount of work, in any unit of measure that is the same for the whole pool.
 	Cost float64
+	// Size is the size of a generation in tokens, zero for plain calls.
+	Size estimator.Request
 	// StartBy is the latest useful start of the request, Deadline the latest end.
 	StartBy  time.Time
 	Deadline time.Time
@@ -76,13 +79,13 @@
 	mux           sync.Mutex
 	units         map[string]*unitState
 	pools         map[string]*pool
-	remoteByEntry map[string]map[string]int
+	remoteByEntry map[string]map[string]estimator.Work
 	entries       int
 	rank          int
 	// loadAge is how old the loads of other entries are at most.
 	loadAge time.Duration
-	// totals holds the requests that all other entries run on each unit, as summed up by one of them, and applies until totalsUntil; totalsAge is how old they are at most.
-	totals      map[string]int
+	// totals holds the work that all other entries have on each unit, as summed up by one of them, and applies until totalsUntil; totalsAge is how old they are at most.
+	totals      map[string]estimator.Work
 	totalsUntil time.Time
 	totalsAge   time.Duration
 	// pauses holds until when backend servers want no requests from this entry.
@@ -121,7 +124,7 @@
 	if opt.RateLimits == nil {
 		opt.RateLimits = noRateLimits{}
 	}
-	return &Dispatcher{opt: opt, units: map[string]*unitState{}, pools: map[string]*pool{}, remoteByEntry: map[string]map[string]int{}, entries: 1, pauses: map[registrar.Instance]time.Time{}}
+	return &Dispatcher{opt: opt, units: map[string]*unitState{}, pools: map[string]*pool{}, remoteByEntry: map[string]map[string]estimator.Work{}, entries: 1, pauses: map[registrar.Instance]time.Time{}}
 }
 
 // Placement is the right to send one request to a unit; the holder must call Release.
@@ -242,11 +245,11 @@
 	// Allow uses up the single trial of a half-open circuit; selectUnit only reads the state with Open.
 	dis.opt.Breaker.Allow(sta.ID)
 	dis.opt.RateLimits.Spend(sta.Instance())
-	sta.running++
+	sta.own.Requests++
 	if sta.cold(now) {
 		sta.nextColdStart = now.Add(sta.coldInterval(dis.entries))
 	}
-	return &Placement{Unit: sta.Unit, InUse: sta.running + sta.remote, Suspected: sta.suspected, Broken: sta.broken, dis: dis, sta: sta, pool: req.Pool, cost: max(1, req.Cost), since: now}
+	return &Placement{Unit: sta.Unit, InUse: sta.own.Requests + sta.remote.Requests, Suspected: sta.suspected, Broken: sta.broken, dis: dis, sta: sta, pool: req.Pool, cost: max(1, req.Cost), since: now}
 }
 
 // NewPlacement returns a placement at a unit whose slots no dispatcher allocates.
@@ -266,7 +269,7 @@
 	dis.mux.Lock()
 	defer dis.mux.Unlock()
 	now := dis.opt.Clock.Now()
-	pla.sta.running--
+	pla.sta.own.Requests--
 	pla.sta.recordOutcome(out)
 	poo := dis.pools[pla.pool]
 	switch out.Result {
@@ -315,7 +318,7 @@
 	num := 0
 	for _, sta := range poo.units {
 		if dis.canStart(sta, by) {
-			num += sta.running + dis.freeSlots(sta)
+			num += sta.own.Requests + dis.freeSlots(sta)
 		}
 	}
 	return max(1, num)
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lovagelever/lovagelever/breaker"
 	"github.com/lovagelever/lovagelever/dispatcher"
+	"github.com/lovagelever/lovagelever/estimator"
 	"github.com/lovagelever/lovagelever/refuser"
 )
 
@@ -100,7 +101,7 @@
 
 	It("counts the requests of other entries", func() {
 		fix := newFixture(unit("a", "z", 2))
-		fix.dis.SetRemoteLoad("other", map[string]int{"a": 2})
+		fix.dis.SetRemoteLoad("other", map[string]estimator.Work{"a": {Requests: 2}})
 		cha := fix.acquireAsync(fix.request("1"))
 		Eventually(fix.waiting).Should(Equal(1))
 		fix.dis.SetRemoteLoad("other", nil)
--- a/dispatcher/herd_test.go
+++ b/dispatcher/herd_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/lovagelever/lovagelever/breaker"
 	"github.com/lovagelever/lovagelever/dispatcher"
+	"github.com/lovagelever/lovagelever/estimator"
 )
 
 // fleet is a simulation of entries that know of each other's requests by heartbeats only.
@@ -31,7 +32,7 @@
 	sameZone int
 	refused  int
 	// collected holds the totals for each entry of the last interval.
-	collected []map[string]int
+	collected []map[string]estimator.Work
 }
 
 type runEnd struct {
@@ -110,19 +111,19 @@
 			dis.SetRemoteTotals(fle.collected[num], 2*collectInterval, fle.clk.Now().Add(time.Second))
 		}
 	}
-	all := map[string]int{}
-	own := make([]map[string]int, len(fle.entries))
+	all := map[string]estimator.Work{}
+	own := make([]map[string]estimator.Work, len(fle.entries))
 	for num, dis := range fle.entries {
 		own[num] = dis.Running()
 		for unit, run := range own[num] {
-			all[unit] += run
+			all[unit] = all[unit].Plus(run)
 		}
 	}
 	fle.collected = nil
 	for num := range fle.entries {
 		totals := maps.Clone(all)
 		for unit, run := range own[num] {
-			totals[unit] -= run
+			totals[unit] = totals[unit].Minus(run)
 		}
 		fle.collected = append(fle.collected, totals)
 	}
@@ -212,12 +213,12 @@
 
 	It("return to the loads in heartbeats when the totals stop", func() {
 		fix := newFixture(unit("a", "z", 2))
-		fix.dis.SetRemoteLoad("other", map[string]int{"a": 2})
-		fix.dis.SetRemoteTotals(map[string]int{"a": 1}, collectInterval, fix.clk.Now().Add(time.Second))
+		fix.dis.SetRemoteLoad("other", map[string]estimator.Work{"a": {Requests: 2}})
+		fix.dis.SetRemoteTotals(map[string]estimator.Work{"a": {Requests: 1}}, collectInterval, fix.clk.Now().Add(time.Second))
 		Expect(fix.dis.Loads()[pool].InUse).To(Equal(1))
 		fix.clk.Advance(time.Second)
 		fix.dis.DispatchWaiting()
 		Expect(fix.dis.Loads()[pool].InUse).To(Equal(2))
-		Expect(fix.dis.ReportedTotals()).To(Equal(map[string]int{"a": 2}))
+		Expect(fix.dis.ReportedTotals()).To(Equal(map[string]estimator.Work{"a": {Requests: 2}}))
 	})
 })
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -72,7 +72,7 @@
 		}
 		own := dis.opt.RateLimits.Permits(ins)
 		held += own
-		free := sta.Slots - sta.running - sta.remote - own
+		free := sta.Slots - sta.own.Requests - sta.remote.Requests - own
 		if sta.Readiness != Serving || free <= 0 || dis.pauses[ins].After(now) || dis.opt.Breaker.IsOpen(sta.ID) {
 			continue
 		}
--- a/dispatcher/ratelimit.go
+++ b/dispatcher/ratelimit.go
@@ -146,7 +146,7 @@
 
 // freeSlots returns how many more requests this entry could send to the unit.
 func (dis *Dispatcher) freeSlots(sta *unitState) int {
-	free := max(0, sta.Slots-sta.running-sta.remote)
+	free := max(0, sta.Slots-sta.own.Requests-sta.remote.Requests)
 	if _, limited := dis.opt.RateLimits.Limit(sta.Instance()); limited {
 		return min(free, dis.opt.RateLimits.Permits(sta.Instance()))
 	}
--- a/dispatcher/select.go
+++ b/dispatcher/select.go
@@ -86,7 +86,7 @@
 	}
 	remote := 0
 	for _, sta := range poo.units {
-		remote += sta.remote
+		remote += sta.remote.Requests
 	}
 	return float64(remote) * min(1, age.Seconds()/poo.meanDuration.Seconds())
 }
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lovagelever/lovagelever/estimator"
 	"github.com/lovagelever/lovagelever/registrar"
 )
 
@@ -44,6 +45,8 @@
 	ColdPerSecond float64
 	// TypicalEventInterval is the typical interval between two events of a stream; zero for plain calls.
 	TypicalEventInterval time.Duration
+	// Estimator predicts the times of the unit; nil where the engine's figures are unknown.
+	Estimator *estimator.Estimator
 }
 
 // Instance returns the identity of the unit's server.
@@ -67,10 +70,10 @@
 // unitState is a unit with its load and health as this entry knows them.
 type unitState struct {
 	Unit
-	running int
-	// remote is the number of requests of other entries that counts, reported the sum of what each of them reports.
-	remote        int
-	reported      int
+	// own is the work of this entry on the unit, remote that of the other entries that counts, and reported the sum of what each of them reports.
+	own           estimator.Work
+	remote        estimator.Work
+	reported      estimator.Work
 	faultRate     float64
 	slowness      float64
 	fullUntil     time.Time
@@ -124,7 +127,7 @@
 
 // hasCapacity reports whether the unit can take one more request now.
 func (sta *unitState) hasCapacity(now time.Time) bool {
-	if sta.Readiness != Serving || sta.running+sta.remote >= sta.Slots || now.Before(sta.fullUntil) {
+	if sta.Readiness != Serving || sta.own.Requests+sta.remote.Requests >= sta.Slots || now.Before(sta.fullUntil) {
 		return false
 	}
 	return !sta.cold(now) || !now.Before(sta.nextColdStart)
@@ -132,7 +135,7 @@
 
 // score ranks the unit for requests from a zone by its load, slowness, fault rate and zone; the lowest score wins.
 func (sta *unitState) score(zone string) float64 {
-	score := float64(sta.running+sta.remote) / float64(max(1, sta.Slots))
+	score := float64(sta.own.Requests+sta.remote.Requests) / float64(max(1, sta.Slots))
 	score = score*sta.slowness + (sta.slowness-1)/maxSlowness + faultPenalty*sta.faultRate
 	if zone != sta.Zone {
 		score += zonePenalty
--- a/dispatcher/update.go
+++ b/dispatcher/update.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/lovagelever/lovagelever/estimator"
 	"github.com/lovagelever/lovagelever/queuer"
 )
 
@@ -35,12 +36,12 @@
 	dis.rebuildPools()
 }
 
-// SetRemoteLoad sets how many requests another entry runs on each unit, by unit ID; nil removes the entry.
-func (dis *Dispatcher) SetRemoteLoad(entry string, running map[string]int) {
+// SetRemoteLoad sets the work that another entry has on each unit, by unit ID; nil removes the entry.
+func (dis *Dispatcher) SetRemoteLoad(entry string, running map[string]estimator.Work) {
 	dis.mux.Lock()
 	defer dis.mux.Unlock()
-	dis.addReported(dis.remoteByEntry[entry], -1)
-	dis.addReported(running, 1)
+	dis.addReported(dis.remoteByEntry[entry], estimator.Work.Minus)
+	dis.addReported(running, estimator.Work.Plus)
 	if running == nil {
 		delete(dis.remoteByEntry, entry)
 	} else {
@@ -51,8 +52,8 @@
 	}
 }
 
-// SetRemoteTotals sets how many requests all other entries together run on each unit, by unit ID. It replaces what they report one by one until a time; age is how old the totals are at most.
-func (dis *Dispatcher) SetRemoteTotals(totals map[string]int, age time.Duration, until time.Time) {
+// SetRemoteTotals sets the work that all other entries together have on each unit, by unit ID. It replaces what they report one by one until a time; age is how old the totals are at most.
+func (dis *Dispatcher) SetRemoteTotals(totals map[string]estimator.Work, age time.Duration, until time.Time) {
 	dis.mux.Lock()
 	defer dis.mux.Unlock()
 	dis.totals, dis.totalsAge, dis.totalsUntil = totals, age, until
@@ -69,21 +70,21 @@
 	return dis.totalsApply()
 }
 
-// RemoteLoad returns how many requests another entry reports for each unit, by unit ID; callers must not modify it.
-func (dis *Dispatcher) RemoteLoad(entry string) map[string]int {
+// RemoteLoad returns the work that another entry reports for each unit, by unit ID; callers must not modify it.
+func (dis *Dispatcher) RemoteLoad(entry string) map[string]estimator.Work {
 	dis.mux.Lock()
 	defer dis.mux.Unlock()
 	return dis.remoteByEntry[entry]
 }
 
-// ReportedTotals returns how many requests all entries report for each unit, including this one, by unit ID.
-func (dis *Dispatcher) ReportedTotals() map[string]int {
+// ReportedTotals returns the work that all entries report for each unit, including this one, by unit ID.
+func (dis *Dispatcher) ReportedTotals() map[string]estimator.Work {
 	dis.mux.Lock()
 	defer dis.mux.Unlock()
-	out := map[string]int{}
+	out := map[string]estimator.Work{}
 	for id, sta := range dis.units {
-		if num := sta.running + sta.reported; num > 0 {
-			out[id] = num
+		if wor := sta.own.Plus(sta.reported); !wor.IsZero() {
+			out[id] = wor
 		}
 	}
 	return out
@@ -103,14 +104,14 @@
 	dis.loadAge = age
 }
 
-// Running returns how many requests of this entry run on each unit, by unit ID.
-func (dis *Dispatcher) Running() map[string]int {
+// Running returns the work that this entry has on each unit, by unit ID.
+func (dis *Dispatcher) Running() map[string]estimator.Work {
 	dis.mux.Lock()
 	defer dis.mux.Unlock()
-	out := map[string]int{}
+	out := map[string]estimator.Work{}
 	for id, sta := range dis.units {
-		if sta.running > 0 {
-			out[id] = sta.running
+		if !sta.own.IsZero() {
+			out[id] = sta.own
 		}
 	}
 	return out
@@ -139,7 +140,7 @@
 func (dis *Dispatcher) load(poo *pool) Load {
 	out := Load{Waiting: poo.queue.Len()}
 	for _, sta := range poo.units {
-		out.InUse += sta.running + sta.remote
+		out.InUse += sta.own.Requests + sta.remote.Requests
 		if sta.Readiness == Serving {
 			out.Slots += dis.usableSlots(poo, sta)
 		}
@@ -150,22 +151,22 @@
 // sumReported sums up what each other entry reports, after the list of units has changed.
 func (dis *Dispatcher) sumReported() {
 	for _, sta := range dis.units {
-		sta.reported = 0
+		sta.reported = estimator.Work{}
 	}
 	for _, running := range dis.remoteByEntry {
-		dis.addReported(running, 1)
+		dis.addReported(running, estimator.Work.Plus)
 	}
 }
 
-// addReported adds the requests that another entry reports, multiplied by factor, to the load of the units.
-func (dis *Dispatcher) addReported(running map[string]int, factor int) {
+// addReported adds the work that another entry reports to the load of the units, or takes it off.
+func (dis *Dispatcher) addReported(running map[string]estimator.Work, change func(estimator.Work, estimator.Work) estimator.Work) {
 	totals := dis.totalsApply()
-	for id, num := range running {
+	for id, wor := range running {
 		sta := dis.units[id]
 		if sta == nil {
 			continue
 		}
-		sta.reported += factor * num
+		sta.reported = change(sta.reported, wor)
 		if !totals {
 			sta.remote = sta.reported
 		}
@@ -197,7 +198,7 @@
 
 // forgetIfIdle removes a unit that is no longer listed and runs no request.
 func (dis *Dispatcher) forgetIfIdle(sta *unitState) {
-	if !sta.listed && sta.running == 0 && dis.units[sta.ID] == sta {
+	if !sta.listed && sta.own.Requests == 0 && dis.units[sta.ID] == sta {
 		delete(dis.units, sta.ID)
 		dis.opt.Breaker.Forget(sta.ID)
 	}
--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/lovagelever/lovagelever/advertiser"
 	"github.com/lovagelever/lovagelever/compressor"
+	"github.com/lovagelever/lovagelever/estimator"
 	"github.com/lovagelever/lovagelever/heartbeater"
 	"github.com/lovagelever/lovagelever/messenger"
 	"github.com/lovagelever/lovagelever/nominator"
@@ -55,7 +56,7 @@
 	// Entries of earlier versions read the ends only.
 	bea.TopicEnds = append(bea.TopicEnds, eras...)
 	for unit, num := range gat.dis.Running() {
-		bea.Running[hash(unit)] = num
+		bea.Running[hash(unit)] = num.Requests
 		bea.Alive[hash(unit)] = alive[unit]
 	}
 	suspects, recent := gat.det.Suspected(recentSuspicion)
@@ -170,7 +171,7 @@
 	gat.pic.RecordSilent(bea.Name, bea.Silent)
 	gat.notePeerState(bea)
 	unitByHash := gat.units.Load().unitByHash
-	running := map[string]int{}
+	running := map[string]estimator.Work{}
 	nextWithin := gat.heartbeatInterval() + heartbeatSlack
 	for key, num := range bea.Running {
 		gat.sawRequest.Store(true)
@@ -178,7 +179,7 @@
 		if !known {
 			continue
 		}
-		running[unit] = num
+		running[unit] = estimator.Work{Requests: num}
 		if bea.Alive[key] {
 			gat.det.RecordRemoteActivity(unit, nextWithin)
 		}
--- a/gateserver/totals.go
+++ b/gateserver/totals.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/lovagelever/lovagelever/estimator"
 	"github.com/lovagelever/lovagelever/heartbeater"
 )
 
@@ -57,7 +58,7 @@
 	}
 	all := map[uint32]int{}
 	for unit, num := range gat.dis.ReportedTotals() {
-		all[uint32(hash(unit))] = num
+		all[uint32(hash(unit))] = num.Requests
 	}
 	silent := gat.silentPeers()
 	seq := gat.totalsSeq.Add(1)
@@ -76,14 +77,14 @@
 }
 
 // without returns the totals less the requests of one entry.
-func without(all map[uint32]int, run map[string]int) map[uint32]int {
+func without(all map[uint32]int, run map[string]estimator.Work) map[uint32]int {
 	out := make(map[uint32]int, len(all))
 	for key, num := range all {
 		out[key] = num
 	}
 	for unit, num := range run {
 		key := uint32(hash(unit))
-		if out[key] -= num; out[key] <= 0 {
+		if out[key] -= num.Requests; out[key] <= 0 {
 			delete(out, key)
 		}
 	}
@@ -97,10 +98,10 @@
 	}
 	gat.noteSilent(tot.Silent)
 	byHash := gat.units.Load().unitByShortHash
-	running := make(map[string]int, len(tot.Running))
+	running := make(map[string]estimator.Work, len(tot.Running))
 	for key, num := range tot.Running {
 		if unit, known := byHash[key]; known {
-			running[unit] = num
+			running[unit] = estimator.Work{Requests: num}
 		}
 	}
 	gat.dis.SetRemoteTotals(running, totalsAge, gat.clk.Now().Add(totalsTTL))
--- a/gateserver/units.go
+++ b/gateserver/units.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lovagelever/lovagelever/dispatcher"
+	"github.com/lovagelever/lovagelever/estimator"
 	"github.com/lovagelever/lovagelever/gateway"
 	"github.com/lovagelever/lovagelever/grouper"
 	"github.com/lovagelever/lovagelever/registrar"
@@ -87,6 +88,8 @@
 		Slots: ser.Engine.Slots, ColdUntil: head.ColdUntil, ColdPerSecond: ser.ColdRequestsPerSecond,
 		TypicalEventInterval: usualPause(ser.Engine, mod), Readiness: dispatcher.Stopping,
 	}
+	// Without an estimator the unit is chosen by its free slots.
+	uni.Estimator, _ = estimator.New(*ser.Engine, mod)
 	var members []registrar.Server
 	for _, mem := range grp.Members {
 		members = append(members, mem)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/lovagelever/lovagelever/collector"
 	"github.com/lovagelever/lovagelever/dispatcher"
+	"github.com/lovagelever/lovagelever/estimator"
 	"github.com/lovagelever/lovagelever/refuser"
 	"github.com/lovagelever/lovagelever/registrar"
 	"github.com/lovagelever/lovagelever/router"
@@ -365,11 +366,24 @@
 		ID: job.cal.ID, Pool: job.pool(), Workspace: job.wsp.Name,
 		Priority: job.tab.Priority(job.rou, job.wsp), Resumed: opt.resumed,
 		Cost:    cost.Seconds() * costPerSecond,
+		Size:    job.size(),
 		StartBy: startBy, Deadline: job.deadline, Exclude: opt.exclude,
 		Late: now.After(objective) || job.cal.Timeout > 0 && job.cal.Timeout < job.rou.Timeout-job.rou.Objective,
 	})
 }
 
+// size returns the size of a generation in tokens. The length of the answer is what callers expect, or else the most that they take.
+func (job *job) size() estimator.Request {
+	if job.ser.Engine == nil {
+		return estimator.Request{}
+	}
+	out := estimator.Request{PromptTokens: job.cal.PromptTokens, AnswerTokens: job.cal.AnswerTokens}
+	if job.cal.LengthHint > 0 {
+		out.AnswerTokens = min(job.cal.LengthHint, max(out.AnswerTokens, 1))
+	}
+	return out
+}
+
 // expectedWork estimates how long a unit needs to run the request.
 func (job *job) expectedWork() time.Duration {
 	eng := job.ser.Engine
@@ -382,12 +396,9 @@
 			pace = mod.TimeFactor
 		}
 	}
-	tokens := job.cal.AnswerTokens
-	if job.cal.LengthHint > 0 {
-		tokens = min(job.cal.LengthHint, max(tokens, 1))
-	}
-	read := float64(job.cal.PromptTokens) / max(1, eng.PromptTokensPerSecond)
-	write := float64(tokens) * (eng.Step + time.Duration(eng.Slots/2)*eng.StepPerRequest).Seconds()
+	siz := job.size()
+	read := float64(siz.PromptTokens) / max(1, eng.PromptTokensPerSecond)
+	write := float64(siz.AnswerTokens) * (eng.Step + time.Duration(eng.Slots/2)*eng.StepPerRequest).Seconds()
 	return time.Duration((read + write) * pace * float64(time.Second))
 }
 
--- a/router/config.go
+++ b/router/config.go
@@ -74,6 +74,21 @@
 	StepPerRequest time.Duration
 	// PromptTokensPerSecond is the number of prompt tokens that are processed per second.
 	PromptTokensPerSecond float64
+	// ChunkTokens is the number of prompt tokens that are read in one pass at most.
+	ChunkTokens int
+	// PromptPairTime is added to the time of reading for each pair of a prompt token and an earlier token of its request, in nanoseconds.
+	PromptPairTime float64
+	// StepPerContextToken is added to the duration of a step for each token of context of the requests that generate tokens, in nanoseconds.
+	StepPerContextToken float64
+	// MemoryTokens is the number of tokens that a replica group has memory for.
+	MemoryTokens int
+	// UsualPromptTokens and UsualAnswerTokens are the mean sizes of requests.
+	UsualPromptTokens int
+	UsualAnswerTokens int
+	// FarFactor multiplies all durations of a group whose members are in several fabric domains.
+	FarFactor float64
+	// ReportLag is how old the load is that a backend server reports.
+	ReportLag time.Duration
 	// LoadsPerSecond limits the rate at which loads from the weight store start, over all backend servers.
 	LoadsPerSecond float64
 	// FullSpeedLoads is the number of concurrent loads that the weight store serves at full speed; more loads share that bandwidth. Zero means no limit.
