--- a/dispatcher/select.go
+++ b/dispatcher/select.go
@@ -9,10 +9,11 @@
 // tieBreak is the largest random cost, in requests, by which units of the same load are told apart.
 const tieBreak = 1e-3
 
-// candidate is a unit that can take a request. Cost is its load in requests, with the penalties of its score.
+// candidate is a unit that can take a request. Cost is its load in requests, with the penalties of its score, and first the predicted time to the first event of the request, zero if unknown.
 type candidate struct {
-	sta  *unitState
-	cost float64
+	sta   *unitState
+	cost  float64
+	first time.Duration
 }
 
 // selectUnit returns a unit with a free slot, or nil.
@@ -21,7 +22,7 @@
 // requests of one heartbeat interval would go to it. Instead the requests that are expected in an interval are distributed
 // over the units so that the loads become equal, and the unit is drawn with probabilities in proportion.
 func (dis *Dispatcher) selectUnit(poo *pool, req Request) *unitState {
-	list := dis.candidates(poo, req)
+	list := dis.filterZones(poo, dis.candidates(poo, req))
 	if len(list) == 0 {
 		return nil
 	}
