Have callers come back later while neither the store nor another entry answers

After a loss of power beside a store that is down, entries refuse callers for want of a configuration until the store answers again. The delay of 1 s brings many callers back while it still does not, and most come back only once. The delay is now the longest that callers accept, from their own timeout.

--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -159,7 +159,7 @@
 	gat.buildInvestigator()
 	gat.gat = gateway.New(gateway.Options{
 		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, PeerSender: gat.peerSender, Links: gat.lin, Peers: peersOf{gat.pic}, Budget: gat.bud, Detector: gat.det, Quarantine: gat.inv,
-		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, OnPause: gat.onPause, OnRateLimit: gat.onRateLimit, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
+		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, OnPause: gat.onPause, OnRateLimit: gat.onRateLimit, Isolated: gat.isolated, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
 	})
 }
 
@@ -243,6 +243,11 @@
 	return gat.hea != nil && gat.hea.Heard(name) && !gat.saidSilent(name)
 }
 
+// isolated reports whether the store does not answer and no other entry has been heard, as after a loss of power everywhere.
+func (gat *Server) isolated() bool {
+	return gat.tailers[gat.pla.Topics.Operator].Failed() && !gat.hea.HeardAny()
+}
+
 // noRequestsYet reports whether neither this entry nor another one has received a request so far.
 func (gat *Server) noRequestsYet() bool {
 	return !gat.sawRequest.Load()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,8 +74,10 @@
 	OnPause func(ins registrar.Instance, dur time.Duration)
 	// OnRateLimit receives the rate limit that a backend server states in a response, or that it states none, and when the request was sent.
 	OnRateLimit func(ins registrar.Instance, limited bool, perSecond float64, sentAt time.Time)
-	Clock       clockwork.Clock
-	Logger      *logrus.Entry
+	// Isolated reports whether neither the store nor another entry answers this one; by default they do.
+	Isolated func() bool
+	Clock    clockwork.Clock
+	Logger   *logrus.Entry
 	// Stopping reports whether the entry is shutting down, so that connections are closed after the response, and when it ends.
 	Stopping func() (ends time.Time, stopping bool)
 }
@@ -93,6 +95,9 @@
 	if opt.Links == nil {
 		opt.Links = noLinks{}
 	}
+	if opt.Isolated == nil {
+		opt.Isolated = func() bool { return false }
+	}
 	return &Gateway{opt: opt, bodies: collector.New(collector.MaxBodyBytes, collector.MaxTotalBytes)}
 }
 
@@ -190,7 +195,7 @@
 func (job *job) prepare() error {
 	job.tab = job.gat.opt.Table()
 	if job.tab == nil {
-		return elsewhere("this entry knows no configuration yet", refuser.DefaultRetryAfter)
+		return elsewhere("this entry knows no configuration yet", job.retryAfterStart())
 	}
 	if err := job.checkVersion(); err != nil {
 		return err
@@ -223,6 +228,14 @@
 	return nil
 }
 
+// retryAfterStart returns the retry delay of a request to an entry that knows no configuration yet: another entry may serve it soon, unless none does.
+func (job *job) retryAfterStart() time.Duration {
+	if job.gat.opt.Isolated() {
+		return refuser.OutageRetryAfter(job.cal.Timeout)
+	}
+	return refuser.DefaultRetryAfter
+}
+
 func (job *job) findRoute() error {
 	job.target = job.req.RequestURI
 	if !strings.HasPrefix(job.target, "/") {
