--- a/commander/root.go
+++ b/commander/root.go
@@ -48,6 +48,7 @@
 			locateCommand(),
 			reportCommand(),
 			storyCommand(),
+			explainCommand(),
 		},
 	}
 	for _, gate := range gates {
