Exchange work in tokens and demand between entries

Cause: entries told each other only how many requests they run on each unit. The time to a first event follows from the prompt tokens that wait to be read, and the groups needed from the tokens that callers ask for.

Change: heartbeats carry estimator.Work by unit and the sender's demand by pool, totals the work of all other entries by unit, less the receiver's own. An entry that has more units than fit sends those with the most work, where it sent any before.

The test on the size of a heartbeat now has tokens and demand in it, so its load is larger; its bounds are as before.

--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -21,6 +21,7 @@
 	"github.com/lovagelever/lovagelever/detector"
 	"github.com/lovagelever/lovagelever/dispatcher"
 	"github.com/lovagelever/lovagelever/elector"
+	"github.com/lovagelever/lovagelever/estimator"
 	"github.com/lovagelever/lovagelever/gateconfigurer"
 	"github.com/lovagelever/lovagelever/gateway"
 	"github.com/lovagelever/lovagelever/heartbeater"
@@ -100,6 +101,10 @@
 	rpcBytes     counter.Counter
 	heartbeatSeq atomic.Uint64
 	totalsSeq    atomic.Uint64
+	// totalWork is the last known work of all other entries by unit; only the goroutine that receives datagrams uses it.
+	totalWork map[string]estimator.Work
+	// workPeers maps the other entries to whether they exchange work in tokens.
+	workPeers sync.Map
 	// silent is what a collector has said about which entries are silent.
 	silent atomic.Pointer[silentEntries]
 	// lastCollected is when this entry last collected loads, collectsSince since when it has done so without a break.
--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -40,7 +40,8 @@
 func (gat *Server) heartbeat(whole bool) heartbeater.Heartbeat {
 	bea := heartbeater.Heartbeat{
 		Name: gat.set.Name, Incarnation: gat.self.Incarnation, Seq: gat.heartbeatSeq.Add(1),
-		Stopping: gat.stopping.Load(), Running: map[uint64]int{}, Alive: map[uint64]bool{},
+		Stopping: gat.stopping.Load(), Running: map[uint64]estimator.Work{}, Alive: map[uint64]bool{},
+		ExchangesWork: true, Demand: gat.ownDemand(),
 	}
 	alive := gat.det.ActiveUnits()
 	bea.Fresh = gat.upToDate() && gat.nom.Reads()
@@ -55,8 +56,8 @@
 	}
 	// Entries of earlier versions read the ends only.
 	bea.TopicEnds = append(bea.TopicEnds, eras...)
-	for unit, num := range gat.dis.Running() {
-		bea.Running[hash(unit)] = num.Requests
+	for unit, wor := range gat.dis.Running() {
+		bea.Running[hash(unit)] = wor
 		bea.Alive[hash(unit)] = alive[unit]
 	}
 	suspects, recent := gat.det.Suspected(recentSuspicion)
@@ -173,18 +174,19 @@
 	unitByHash := gat.units.Load().unitByHash
 	running := map[string]estimator.Work{}
 	nextWithin := gat.heartbeatInterval() + heartbeatSlack
-	for key, num := range bea.Running {
+	for key, wor := range bea.Running {
 		gat.sawRequest.Store(true)
 		unit, known := unitByHash[key]
 		if !known {
 			continue
 		}
-		running[unit] = estimator.Work{Requests: num}
+		running[unit] = wor
 		if bea.Alive[key] {
 			gat.det.RecordRemoteActivity(unit, nextWithin)
 		}
 	}
 	gat.dis.SetRemoteLoad(bea.Name, running)
+	gat.noteExchange(bea)
 	if bea.Stopping {
 		gat.adv.MarkStopping(bea.Name, bea.Incarnation)
 	}
@@ -244,6 +246,8 @@
 
 func (gat *Server) onPeerSilent(name string) {
 	gat.dis.SetRemoteLoad(name, nil)
+	gat.onDemand(name, nil)
+	gat.workPeers.Delete(name)
 	gat.upToDatePeers.Delete(name)
 	gat.pic.RecordSilent(name, nil)
 }
--- a/gateserver/totals.go
+++ b/gateserver/totals.go
@@ -1,6 +1,7 @@
 package gateserver
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -56,9 +57,9 @@
 	if own < 0 {
 		return nil
 	}
-	all := map[uint32]int{}
-	for unit, num := range gat.dis.ReportedTotals() {
-		all[uint32(hash(unit))] = num.Requests
+	all := map[uint32]estimator.Work{}
+	for unit, wor := range gat.dis.ReportedTotals() {
+		all[uint32(hash(unit))] = wor
 	}
 	silent := gat.silentPeers()
 	seq := gat.totalsSeq.Add(1)
@@ -67,30 +68,37 @@
 		if slices.Contains(names, pee.Name) || hash(pee.Name)%uint64(len(names)) != uint64(own) {
 			continue
 		}
-		tot := heartbeater.Totals{Name: gat.set.Name, Incarnation: gat.self.Incarnation, Seq: seq, Running: all, Silent: silent}
-		if run := gat.dis.RemoteLoad(pee.Name); len(run) > 0 {
-			tot.Running = without(all, run)
-		}
+		tot := heartbeater.Totals{Name: gat.set.Name, Incarnation: gat.self.Incarnation, Seq: seq, Silent: silent, RequestsOnly: !gat.exchangesWork(pee.Name)}
+		tot.Work = without(all, gat.dis.RemoteLoad(pee.Name))
+		tot.Running = requestsOf(tot.Work)
 		out[pee] = tot
 	}
 	return out
 }
 
-// without returns the totals less the requests of one entry.
-func without(all map[uint32]int, run map[string]estimator.Work) map[uint32]int {
-	out := make(map[uint32]int, len(all))
-	for key, num := range all {
-		out[key] = num
+// without returns the totals less the work of one entry.
+func without(all map[uint32]estimator.Work, own map[string]estimator.Work) map[uint32]estimator.Work {
+	if len(own) == 0 {
+		return all
 	}
-	for unit, num := range run {
+	out := maps.Clone(all)
+	for unit, wor := range own {
 		key := uint32(hash(unit))
-		if out[key] -= num.Requests; out[key] <= 0 {
+		if out[key] = out[key].Minus(wor); out[key].Requests == 0 {
 			delete(out, key)
 		}
 	}
 	return out
 }
 
+func requestsOf(all map[uint32]estimator.Work) map[uint32]int {
+	out := make(map[uint32]int, len(all))
+	for key, wor := range all {
+		out[key] = wor.Requests
+	}
+	return out
+}
+
 // onTotals uses the load that a collector has summed up. A collector itself knows the load of each entry as soon.
 func (gat *Server) onTotals(tot heartbeater.Totals) {
 	if gat.isCollector() {
@@ -100,13 +108,33 @@
 	byHash := gat.units.Load().unitByShortHash
 	running := make(map[string]estimator.Work, len(tot.Running))
 	for key, num := range tot.Running {
-		if unit, known := byHash[key]; known {
-			running[unit] = estimator.Work{Requests: num}
+		unit, known := byHash[key]
+		if !known {
+			continue
+		}
+		wor, sent := tot.Work[key]
+		if !sent {
+			wor = gat.totalWork[unit]
 		}
+		wor.Requests = num
+		running[unit] = wor
 	}
+	gat.totalWork = running
 	gat.dis.SetRemoteTotals(running, totalsAge, gat.clk.Now().Add(totalsTTL))
 }
 
+// noteExchange records what a heartbeat says about work in tokens and about demand.
+func (gat *Server) noteExchange(bea heartbeater.Heartbeat) {
+	gat.workPeers.Store(bea.Name, bea.ExchangesWork)
+	gat.onDemand(bea.Name, bea.Demand)
+}
+
+// exchangesWork reports whether an entry reads totals with work in tokens.
+func (gat *Server) exchangesWork(name string) bool {
+	does, known := gat.workPeers.Load(name)
+	return known && does.(bool)
+}
+
 // silentEntries is a collector's list of silent entries, by the lower half of the hashes of their names, and until when it applies.
 type silentEntries struct {
 	names map[uint32]bool
--- a/heartbeater/beat.go
+++ b/heartbeater/beat.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"github.com/juju/errors"
+
+	"github.com/lovagelever/lovagelever/estimator"
 )
 
 const (
@@ -14,11 +16,12 @@
 	maxDatagramBytes = 1400
 	// aliveBit is the lowest bit of a unit's value; the number of requests is in the bits above it.
 	aliveBit = 1
-	// stoppingFlag, freshFlag, leadsFlag and silentFlag are bits of the second byte.
+	// stoppingFlag, freshFlag, leadsFlag, silentFlag and workFlag are bits of the second byte.
 	stoppingFlag = 1
 	freshFlag    = 2
 	leadsFlag    = 4
 	silentFlag   = 8
+	workFlag     = 16
 )
 
 // Heartbeat is the heartbeat that an entry sends to the others; units and server instances are identified by hashes to save bytes.
@@ -35,12 +38,16 @@
 	Leads bool
 	// Silent identifies the services of which no backend server answers the entry.
 	Silent []uint64
-	// Running counts the requests that the entry runs on each unit.
-	Running map[uint64]int
+	// Running is the work that the entry has on each unit.
+	Running map[uint64]estimator.Work
 	// Alive contains the units in Running that have responded to the entry recently.
 	Alive map[uint64]bool
 	// Suspects identifies the instances of backend servers that do not answer the entry.
 	Suspects []uint64
+	// ExchangesWork says that the entry sends and reads work in tokens, other than those of earlier versions.
+	ExchangesWork bool
+	// Demand is what the callers of the entry ask for, with one element for each pool.
+	Demand []Demand
 }
 
 // Encode returns the wire format of a heartbeat; items that do not fit into one packet are omitted.
@@ -59,38 +66,77 @@
 	if len(silent) > 0 {
 		out[1] |= silentFlag
 	}
+	if bea.ExchangesWork {
+		out[1] |= workFlag
+	}
 	out = binary.AppendUvarint(out, uint64(len(bea.Name)))
 	out = append(out, bea.Name...)
 	out = binary.BigEndian.AppendUint64(out, bea.Incarnation)
 	out = binary.AppendUvarint(out, bea.Seq)
-	out = binary.AppendUvarint(out, uint64(len(bea.TopicEnds)))
+	out, units := appendCounts(out, bea, silent)
+	out = binary.AppendUvarint(out, uint64(len(units)))
+	for _, uni := range units {
+		out = binary.BigEndian.AppendUint64(out, uni)
+		out = binary.AppendUvarint(out, requestsValue(bea, uni))
+	}
+	return out
+}
+
+// requestsValue returns the number of requests on a unit with the bit that says whether it has responded.
+func requestsValue(bea Heartbeat, uni uint64) uint64 {
+	val := uint64(max(0, bea.Running[uni].Requests)) << 1
+	if bea.Alive[uni] {
+		val |= aliveBit
+	}
+	return val
+}
+
+// fittingUnits returns the units that a number of bytes has room for, those with the most work first.
+func fittingUnits(bea Heartbeat, room int) []uint64 {
+	const hashBytes = 8
+	units := busiestFirst(bea.Running)
+	for num, uni := range units {
+		sizes := fields{requestsValue(bea, uni)}
+		if bea.ExchangesWork {
+			sizes.addTokens(bea.Running[uni])
+		}
+		if room -= hashBytes + sizes.bytes(); room < 0 {
+			return units[:num]
+		}
+	}
+	return units
+}
+
+// appendCounts appends the end offsets, with the fields that entries of earlier versions do not know after them, and the suspects. It returns the units that the rest of the datagram has room for.
+func appendCounts(out []byte, bea Heartbeat, silent []uint64) ([]byte, []uint64) {
+	const suspectBytes, lengthBytes = 8, 2
+	var ends, more fields
 	for _, end := range bea.TopicEnds {
-		out = binary.AppendUvarint(out, uint64(max(0, end)))
+		ends = append(ends, uint64(max(0, end)))
 	}
-	const suspectBytes, runningBytes = 8, 11
+	more.addDemands(bea.Demand)
+	// Each of the four lists has its length, and the fields have it twice.
+	room := maxDatagramBytes - len(out) - ends.bytes() - more.bytes() - 5*lengthBytes
 	// Entries of earlier versions take the services among the suspects for servers that they do not know.
-	suspects := bea.Suspects[:min(len(bea.Suspects), (maxDatagramBytes-len(out))/2/suspectBytes-len(silent)-1)]
+	suspects := bea.Suspects[:max(0, min(len(bea.Suspects), room/2/suspectBytes-len(silent)-1))]
 	if len(silent) > 0 {
 		suspects = slices.Concat([]uint64{uint64(len(silent))}, silent, suspects)
 	}
+	room -= len(suspects) * suspectBytes
+	units := fittingUnits(bea, room)
+	if bea.ExchangesWork {
+		more.addWork(bea.Running, units)
+		ends = slices.Concat(ends, more, fields{uint64(len(more))})
+	}
+	out = binary.AppendUvarint(out, uint64(len(ends)))
+	for _, val := range ends {
+		out = binary.AppendUvarint(out, val)
+	}
 	out = binary.AppendUvarint(out, uint64(len(suspects)))
 	for _, server := range suspects {
 		out = binary.BigEndian.AppendUint64(out, server)
 	}
-	num := min(len(bea.Running), (maxDatagramBytes-len(out)-2)/runningBytes)
-	out = binary.AppendUvarint(out, uint64(num))
-	for uni, run := range bea.Running {
-		if num--; num < 0 {
-			break
-		}
-		out = binary.BigEndian.AppendUint64(out, uni)
-		val := uint64(max(0, run)) << 1
-		if bea.Alive[uni] {
-			val |= aliveBit
-		}
-		out = binary.AppendUvarint(out, val)
-	}
-	return out
+	return out, units
 }
 
 // Decode parses a heartbeat; it fails with errors.NotValid.
@@ -100,13 +146,14 @@
 		return Heartbeat{}, errors.NotValidf("heartbeater: heartbeat version")
 	}
 	flags := rea.readByte()
-	bea := Heartbeat{Stopping: flags&stoppingFlag != 0, Fresh: flags&freshFlag != 0, Leads: flags&leadsFlag != 0}
+	bea := Heartbeat{Stopping: flags&stoppingFlag != 0, Fresh: flags&freshFlag != 0, Leads: flags&leadsFlag != 0, ExchangesWork: flags&workFlag != 0}
 	bea.Name = string(rea.readBytes(int(rea.readUvarint())))
 	bea.Incarnation = rea.readUint64()
 	bea.Seq = rea.readUvarint()
-	for num := rea.readUvarint(); num > 0 && !rea.malformed; num-- {
-		bea.TopicEnds = append(bea.TopicEnds, int64(min(rea.readUvarint(), math.MaxInt64)))
-	}
+	ends, more := rea.readEnds(bea.ExchangesWork)
+	bea.TopicEnds = ends
+	bea.Demand = more.demands()
+	work := more.work()
 	for num := rea.readUvarint(); num > 0 && !rea.malformed; num-- {
 		bea.Suspects = append(bea.Suspects, rea.readUint64())
 	}
@@ -114,11 +161,16 @@
 		num := min(bea.Suspects[0], uint64(len(bea.Suspects)-1))
 		bea.Silent, bea.Suspects = bea.Suspects[1:1+num], bea.Suspects[1+num:]
 	}
-	bea.Running, bea.Alive = map[uint64]int{}, map[uint64]bool{}
+	bea.Running, bea.Alive = map[uint64]estimator.Work{}, map[uint64]bool{}
 	for num := rea.readUvarint(); num > 0 && !rea.malformed; num-- {
 		uni := rea.readUint64()
 		val := rea.readUvarint()
-		bea.Running[uni] = int(min(val>>1, maxRunning))
+		var wor estimator.Work
+		if len(work) > 0 {
+			wor, work = work[0], work[1:]
+		}
+		wor.Requests = int(min(val>>1, maxRunning))
+		bea.Running[uni] = wor
 		if val&aliveBit != 0 {
 			bea.Alive[uni] = true
 		}
@@ -129,6 +181,23 @@
 	return bea, nil
 }
 
+// readEnds reads the end offsets and, if there are any, the fields after them, whose number is the last value of the list.
+func (rea *reader) readEnds(extended bool) (ends []int64, more fields) {
+	var list fields
+	for num := rea.readUvarint(); num > 0 && !rea.malformed; num-- {
+		list = append(list, rea.readUvarint())
+	}
+	if extended && len(list) > 0 {
+		last := len(list) - 1
+		num := int(min(list[last], uint64(last)))
+		list, more = list[:last-num], list[last-num:last]
+	}
+	for _, end := range list {
+		ends = append(ends, int64(min(end, math.MaxInt64)))
+	}
+	return ends, more
+}
+
 // maxSilentServices bounds the services that a heartbeat names.
 const maxSilentServices = 16
 
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -227,7 +227,7 @@
 			}
 			continue
 		}
-		if num > 0 && buf[0] == totalsVersion {
+		if num > 0 && (buf[0] == totalsVersion || buf[0] == workTotalsVersion) {
 			hea.receiveTotals(buf[:num])
 			continue
 		}
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -13,12 +13,14 @@
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lovagelever/lovagelever/estimator"
 	"github.com/lovagelever/lovagelever/heartbeater"
 )
 
 var full = heartbeater.Heartbeat{
 	Name: "edge-1", Incarnation: 1 << 60, Seq: 300, Stopping: true, Fresh: true, Leads: true, Silent: []uint64{77, 1 << 62}, TopicEnds: []int64{5, 0, 700},
-	Running: map[uint64]int{1: 3, 1 << 63: 20}, Alive: map[uint64]bool{1: true}, Suspects: []uint64{9, 8},
+	Running: map[uint64]estimator.Work{1: {Requests: 3, Unread: 1472, Committed: 5120}, 1 << 63: {Requests: 20}}, Alive: map[uint64]bool{1: true}, Suspects: []uint64{9, 8},
+	ExchangesWork: true, Demand: []heartbeater.Demand{{Pool: 1 << 63, Demand: estimator.Demand{Requests: 1.25, PromptTokens: 900, AnswerTokens: 30}}},
 }
 
 var _ = Describe("Heartbeat", func() {
@@ -37,9 +39,10 @@
 	})
 
 	It("fits into one packet", func() {
-		big := heartbeater.Heartbeat{Name: "n", Running: map[uint64]int{}}
+		big := heartbeater.Heartbeat{Name: "n", ExchangesWork: true, Running: map[uint64]estimator.Work{}}
 		for num := range uint64(1000) {
-			big.Running[num<<50] = 20
+			big.Running[num<<50] = estimator.Work{Requests: 20, Unread: 1_000_000, Committed: 2_470_000}
+			big.Demand = append(big.Demand, heartbeater.Demand{Pool: 1<<63 + num, Demand: estimator.Demand{Requests: 1e9, PromptTokens: 1e9, AnswerTokens: 1e9}})
 			big.Suspects = append(big.Suspects, num)
 		}
 		data := heartbeater.Encode(big)
@@ -53,6 +56,7 @@
 var _ = Describe("Totals", func() {
 	It("are unchanged by encoding and decoding, and rejected when truncated at any byte", func() {
 		want := heartbeater.Totals{Name: "edge-1", Incarnation: 1 << 60, Seq: 7, Running: map[uint32]int{1: 3, 1 << 31: 700}, Silent: []uint32{5, 1 << 31}}
+		want.Work = map[uint32]estimator.Work{1: {Requests: 3, Unread: 640, Committed: 2560}, 1 << 31: {Requests: 700}}
 		data := heartbeater.EncodeTotals(want)
 		got, err := heartbeater.DecodeTotals(data)
 		Expect(err).NotTo(HaveOccurred())
@@ -65,9 +69,10 @@
 
 	It("of 190 units fit into one packet", func() {
 		const units = 190
-		tot := heartbeater.Totals{Name: "edge-kolkata-rajarhat-37", Running: map[uint32]int{}}
+		tot := heartbeater.Totals{Name: "edge-kolkata-rajarhat-37", Running: map[uint32]int{}, Work: map[uint32]estimator.Work{}}
 		for num := range uint32(units) {
 			tot.Running[num<<20] = 20
+			tot.Work[num<<20] = estimator.Work{Requests: 20, Unread: 30_000, Committed: 400_000}
 		}
 		data := heartbeater.EncodeTotals(tot)
 		Expect(len(data)).To(BeNumerically("<=", 1400))
