Name entries to callers in proportion to their capacity

Cause: every entry of a zone was in every caller's list, so that entries of 0.192 cores got as many callers as those of 0.8 cores; of more than 64 entries in a zone the rest got none.

Change: registrations carry link, memory and descriptors beside the cores. The list of a caller is a stable choice by its IP address in which the largest entries always are and smaller ones by their capacity.

--- a/advertiser/advertiser.go
+++ b/advertiser/advertiser.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"sync"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Entry is the registration of a running entry.
@@ -20,8 +18,12 @@
 	Region            string `json:"region,omitempty"`
 	Incarnation       uint64 `json:"incarnation"`
 	// Cores is the processor capacity of the entry's VM, zero if unknown.
-	Cores    float64 `json:"cores,omitempty"`
-	Stopping bool    `json:"stopping"`
+	Cores float64 `json:"cores,omitempty"`
+	// LinkMbps, MemoryMB and Descriptors are the capacity of its link in megabits per second, its memory and its file descriptors, zero if unknown.
+	LinkMbps    float64 `json:"link_mbps,omitempty"`
+	MemoryMB    int     `json:"memory_mb,omitempty"`
+	Descriptors int     `json:"descriptors,omitempty"`
+	Stopping    bool    `json:"stopping"`
 }
 
 // MaxAddresses is the maximum number of addresses that a caller gets; callers accept no more than 64.
@@ -87,17 +89,26 @@
 	return num, rank
 }
 
-// Addresses returns the addresses that a caller in an availability zone can connect to: those of entries that run and are not stopping, only in its own zone if that has enough of them.
-func (adv *Advertiser) Addresses(zone string) []string {
+// Addresses returns the addresses that a caller in an availability zone can connect to: those of entries that run and are not stopping, only in its own zone if that has enough of them, and so chosen that each entry gets callers in proportion to its capacity. A caller is identified by any string that it keeps, such as its IP address.
+func (adv *Advertiser) Addresses(caller, zone string) []string {
+	var out []string
+	for _, ent := range selectFor(caller, adv.available(zone)) {
+		out = append(out, ent.CallerAddress)
+	}
+	return out
+}
+
+// available returns the entries that accept callers of an availability zone.
+func (adv *Advertiser) available(zone string) []Entry {
 	adv.mux.Lock()
 	defer adv.mux.Unlock()
 	var sameZone, all []Entry
 	for _, ent := range adv.entries {
-		available := adv.ready()
+		accepts := adv.ready()
 		if ent.Name != adv.self {
-			available = adv.recentlyHeard(ent.Name) && !ent.Stopping
+			accepts = adv.recentlyHeard(ent.Name) && !ent.Stopping
 		}
-		if !available {
+		if !accepts {
 			continue
 		}
 		all = append(all, ent)
@@ -105,19 +116,10 @@
 			sameZone = append(sameZone, ent)
 		}
 	}
-	list := sameZone
 	if len(sameZone) < minZoneEntries {
-		list = all
-	}
-	// The order depends on the zone so that truncated lists do not omit the same entries everywhere.
-	slices.SortFunc(list, func(one, two Entry) int {
-		return cmp.Compare(xxhash.Sum64String(zone+one.Name), xxhash.Sum64String(zone+two.Name))
-	})
-	out := make([]string, 0, len(list))
-	for _, ent := range list[:min(len(list), MaxAddresses)] {
-		out = append(out, ent.CallerAddress)
+		return all
 	}
-	return out
+	return sameZone
 }
 
 // MarkStopping marks an incarnation of another entry as no longer accepting callers.
--- a/advertiser/advertiser_test.go
+++ b/advertiser/advertiser_test.go
@@ -26,18 +26,18 @@
 	})
 
 	It("returns only the entries of the caller's own zone if there are enough", func() {
-		Expect(adv.Addresses("z")).To(ConsistOf("at-self", "at-a"))
+		Expect(adv.Addresses("caller", "z")).To(ConsistOf("at-self", "at-a"))
 	})
 
 	It("returns all entries if the caller's zone has too few", func() {
-		Expect(adv.Addresses("y")).To(ConsistOf("at-self", "at-a", "at-b"))
-		Expect(adv.Addresses("none")).To(ConsistOf("at-self", "at-a", "at-b"))
+		Expect(adv.Addresses("caller", "y")).To(ConsistOf("at-self", "at-a", "at-b"))
+		Expect(adv.Addresses("caller", "none")).To(ConsistOf("at-self", "at-a", "at-b"))
 	})
 
 	DescribeTable("leaves out an entry that accepts no callers",
 		func(change func(), want ...string) {
 			change()
-			Expect(adv.Addresses("z")).To(ConsistOf(want))
+			Expect(adv.Addresses("caller", "z")).To(ConsistOf(want))
 		},
 		Entry("not heard from recently", func() { recentlyHeard["a"] = false }, "at-self", "at-b"),
 		Entry("left", func() { adv.Remove("a") }, "at-self", "at-b"),
@@ -56,13 +56,13 @@
 		adv.MarkStopping("a", 1)
 		adv.Put(advertiser.Entry{Name: "a", Zone: "z", CallerAddress: "at-a", Incarnation: 2})
 		adv.MarkStopping("a", 1)
-		Expect(adv.Addresses("z")).To(ContainElement("at-a"))
+		Expect(adv.Addresses("caller", "z")).To(ContainElement("at-a"))
 	})
 
 	It("returns no more addresses than a caller accepts", func() {
 		for num := range 100 {
 			put(fmt.Sprint("n", num), "z")
 		}
-		Expect(adv.Addresses("z")).To(HaveLen(advertiser.MaxAddresses))
+		Expect(adv.Addresses("caller", "z")).To(HaveLen(advertiser.MaxAddresses))
 	})
 })
--- a/gateconfigurer/gateconfigurer_test.go
+++ b/gateconfigurer/gateconfigurer_test.go
@@ -46,6 +46,8 @@
 		Entry("a duration without a unit", "stop_grace: 8s", "stop_grace: [8]", "stop_grace"),
 		Entry("no retry window", "retry_window: 10s, ", "", "bounds.retry_window"),
 		Entry("cores below zero", "cpu_cores: 0.4", "cpu_cores: -0.1", "cpu_cores"),
+		Entry("a link below zero", "cpu_cores: 0.4", "link_mbps: -1", "link_mbps"),
+		Entry("descriptors below zero", "cpu_cores: 0.4", "descriptors: -1", "descriptors"),
 		Entry("memory below zero", "memory_mb: 284", "memory_mb: -1", "memory_mb"),
 	)
 })
--- a/gateconfigurer/load.go
+++ b/gateconfigurer/load.go
@@ -110,8 +110,16 @@
 			out = append(out, one.key+" must be above zero")
 		}
 	}
-	if set.CPUCores < 0 {
-		out = append(out, "cpu_cores must not be below zero")
+	capacities := []struct {
+		key string
+		val float64
+	}{
+		{"cpu_cores", set.CPUCores}, {"link_mbps", set.LinkMbps}, {"descriptors", float64(set.Descriptors)},
+	}
+	for _, one := range capacities {
+		if one.val < 0 {
+			out = append(out, one.key+" must not be below zero")
+		}
 	}
 	return out
 }
--- a/gateconfigurer/settings.go
+++ b/gateconfigurer/settings.go
@@ -13,7 +13,10 @@
 	MemoryMB int    `yaml:"memory_mb"`
 	// CPUCores is the processor capacity of the VM in cores, zero if unknown.
 	CPUCores float64 `yaml:"cpu_cores"`
-	Bounds   Bounds  `yaml:"bounds"`
+	// LinkMbps is the capacity of the VM's link in megabits per second, and Descriptors the number of file descriptors that the entry may open, zero if unknown.
+	LinkMbps    float64 `yaml:"link_mbps"`
+	Descriptors int     `yaml:"descriptors"`
+	Bounds      Bounds  `yaml:"bounds"`
 }
 
 // Listen holds the addresses that the entry listens on, one for each kind of client. Without Forwarding the entry takes no requests that other entries forward.
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -127,6 +127,7 @@
 	gat.self = advertiser.Entry{
 		Name: set.Name, Zone: set.Zone, CallerAddress: set.Listen.Callers, EntryAddress: set.Listen.Entries,
 		Region: set.Region, ForwardingAddress: set.Listen.Forwarding, Incarnation: uint64(clk.Now().UnixMicro()), Cores: set.CPUCores,
+		LinkMbps: set.LinkMbps, MemoryMB: set.MemoryMB, Descriptors: set.Descriptors,
 	}
 	gat.started = clk.Now()
 	gat.mes = messenger.New(source, &gat.rpcBytes)
@@ -143,6 +144,8 @@
 	}
 	gat.buildControl()
 	gat.adv.Put(gat.self)
+	gat.mtr.RecordCapacity(gat.self.Capacity())
+	gat.log.WithField("requests", gat.self.Capacity()).Info("capacity for callers")
 	return gat, nil
 }
 
--- a/gateserver/meter.go
+++ b/gateserver/meter.go
@@ -55,6 +55,11 @@
 	sco.Histogram("first_event_seconds", latencyBuckets).RecordDuration(unit)
 }
 
+// RecordCapacity records how many requests the entry can carry, the weight by which callers get its address.
+func (mtr *meter) RecordCapacity(requests float64) {
+	mtr.scope.Gauge("directory_capacity_requests").Update(requests)
+}
+
 // RecordNewEra counts that the store has come back from an older copy.
 func (mtr *meter) RecordNewEra() {
 	mtr.scope.Counter("store_restores").Inc(1)
--- a/gateserver/platform.go
+++ b/gateserver/platform.go
@@ -49,5 +49,5 @@
 	Withdraw func(ctx context.Context, name string) error
 	// Readiness returns the handler of the readiness check; Directory returns the handler that tells callers the addresses of entries.
 	Readiness func(ready func() bool) http.Handler
-	Directory func(list func(zone string) []string, keep time.Duration) http.Handler
+	Directory func(list func(caller, zone string) []string, keep time.Duration) http.Handler
 }
--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -132,7 +132,7 @@
 				}
 			})
 		},
-		Directory: func(func(string) []string, time.Duration) http.Handler { return http.NotFoundHandler() },
+		Directory: func(func(string, string) []string, time.Duration) http.Handler { return http.NotFoundHandler() },
 	}
 }
 
--- a/gateserver/totals_test.go
+++ b/gateserver/totals_test.go
@@ -21,10 +21,10 @@
 // listing captures the list of addresses that an entry gives to callers.
 type listing struct {
 	mux  sync.Mutex
-	list func(zone string) []string
+	list func(caller, zone string) []string
 }
 
-func (lst *listing) directory(list func(zone string) []string, _ time.Duration) http.Handler {
+func (lst *listing) directory(list func(caller, zone string) []string, _ time.Duration) http.Handler {
 	lst.mux.Lock()
 	defer lst.mux.Unlock()
 	lst.list = list
@@ -37,7 +37,7 @@
 	if lst.list == nil {
 		return nil
 	}
-	return lst.list("z")
+	return lst.list("caller", "z")
 }
 
 var _ = Describe("Server among many entries", func() {
