--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strings"
@@ -231,7 +232,7 @@
 // retryAfterStart returns the retry delay of a request to an entry that knows no configuration yet: another entry may serve it soon, unless none does.
 func (job *job) retryAfterStart() time.Duration {
 	if job.gat.opt.Isolated() {
-		return refuser.OutageRetryAfter(job.cal.Timeout)
+		return refuser.OutageRetryAfter(job.cal.Timeout, rand.Float64())
 	}
 	return refuser.DefaultRetryAfter
 }
