Keep collected bodies counted until they are written

A body was counted only while it was read, and its copy not at all, so a slow caller's answer was held outside every limit. Bodies now count, from a budget that can be shared, until they are written in pieces.

--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelever/lovagelever/collector"
+	"github.com/lovagelever/lovagelever/reserver"
 )
 
 // endless is a body without end that counts what was read of it.
@@ -107,6 +108,67 @@
 	})
 })
 
+var _ = Describe("Body within a shared budget", func() {
+	bodies := []struct {
+		name string
+		size int
+		held int64
+	}{
+		{"empty", 0, 512},
+		{"small", 1000, 1001},
+		{"large", 300 << 10, 320 << 10},
+	}
+	for _, cas := range bodies {
+		It("is counted until it is written: "+cas.name, func() {
+			res := reserver.New(reserver.Options{Budget: 1 << 20})
+			data := bytes.Repeat([]byte("x"), cas.size)
+			bod, err := collector.NewWithin(1<<20, res.Account(reserver.Responses)).ReadBody(bytes.NewReader(data), int64(cas.size))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(bod.Size()).To(BeNumerically("==", cas.size))
+			Expect(res.Held(reserver.Responses)).To(Equal(cas.held))
+			var out bytes.Buffer
+			Expect(bod.WriteTo(&out)).To(BeNumerically("==", cas.size))
+			Expect(bytes.Equal(out.Bytes(), data)).To(BeTrue())
+			bod.Release()
+			Expect(res.Held(reserver.Responses)).To(BeZero())
+		})
+
+		It("is joined: "+cas.name, func() {
+			res := reserver.New(reserver.Options{Budget: 1 << 20})
+			data := bytes.Repeat([]byte("x"), cas.size)
+			bod, err := collector.NewWithin(1<<20, res.Account(reserver.Requests)).ReadBody(bytes.NewReader(data), -1)
+			Expect(err).NotTo(HaveOccurred())
+			out, err := bod.Join()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(bytes.Equal(out, data)).To(BeTrue())
+			bod.Release()
+			Expect(res.Held(reserver.Requests)).To(BeZero())
+		})
+	}
+
+	It("is given up without room, and releases what it held", func() {
+		res := reserver.New(reserver.Options{Budget: 256 << 10})
+		col := collector.NewWithin(1<<20, res.Account(reserver.Responses))
+		_, err := col.ReadBody(&endless{}, -1)
+		Expect(errors.Is(err, collector.ErrNoRoom)).To(BeTrue())
+		Expect(errors.Is(err, collector.ErrTooLarge)).To(BeTrue())
+		Expect(res.Held(reserver.Responses)).To(BeZero())
+		_, err = col.ReadBody(bytes.NewReader(make([]byte, 200<<10)), -1)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("releases what was not written when the caller leaves", func() {
+		res := reserver.New(reserver.Options{Budget: 1 << 20})
+		bod, err := collector.NewWithin(1<<20, res.Account(reserver.Responses)).ReadBody(bytes.NewReader(make([]byte, 300<<10)), -1)
+		Expect(err).NotTo(HaveOccurred())
+		one, two := net.Pipe()
+		Expect(two.Close()).To(Succeed())
+		_, err = bod.WriteTo(one)
+		Expect(err).To(HaveOccurred())
+		Expect(res.Held(reserver.Responses)).To(BeZero())
+	})
+})
+
 var _ = Describe("Client with the transport", func() {
 	heads := []struct{ name, begin, text string }{
 		{"a status line", "HTTP/1.1 200 ", "O"},
