Read streams ahead of slow callers within the memory budget

A slow caller stalled the reading of its backend server, which cuts off what stays unread. A stream is now read ahead once a write takes long, up to what is free in the budget; without room for long it is given up without a fault of the server, and resumed where the route allows it. Bodies of requests count in the same budget, and new requests are refused at once when little is left.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lovagelever/lovagelever/collector"
 	"github.com/lovagelever/lovagelever/refuser"
 )
 
@@ -101,11 +102,11 @@
 }
 
 // forward writes a complete response to the caller.
-func (job *job) forward(res *http.Response, body []byte, outcome string) {
+func (job *job) forward(res *http.Response, body *collector.Body, outcome string) {
 	job.copyHeader(res)
-	job.wtr.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	job.wtr.Header().Set("Content-Length", strconv.FormatInt(body.Size(), 10))
 	job.wtr.WriteHeader(res.StatusCode)
-	if _, err := job.wtr.Write(body); err != nil {
+	if _, err := body.WriteTo(job.wtr); err != nil {
 		job.log.WithError(err).Debug("failed to write the response")
 		outcome = OutcomeCallerLeft
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strings"
@@ -18,6 +19,7 @@
 	"github.com/lovagelever/lovagelever/estimator"
 	"github.com/lovagelever/lovagelever/refuser"
 	"github.com/lovagelever/lovagelever/registrar"
+	"github.com/lovagelever/lovagelever/reserver"
 	"github.com/lovagelever/lovagelever/router"
 	"github.com/lovagelever/lovagelever/sender"
 )
@@ -74,16 +76,21 @@
 	OnPause func(ins registrar.Instance, dur time.Duration)
 	// OnRateLimit receives the rate limit that a backend server states in a response, or that it states none, and when the request was sent.
 	OnRateLimit func(ins registrar.Instance, limited bool, perSecond float64, sentAt time.Time)
-	Clock       clockwork.Clock
-	Logger      *logrus.Entry
+	// Reserver counts the memory that is held for callers and units; nil means one with a default budget.
+	Reserver *reserver.Reserver
+	// UnreadFor is how long a unit's stream may stay unread because its caller reads slowly; 0 means a default.
+	UnreadFor time.Duration
+	Clock     clockwork.Clock
+	Logger    *logrus.Entry
 	// Stopping reports whether the entry is shutting down, so that connections are closed after the response, and when it ends.
 	Stopping func() (ends time.Time, stopping bool)
 }
 
 // Gateway is the HTTP handler for the requests of callers; it is safe for concurrent use.
 type Gateway struct {
-	opt    Options
-	bodies *collector.Collector
+	opt       Options
+	requests  *collector.Collector
+	responses *collector.Collector
 	// peerVersion is the newest version of the configuration by which other entries have served callers of this one.
 	peerVersion atomic.Int64
 }
@@ -93,7 +100,16 @@
 	if opt.Links == nil {
 		opt.Links = noLinks{}
 	}
-	return &Gateway{opt: opt, bodies: collector.New(collector.MaxBodyBytes, collector.MaxTotalBytes)}
+	if opt.Reserver == nil {
+		opt.Reserver = reserver.New(reserver.Options{Budget: collector.MaxTotalBytes})
+	}
+	if opt.UnreadFor <= 0 {
+		opt.UnreadFor = defaultUnreadFor
+	}
+	return &Gateway{
+		opt: opt, requests: collector.NewWithin(math.MaxInt64, opt.Reserver.Account(reserver.Requests)),
+		responses: collector.NewWithin(collector.MaxBodyBytes, opt.Reserver.Account(reserver.Responses)),
+	}
 }
 
 // PoolName returns the name of the pool of a service's units; a service with several models has one pool for each model.
@@ -137,6 +153,8 @@
 	forwarded *forwardState
 	// counted says that the request counts in the retry budget.
 	counted bool
+	// bodies are held until the request ends.
+	bodies bodyList
 }
 
 // ServeHTTP proxies one request of a caller.
@@ -154,6 +172,7 @@
 	if _, stopping := gat.opt.Stopping(); stopping {
 		wtr.Header().Set("Connection", "close")
 	}
+	defer job.releaseBodies()
 	if err := job.prepare(); err != nil {
 		job.refuse(err)
 		return
@@ -214,6 +233,9 @@
 		wait = job.cal.Timeout
 	}
 	job.deadline = job.arrived.Add(wait)
+	if why := job.gat.opt.Reserver.Admit(); why != "" {
+		return elsewhere("the memory of this entry is in use: "+string(why), retryAfterNoMemory)
+	}
 	if err := job.readBody(); err != nil {
 		return err
 	}
@@ -263,6 +285,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return refuser.TooLarge("the body is too large")
+	case errors.Is(err, collector.ErrNoRoom):
+		return elsewhere("the memory of this entry is in use: "+string(reserver.HeldBytes), retryAfterNoMemory)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refuser.RequestTimeout("the body was not received before the request's deadline")
 	case err != nil:
@@ -281,11 +305,16 @@
 	if err := ctl.SetReadDeadline(job.deadline); err != nil {
 		return nil, errors.Annotate(err, "gateway: set read deadline for the body")
 	}
-	body, err := readAll(src, job.req.ContentLength)
+	body, err := job.gat.requests.ReadBody(src, job.req.ContentLength)
+	if err != nil {
+		return nil, err
+	}
+	job.keep(body)
+	data, err := body.Join()
 	if err != nil {
 		return nil, err
 	}
-	return body, errors.Annotate(ctl.SetReadDeadline(time.Time{}), "gateway: clear read deadline of the connection")
+	return data, errors.Annotate(ctl.SetReadDeadline(time.Time{}), "gateway: clear read deadline of the connection")
 }
 
 func (job *job) headerBytes() int {
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -76,7 +76,7 @@
 	moreSends int
 	moreRuns  int
 	tried     []string
-	// lastEventID is the ID of the last event that was relayed.
+	// lastEventID is the ID of the last event that was read for the caller.
 	lastEventID string
 }
 
@@ -115,8 +115,8 @@
 	}
 }
 
-// relayed records the last event that the caller has received.
-func (hed *hedge) relayed(eventID string) {
+// accepted records the last event that was read for the caller.
+func (hed *hedge) accepted(eventID string) {
 	hed.mux.Lock()
 	defer hed.mux.Unlock()
 	hed.lastEventID = eventID
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -1,12 +1,6 @@
 package gateway
 
-import (
-	"bytes"
-	"io"
-	"time"
-
-	"github.com/juju/errors"
-)
+import "time"
 
 const (
 	// defaultBodyBytes is the maximum body size in bytes if the configuration sets none.
@@ -20,6 +14,8 @@
 	stopMargin     = time.Second
 	// retryAfterStopping is the Retry-After of a stopping entry, short because another entry can take the request at once.
 	retryAfterStopping = 20 * time.Millisecond
+	// retryAfterNoMemory is the Retry-After of an entry without memory for more requests, short because another entry can take the request at once.
+	retryAfterNoMemory = 100 * time.Millisecond
 	// writeMargin is how long after a request's deadline the end of its answer may still be written.
 	writeMargin = 500 * time.Millisecond
 	// costPerSecond converts the expected work of a request in seconds to the cost that the queue counts in.
@@ -43,16 +39,3 @@
 	// maxEventBytes is the maximum size of one event in bytes; the largest of the sites in docs/ADAPTER.md has 390.
 	maxEventBytes = 256 << 10
 )
-
-// readAll reads a body to its end; a known length avoids growing the buffer.
-func readAll(src io.Reader, length int64) ([]byte, error) {
-	if length == 0 {
-		return nil, nil
-	}
-	var buf bytes.Buffer
-	if length > 0 && length <= defaultBodyBytes {
-		buf.Grow(int(length) + bytes.MinRead)
-	}
-	_, err := buf.ReadFrom(src)
-	return buf.Bytes(), errors.Trace(err)
-}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -19,7 +19,7 @@
 // reply is the response of one backend server with its body.
 type reply struct {
 	res  *http.Response
-	body []byte
+	body *collector.Body
 	ver  ResponseInfo
 }
 
@@ -199,10 +199,11 @@
 	if job.req.Method == http.MethodHead {
 		length = -1
 	}
-	body, err := job.gat.bodies.Read(rep.res.Body, length)
+	body, err := job.gat.responses.ReadBody(rep.res.Body, length)
 	if errors.Is(err, collector.ErrTooLarge) {
 		job.log.WithError(err).WithFields(logrus.Fields{"unit": pla.Unit.ID, "status": rep.res.StatusCode}).Warn("response too large")
 	}
+	job.keep(body)
 	rep.body = body
 	return err
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -146,7 +146,7 @@
 			rel.mayHaveRun += rel.runsOf(pla.Unit)
 		}
 		out.Result = rel.unitResult(att.ctx, pla.Unit, err)
-		if errors.Is(err, errCallerWrite) {
+		if errors.Is(err, errCallerWrite) || errors.Is(err, errCallerSlow) {
 			out.Result = dispatcher.Neutral
 		}
 		rel.noteBreak(out.Result, err)
@@ -227,27 +227,27 @@
 
 // relayEvents relays complete events until the stream ends, and returns how many events the unit sent.
 func (rel *relay) relayEvents(att *attempt, wat *watchdog) (int, error) {
-	num := 0
+	rea := rel.newReadAhead(att, wat)
+	err := rel.relayFrom(rea, att.exc.Response)
+	return rea.stop(), err
+}
+
+// relayFrom relays the events that are read until the stream ends.
+func (rel *relay) relayFrom(rea *readAhead, res *http.Response) error {
 	for {
-		eve, err := att.readEvent()
+		eve, err := rea.next()
 		if errors.Is(err, io.EOF) {
-			return num, nil
+			return nil
 		}
 		if err != nil {
-			return num, errors.WithType(errors.Annotate(err, "gateway: stream ended early"), sender.ErrLost)
-		}
-		if eve.hasData {
-			num++
-			wat.noteEvent()
-			rel.noteSound(wat)
+			return errors.WithType(errors.Annotate(err, "gateway: stream ended early"), sender.ErrLost)
 		}
-		if eve.id != "" && !follows(eve.id, rel.lastEventID) {
-			continue
-		}
-		if err := rel.relayEvent(att.exc.Response, eve); err != nil {
-			return num, err
+		rea.beginWrite()
+		err = rel.relayEvent(res, eve)
+		rea.endWrite()
+		if err != nil {
+			return err
 		}
-		wat.hedge.relayed(rel.lastEventID)
 	}
 }
 
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -30,6 +30,8 @@
 	sawEvent   bool
 	// suspected says that the unit was suspected after the attempt began.
 	suspected bool
+	// paused says that the entry does not read the stream at present.
+	paused bool
 }
 
 // watch starts the watchdog for an attempt.
@@ -83,7 +85,7 @@
 	wat.mux.Lock()
 	defer wat.mux.Unlock()
 	wat.suspected = true
-	if !wat.isDone() && wat.clk.Since(wat.lastEvent) >= wat.checkAfter {
+	if !wat.isDone() && !wat.paused && wat.clk.Since(wat.lastEvent) >= wat.checkAfter {
 		wat.hedge.start()
 	}
 }
@@ -112,7 +114,7 @@
 func (wat *watchdog) onSilence() {
 	wat.mux.Lock()
 	defer wat.mux.Unlock()
-	if wat.isDone() {
+	if wat.isDone() || wat.paused {
 		return
 	}
 	quiet := wat.clk.Since(wat.lastEvent)
@@ -127,6 +129,26 @@
 	go wat.suspect()
 }
 
+// pause stops the watchdog while the stream is not read: its silence says nothing about the unit.
+func (wat *watchdog) pause() {
+	wat.mux.Lock()
+	defer wat.mux.Unlock()
+	wat.paused = true
+	wat.timer.Stop()
+}
+
+// resume starts the watchdog again once the stream is read on.
+func (wat *watchdog) resume() {
+	wat.mux.Lock()
+	defer wat.mux.Unlock()
+	wat.paused = false
+	if wat.isDone() {
+		return
+	}
+	wat.lastEvent = wat.clk.Now()
+	wat.timer.Reset(wat.checkAfter)
+}
+
 func (wat *watchdog) isDone() bool {
 	select {
 	case <-wat.done:
--- a/reserver/cause.go
+++ b/reserver/cause.go
@@ -26,3 +26,6 @@
 	HeldBytes     Refusal = "held_bytes"
 	ProcessMemory Refusal = "process_memory"
 )
+
+// Refusals lists all reasons.
+var Refusals = []Refusal{HeldBytes, ProcessMemory}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -26,6 +26,7 @@
 	total       atomic.Int64
 	held        [3]atomic.Int64
 	processFull atomic.Bool
+	refused     map[Refusal]*atomic.Int64
 }
 
 // New returns a reserver that holds nothing; zero values of RefuseShare and StreamBytes mean the defaults.
@@ -36,7 +37,7 @@
 	if opt.StreamBytes <= 0 {
 		opt.StreamBytes = defaultStreamBytes
 	}
-	return &Reserver{opt: opt}
+	return &Reserver{opt: opt, refused: map[Refusal]*atomic.Int64{HeldBytes: {}, ProcessMemory: {}}}
 }
 
 // Hold counts bytes that are held in any case.
@@ -83,15 +84,24 @@
 	res.processFull.Store(float64(res.opt.ProcessUse()) > processShare*float64(res.opt.ProcessLimit))
 }
 
-// Refuses returns why new requests are refused now, or an empty reason.
-func (res *Reserver) Refuses() Refusal {
+// Admit returns why a new request is refused now, or an empty reason, and counts refusals.
+func (res *Reserver) Admit() Refusal {
+	why := Refusal("")
 	switch {
 	case res.processFull.Load():
-		return ProcessMemory
+		why = ProcessMemory
 	case float64(res.total.Load()) > res.opt.RefuseShare*float64(res.opt.Budget):
-		return HeldBytes
+		why = HeldBytes
+	default:
+		return why
 	}
-	return ""
+	res.refused[why].Add(1)
+	return why
+}
+
+// Refused returns how many requests were refused for a reason.
+func (res *Reserver) Refused(why Refusal) int64 {
+	return res.refused[why].Load()
 }
 
 // Account returns the part of the reserver for one cause.
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -59,7 +59,10 @@
 			res := reserver.New(reserver.Options{Budget: budget, ProcessLimit: 200, ProcessUse: func() int64 { return cas.used }})
 			Expect(res.TryHold(reserver.Requests, cas.held)).To(BeTrue())
 			res.Update()
-			Expect(res.Refuses()).To(Equal(cas.want))
+			Expect(res.Admit()).To(Equal(cas.want))
+			if cas.want != "" {
+				Expect(res.Refused(cas.want)).To(BeNumerically("==", 1))
+			}
 			res.Release(reserver.Requests, cas.held)
 			Expect(res.Held(reserver.Requests)).To(BeZero())
 		})
