Take the budget of held memory from the settings of an entry

New requests are also refused while the process uses more than four fifths of its memory. Gauges show both.

--- a/gateconfigurer/gateconfigurer_test.go
+++ b/gateconfigurer/gateconfigurer_test.go
@@ -30,6 +30,14 @@
 		Expect(set.Store.Address).To(Equal("127.0.0.1:6"))
 	})
 
+	It("sets the defaults of what may be held", func() {
+		set, err := gateconfigurer.Parse([]byte(settings + "held: {stream_kb: 100}\n"))
+		Expect(err).NotTo(HaveOccurred())
+		want := gateconfigurer.DefaultHeld
+		want.StreamKB = 100
+		Expect(set.Held).To(Equal(want))
+	})
+
 	DescribeTable("names the missing or invalid field",
 		func(old, other, field string) {
 			text := strings.Replace(settings, old, other, 1)
@@ -46,6 +54,10 @@
 		Entry("a duration without a unit", "stop_grace: 8s", "stop_grace: [8]", "stop_grace"),
 		Entry("no retry window", "retry_window: 10s, ", "", "bounds.retry_window"),
 		Entry("cores below zero", "cpu_cores: 0.4", "cpu_cores: -0.1", "cpu_cores"),
+		Entry("too much memory to hold", "region: r", "region: r\nheld: {memory_share: 0.6}", "held.memory_share"),
+		Entry("refusals below the room of large bodies", "region: r", "region: r\nheld: {refuse_share: 0.5}", "held.refuse_share"),
+		Entry("streams that hold less than nothing", "region: r", "region: r\nheld: {stream_kb: -1}", "held.stream_kb"),
+		Entry("a negative time", "region: r", "region: r\nheld: {unread_for: -1s}", "held.unread_for"),
 		Entry("memory below zero", "memory_mb: 284", "memory_mb: -1", "memory_mb"),
 	)
 })
--- a/gateconfigurer/load.go
+++ b/gateconfigurer/load.go
@@ -11,6 +11,13 @@
 	"go.yaml.in/yaml/v3"
 )
 
+const (
+	// maxHeldShare leaves half of an entry's memory to everything else.
+	maxHeldShare = 0.5
+	// minRefuseShare is the share of the held bytes that large bodies and streams may fill without new requests being refused.
+	minRefuseShare = 0.5
+)
+
 // Load reads the settings from a file; it fails with an errors.NotValid that names every invalid field.
 func Load(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
@@ -26,6 +33,7 @@
 	if err := yaml.Unmarshal(data, &set); err != nil {
 		return Settings{}, errors.NewNotValid(err, "gateconfigurer: settings"+quoteLines(err, data))
 	}
+	set.Held.setDefaults()
 	if faults := set.faults(); len(faults) > 0 {
 		return Settings{}, errors.NotValidf("gateconfigurer: settings (%s)", strings.Join(faults, "; "))
 	}
@@ -110,6 +118,18 @@
 			out = append(out, one.key+" must be above zero")
 		}
 	}
+	if set.Held.MemoryShare < 0 || set.Held.MemoryShare > maxHeldShare {
+		out = append(out, fmt.Sprintf("held.memory_share must be between 0 and %v", maxHeldShare))
+	}
+	if set.Held.RefuseShare <= minRefuseShare || set.Held.RefuseShare > 1 {
+		out = append(out, fmt.Sprintf("held.refuse_share must be above %v and at most 1", minRefuseShare))
+	}
+	if set.Held.StreamKB < 0 {
+		out = append(out, "held.stream_kb must not be below zero")
+	}
+	if set.Held.UnreadFor < 0 {
+		out = append(out, "held.unread_for must not be below zero")
+	}
 	if set.CPUCores < 0 {
 		out = append(out, "cpu_cores must not be below zero")
 	}
--- a/gateconfigurer/settings.go
+++ b/gateconfigurer/settings.go
@@ -14,6 +14,7 @@
 	// CPUCores is the processor capacity of the VM in cores, zero if unknown.
 	CPUCores float64 `yaml:"cpu_cores"`
 	Bounds   Bounds  `yaml:"bounds"`
+	Held     Held    `yaml:"held"`
 }
 
 // Listen holds the addresses that the entry listens on, one for each kind of client. Without Forwarding the entry takes no requests that other entries forward.
@@ -41,3 +42,33 @@
 	RetryWindow              time.Duration `yaml:"retry_window"`
 	LoadWindow               time.Duration `yaml:"load_window"`
 }
+
+// Held limits what the entry holds in memory for callers and backend servers that read slowly; zero means the default of a field.
+type Held struct {
+	// MemoryShare is the share of the entry's memory that may be held.
+	MemoryShare float64 `yaml:"memory_share"`
+	// RefuseShare is the share of that above which new requests are refused.
+	RefuseShare float64 `yaml:"refuse_share"`
+	// StreamKB is the most that one stream may hold, in KiB.
+	StreamKB int `yaml:"stream_kb"`
+	// UnreadFor is how long a backend server's stream may stay unread for want of memory before it is given up; backend servers cut off what stays unread longer.
+	UnreadFor time.Duration `yaml:"unread_for"`
+}
+
+// DefaultHeld holds the defaults of Held.
+var DefaultHeld = Held{MemoryShare: 0.2, RefuseShare: 0.75, StreamKB: 512, UnreadFor: 2 * time.Second}
+
+func (hel *Held) setDefaults() {
+	if hel.MemoryShare == 0 {
+		hel.MemoryShare = DefaultHeld.MemoryShare
+	}
+	if hel.RefuseShare == 0 {
+		hel.RefuseShare = DefaultHeld.RefuseShare
+	}
+	if hel.StreamKB == 0 {
+		hel.StreamKB = DefaultHeld.StreamKB
+	}
+	if hel.UnreadFor == 0 {
+		hel.UnreadFor = DefaultHeld.UnreadFor
+	}
+}
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -33,6 +33,7 @@
 	"github.com/lovagelever/lovagelever/quarantiner"
 	"github.com/lovagelever/lovagelever/ratelimiter"
 	"github.com/lovagelever/lovagelever/registrar"
+	"github.com/lovagelever/lovagelever/reserver"
 	"github.com/lovagelever/lovagelever/router"
 	"github.com/lovagelever/lovagelever/sender"
 	"github.com/lovagelever/lovagelever/tailer"
@@ -57,6 +58,8 @@
 	tickInterval = 20 * time.Millisecond
 	// sweepTicks is the number of ticks between sweeps of idle connections.
 	sweepTicks = 50
+	// memoryTicks is the number of ticks between looks at the memory of the process.
+	memoryTicks = 5
 )
 
 // Server is one entry with its components.
@@ -85,6 +88,7 @@
 	lim *ratelimiter.RateLimiter
 	per *permitter.Permitter
 	lin *linkchecker.Checker
+	res *reserver.Reserver
 	pic *peerpicker.Picker
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
@@ -157,9 +161,10 @@
 		Members: gat.members, Prober: prober{gat: gat}, Links: gat.lin, Registrar: gat.reg, Clock: gat.clk, Logger: gat.log,
 	})
 	gat.buildInvestigator()
+	gat.buildReserver()
 	gat.gat = gateway.New(gateway.Options{
 		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, PeerSender: gat.peerSender, Links: gat.lin, Peers: peersOf{gat.pic}, Budget: gat.bud, Detector: gat.det, Quarantine: gat.inv,
-		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, OnPause: gat.onPause, OnRateLimit: gat.onRateLimit, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
+		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, OnPause: gat.onPause, OnRateLimit: gat.onRateLimit, Reserver: gat.res, UnreadFor: gat.set.Held.UnreadFor, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
 	})
 }
 
@@ -260,6 +265,9 @@
 		}
 		gat.reg.Expire()
 		gat.per.Tick()
+		if num%memoryTicks == 0 {
+			gat.res.Update()
+		}
 		gat.dis.DispatchWaiting()
 		if num%sweepTicks == 0 {
 			gat.sen.Sweep()
@@ -270,6 +278,7 @@
 			gat.bud.SetEntries(live)
 			gat.reg.SetNoPeers(live == 1)
 			gat.forgetRateLimits()
+			gat.mtr.recordHeld(gat.res)
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,7 +101,7 @@
 		opt.Links = noLinks{}
 	}
 	if opt.Reserver == nil {
-		opt.Reserver = reserver.New(reserver.Options{Budget: collector.MaxTotalBytes})
+		opt.Reserver = reserver.New(reserver.Options{})
 	}
 	if opt.UnreadFor <= 0 {
 		opt.UnreadFor = defaultUnreadFor
--- a/gateway/read_ahead.go
+++ b/gateway/read_ahead.go
@@ -64,8 +64,8 @@
 		return rea.read()
 	}
 	for {
-		eve, err, found := rea.take()
-		if found {
+		eve, found, err := rea.take()
+		if found || err != nil {
 			return eve, err
 		}
 		<-rea.added
@@ -192,21 +192,21 @@
 	signal(rea.added)
 }
 
-// take returns the next event of the queue, or how the stream has ended; false means that neither is known yet.
-func (rea *readAhead) take() (event, error, bool) {
+// take returns the next event of the queue if there is one, otherwise how the stream has ended, if it has.
+func (rea *readAhead) take() (eve event, found bool, err error) {
 	rea.mux.Lock()
 	defer rea.mux.Unlock()
 	rea.release(rea.current)
 	rea.current = 0
 	signal(rea.taken)
 	if len(rea.queue) == 0 {
-		return event{}, rea.err, rea.err != nil
+		return event{}, false, rea.err
 	}
-	eve := rea.queue[0]
+	eve = rea.queue[0]
 	rea.queue[0] = event{}
 	rea.queue = rea.queue[1:]
 	rea.current = int64(cap(eve.data)) + eventOverheadBytes
-	return eve, nil, true
+	return eve, true, nil
 }
 
 func (rea *readAhead) release(num int64) {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -3,12 +3,14 @@
 import "sync/atomic"
 
 const (
+	// defaultBudgetBytes suits a process with 160 MB of memory.
+	defaultBudgetBytes = 32 << 20
 	// defaultRefuseShare is the share of the budget above which new requests are refused; the rest is for those that were accepted.
 	defaultRefuseShare = 0.75
 	// processShare is the share of the process's memory above which new requests are refused; the Go runtime collects garbage harder well before.
 	processShare = 0.8
-	// eventShare is the most of the budget that events may hold, so that callers who don't read cause no refusals of others.
-	eventShare = 0.5
+	// largeShare is the share of the budget up to which large bodies and further events of a stream find room, so that they cause no refusals of others.
+	largeShare = 0.5
 	// defaultStreamBytes is the maximum number of bytes that one stream may hold.
 	defaultStreamBytes = 512 << 10
 )
@@ -24,22 +26,27 @@
 
 // Reserver counts the bytes that an entry holds within one budget; it is safe for concurrent use.
 type Reserver struct {
-	opt         Options
+	opt Options
+	// large is the number of bytes in all up to which there is room for large bodies and further events.
+	large       int64
 	total       atomic.Int64
 	held        [3]atomic.Int64
 	processFull atomic.Bool
 	refused     map[Refusal]*atomic.Int64
 }
 
-// New returns a reserver that holds nothing; zero values of RefuseShare and StreamBytes mean the defaults.
+// New returns a reserver that holds nothing; zero values of Budget, RefuseShare and StreamBytes mean the defaults.
 func New(opt Options) *Reserver {
+	if opt.Budget <= 0 {
+		opt.Budget = defaultBudgetBytes
+	}
 	if opt.RefuseShare <= 0 {
 		opt.RefuseShare = defaultRefuseShare
 	}
 	if opt.StreamBytes <= 0 {
 		opt.StreamBytes = defaultStreamBytes
 	}
-	return &Reserver{opt: opt, refused: map[Refusal]*atomic.Int64{HeldBytes: {}, ProcessMemory: {}}}
+	return &Reserver{opt: opt, large: int64(largeShare * float64(opt.Budget)), refused: map[Refusal]*atomic.Int64{HeldBytes: {}, ProcessMemory: {}}}
 }
 
 // Hold counts bytes that are held in any case.
@@ -48,9 +55,9 @@
 	res.held[cau].Add(num)
 }
 
-// TryHold counts bytes if the budget has room for them, and reports whether it has.
+// TryHold counts bytes of a large body if the budget has room for them, and reports whether it has.
 func (res *Reserver) TryHold(cau Cause, num int64) bool {
-	if res.total.Add(num) > res.opt.Budget {
+	if res.total.Add(num) > res.large {
 		res.total.Add(-num)
 		return false
 	}
@@ -58,21 +65,15 @@
 	return true
 }
 
-// TryHoldEvent counts the bytes of one more event of a stream that holds some already, and reports whether there is room. A stream may hold no more than what is free for events, so that those that hold most are stopped first; one that holds nothing always has room.
+// TryHoldEvent counts the bytes of one more event of a stream that holds some already, and reports whether there is room. A stream may hold no more than what is free, so that those that hold most are stopped first; one that holds nothing always has room.
 func (res *Reserver) TryHoldEvent(holds, num int64) bool {
-	if holds > 0 && holds+num > min(res.opt.StreamBytes, res.freeForEvents()) {
+	if holds > 0 && holds+num > min(res.opt.StreamBytes, res.large-res.total.Load()) {
 		return false
 	}
 	res.Hold(Events, num)
 	return true
 }
 
-// freeForEvents returns how many bytes further events may hold without new requests being refused.
-func (res *Reserver) freeForEvents() int64 {
-	bud := float64(res.opt.Budget)
-	return min(int64(eventShare*bud)-res.held[Events].Load(), int64(res.opt.RefuseShare*bud)-res.total.Load())
-}
-
 // Release counts bytes that are no longer held.
 func (res *Reserver) Release(cau Cause, num int64) {
 	res.total.Add(-num)
@@ -126,7 +127,7 @@
 // Hold counts bytes that are held in any case.
 func (acc Account) Hold(num int64) { acc.res.Hold(acc.cau, num) }
 
-// TryHold counts bytes if the budget has room for them, and reports whether it has.
+// TryHold counts bytes of a large body if the budget has room for them, and reports whether it has.
 func (acc Account) TryHold(num int64) bool { return acc.res.TryHold(acc.cau, num) }
 
 // Release counts bytes that are no longer held.
