Choose the zone of a request by predicted first events

Cause: units of another zone were chosen by a constant penalty in slots.

Change: where the time to a first event is predicted for all units, the spiller decides for each request whether it leaves the zone, by medians of the zones, the delays between zones in the engine's configuration and what is left of the objective. Other pools are served as before. Shares, requests by reason and bytes to servers of other zones are in the metrics, changes of a share in the log.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -44,6 +44,8 @@
 	Cost float64
 	// Size is the size of a generation in tokens, zero for plain calls.
 	Size estimator.Request
+	// Objective is when the first event is due, zero if there is none.
+	Objective time.Time
 	// StartBy is the latest useful start of the request, Deadline the latest end.
 	StartBy  time.Time
 	Deadline time.Time
@@ -100,6 +102,7 @@
 	meanDuration time.Duration
 	arrivals     arrivalRate
 	arrived      uint64
+	zones        zoneState
 	// candidates is a buffer of selectUnit.
 	candidates []candidate
 }
@@ -245,6 +248,7 @@
 	// Allow uses up the single trial of a half-open circuit; selectUnit only reads the state with Open.
 	dis.opt.Breaker.Allow(sta.ID)
 	dis.opt.RateLimits.Spend(sta.Instance())
+	dis.recordZone(req.Pool, sta)
 	sta.own.Requests++
 	if sta.cold(now) {
 		sta.nextColdStart = now.Add(sta.coldInterval(dis.entries))
--- a/dispatcher/select.go
+++ b/dispatcher/select.go
@@ -22,7 +22,7 @@
 // requests of one heartbeat interval would go to it. Instead the requests that are expected in an interval are distributed
 // over the units so that the loads become equal, and the unit is drawn with probabilities in proportion.
 func (dis *Dispatcher) selectUnit(poo *pool, req Request) *unitState {
-	list := dis.filterZones(poo, dis.candidates(poo, req))
+	list := dis.filterZones(poo, req, dis.candidates(poo, req))
 	if len(list) == 0 {
 		return nil
 	}
@@ -47,6 +47,9 @@
 			continue
 		}
 		can := candidate{sta: sta, cost: sta.score(dis.opt.Zone)*float64(max(1, sta.Slots)) + tieBreak*dis.opt.Random()}
+		if sta.Estimator != nil {
+			can.first = sta.Estimator.Predict(sta.own.Plus(sta.remote), req.Size, sta.slowness).FirstEvent
+		}
 		if sta.Zone != dis.opt.Zone {
 			can.cost += expected
 		}
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -36,8 +36,10 @@
 	Started int64
 	Address string
 	// Entry is the name of the entry that the unit stands for, empty for a backend server.
-	Entry     string
-	Zone      string
+	Entry string
+	Zone  string
+	// Crossing is how long a message to the unit's zone and the answer take, zero if unknown.
+	Crossing  time.Duration
 	Slots     int
 	Readiness Readiness
 	// ColdUntil is the time from which the unit is warm, and ColdPerSecond the requests per second that it can take from all entries before.
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -89,15 +89,17 @@
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
 
-	tailers      map[string]*tailer.Tailer
-	tab          atomic.Pointer[router.Table]
-	units        atomic.Pointer[unitTable]
-	bounds       atomic.Pointer[gateconfigurer.Bounds]
-	stopping     atomic.Bool
-	endsAt       atomic.Pointer[time.Time]
-	sawRequest   atomic.Bool
-	running      atomic.Int64
-	rpcBytes     counter.Counter
+	tailers    map[string]*tailer.Tailer
+	tab        atomic.Pointer[router.Table]
+	units      atomic.Pointer[unitTable]
+	bounds     atomic.Pointer[gateconfigurer.Bounds]
+	stopping   atomic.Bool
+	endsAt     atomic.Pointer[time.Time]
+	sawRequest atomic.Bool
+	running    atomic.Int64
+	rpcBytes   counter.Counter
+	// farBytes counts the bytes of requests to backend servers in other availability zones and of their answers.
+	farBytes     atomic.Int64
 	heartbeatSeq atomic.Uint64
 	totalsSeq    atomic.Uint64
 	// silent is what a collector has said about which entries are silent.
@@ -155,7 +157,7 @@
 	gat.lim = ratelimiter.New(gat.clk)
 	gat.dis = dispatcher.New(dispatcher.Options{Zone: gat.set.Zone, Clock: gat.clk, Breaker: breaker.New(breaker.Options{Clock: gat.clk}), RateLimits: gat.lim})
 	gat.bud = budgeter.New(budgeter.Options{Ratio: bou.RetryRatio, Slack: bou.RetrySlack, Window: bou.RetryWindow, Clock: gat.clk})
-	gat.sen = sender.New(&linkDialer{Dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, KeepAlive: -1}, lin: gat.lin, serviceAt: gat.serviceAt}, gat.clk, dialTimeout)
+	gat.sen = sender.New(&linkDialer{Dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, KeepAlive: -1}, lin: gat.lin, serviceAt: gat.serviceAt, isFar: gat.isFar, farBytes: &gat.farBytes}, gat.clk, dialTimeout)
 	gat.det = detector.New(detector.Options{
 		Members: gat.members, Prober: prober{gat: gat}, Links: gat.lin, Registrar: gat.reg, Clock: gat.clk, Logger: gat.log,
 	})
@@ -255,6 +257,7 @@
 func (gat *Server) tick(ctx context.Context) {
 	tic := gat.clk.NewTicker(tickInterval)
 	defer tic.Stop()
+	zon := zoneReport{gat: gat, left: map[string]dispatcher.ZoneLoad{}}
 	for num := 1; ; num++ {
 		select {
 		case <-ctx.Done():
@@ -273,6 +276,7 @@
 			gat.bud.SetEntries(live)
 			gat.reg.SetNoPeers(live == 1)
 			gat.forgetRateLimits()
+			zon.report()
 		}
 	}
 }
--- a/gateserver/links.go
+++ b/gateserver/links.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -144,6 +145,9 @@
 	lin *linkchecker.Checker
 	// serviceAt returns the service of the server at an address, empty if there is none.
 	serviceAt func(address string) string
+	// isFar reports whether the server at an address is in another availability zone, and farBytes counts the bytes of connections there.
+	isFar    func(address string) bool
+	farBytes *atomic.Int64
 }
 
 // DialContext opens a connection whose first bytes prove that the links work. The links are checked if it does not open soon.
@@ -178,7 +182,11 @@
 	if !ok {
 		return con, nil
 	}
-	return &linkConn{TCPConn: tcp, onAnswer: func() { dia.lin.RecordAnswer(service) }}, nil
+	out := &linkConn{TCPConn: tcp, onAnswer: func() { dia.lin.RecordAnswer(service) }}
+	if dia.isFar(address) {
+		out.farBytes = dia.farBytes
+	}
+	return out, nil
 }
 
 // linkConn is a new connection to a backend server.
@@ -186,6 +194,8 @@
 	*net.TCPConn
 	onAnswer func()
 	once     sync.Once
+	// farBytes is nil for a server in the own availability zone.
+	farBytes *atomic.Int64
 }
 
 // Read reads from the connection; the first bytes prove that the links work.
@@ -194,5 +204,19 @@
 	if num > 0 {
 		con.once.Do(con.onAnswer)
 	}
+	con.count(num)
+	return num, err
+}
+
+// Write writes to the connection.
+func (con *linkConn) Write(buf []byte) (int, error) {
+	num, err := con.TCPConn.Write(buf)
+	con.count(num)
 	return num, err
 }
+
+func (con *linkConn) count(num int) {
+	if con.farBytes != nil {
+		con.farBytes.Add(int64(num))
+	}
+}
--- a/gateserver/meter.go
+++ b/gateserver/meter.go
@@ -60,6 +60,21 @@
 	mtr.scope.Gauge("directory_capacity_requests").Update(requests)
 }
 
+// RecordZoneShare records the share of a pool's requests that leaves the entry's availability zone.
+func (mtr *meter) RecordZoneShare(pool string, share float64) {
+	mtr.scope.Tagged(map[string]string{"pool": pool}).Gauge("zone_share_leaving").Update(share)
+}
+
+// RecordLeaving counts requests of a pool that leave the entry's availability zone for a reason.
+func (mtr *meter) RecordLeaving(pool, reason string, num int64) {
+	mtr.scope.Tagged(map[string]string{"pool": pool, "reason": reason}).Counter("requests_leaving_zone").Inc(num)
+}
+
+// RecordZoneBytes counts bytes that pass between availability zones for a cause.
+func (mtr *meter) RecordZoneBytes(cause string, num int64) {
+	mtr.scope.Tagged(map[string]string{"cause": cause}).Counter("zone_bytes").Inc(num)
+}
+
 // RecordNewEra counts that the store has come back from an older copy.
 func (mtr *meter) RecordNewEra() {
 	mtr.scope.Counter("store_restores").Inc(1)
--- a/gateserver/units.go
+++ b/gateserver/units.go
@@ -19,6 +19,8 @@
 
 // unitTable lists the units that requests can be sent to, and the backend servers that each unit depends on.
 type unitTable struct {
+	// zone is the availability zone of the entry.
+	zone    string
 	list    []dispatcher.Unit
 	members map[string][]registrar.Server
 	// unitByHash maps the unit hashes in heartbeats to unit IDs.
@@ -27,6 +29,8 @@
 	unitByShortHash map[uint32]string
 	// serviceByAddress maps the addresses of backend servers to their services.
 	serviceByAddress map[string]string
+	// zoneByAddress maps the addresses of backend servers to their availability zones.
+	zoneByAddress map[string]string
 	// serverByHash maps the hashes of suspected instances in heartbeats to backend servers.
 	serverByHash map[uint64]registrar.Server
 }
@@ -49,7 +53,7 @@
 
 func (gat *Server) setUnits(tab *router.Table, vie *registrar.View) {
 	old := gat.units.Load()
-	out := &unitTable{members: map[string][]registrar.Server{}, unitByHash: map[uint64]string{}, unitByShortHash: map[uint32]string{}, serverByHash: make(map[uint64]registrar.Server, len(vie.Servers)), serviceByAddress: make(map[string]string, len(vie.Servers))}
+	out := &unitTable{zone: gat.set.Zone, members: map[string][]registrar.Server{}, unitByHash: map[uint64]string{}, unitByShortHash: map[uint32]string{}, serverByHash: make(map[uint64]registrar.Server, len(vie.Servers)), serviceByAddress: make(map[string]string, len(vie.Servers)), zoneByAddress: make(map[string]string, len(vie.Servers))}
 	for _, grp := range vie.Groups {
 		ser, known := tab.Services[grp.Service]
 		if head, listed := grp.Head(); known && listed && ser.Engine != nil {
@@ -58,7 +62,7 @@
 	}
 	for _, one := range vie.Servers {
 		out.serverByHash[instanceHash(one.Instance())] = one
-		out.serviceByAddress[one.Address] = one.Service
+		out.serviceByAddress[one.Address], out.zoneByAddress[one.Address] = one.Service, one.Zone
 		if ser, known := tab.Services[one.Service]; known && ser.Engine == nil {
 			out.addPlain(ser, vie, one)
 		}
@@ -84,7 +88,7 @@
 	}
 	uni := dispatcher.Unit{
 		ID:   fmt.Sprintf("%s@%d/%s", head.ID, head.Started, grp.Name),
-		Pool: gateway.PoolName(ser.Name, mod.Name), ServerID: head.ID, Started: head.Started, Address: head.Address, Zone: head.Zone,
+		Pool: gateway.PoolName(ser.Name, mod.Name), ServerID: head.ID, Started: head.Started, Address: head.Address, Zone: head.Zone, Crossing: 2 * ser.Engine.DelayBetween(tab.zone, head.Zone),
 		Slots: ser.Engine.Slots, ColdUntil: head.ColdUntil, ColdPerSecond: ser.ColdRequestsPerSecond,
 		TypicalEventInterval: usualPause(ser.Engine, mod), Readiness: dispatcher.Stopping,
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -367,7 +367,7 @@
 		Priority: job.tab.Priority(job.rou, job.wsp), Resumed: opt.resumed,
 		Cost:    cost.Seconds() * costPerSecond,
 		Size:    job.size(),
-		StartBy: startBy, Deadline: job.deadline, Exclude: opt.exclude,
+		StartBy: startBy, Deadline: job.deadline, Exclude: opt.exclude, Objective: objective,
 		Late: now.After(objective) || job.cal.Timeout > 0 && job.cal.Timeout < job.rou.Timeout-job.rou.Objective,
 	})
 }
--- a/router/config.go
+++ b/router/config.go
@@ -89,12 +89,31 @@
 	FarFactor float64
 	// ReportLag is how old the load is that a backend server reports.
 	ReportLag time.Duration
+	// Delays lists the delays between availability zones.
+	Delays []ZoneDelay
 	// LoadsPerSecond limits the rate at which loads from the weight store start, over all backend servers.
 	LoadsPerSecond float64
 	// FullSpeedLoads is the number of concurrent loads that the weight store serves at full speed; more loads share that bandwidth. Zero means no limit.
 	FullSpeedLoads int
 }
 
+// ZoneDelay is the time that a message takes from one availability zone to another, in either direction.
+type ZoneDelay struct {
+	From  string
+	To    string
+	Delay time.Duration
+}
+
+// DelayBetween returns the time that a message takes between two availability zones, zero if unknown.
+func (eng Engine) DelayBetween(one, two string) time.Duration {
+	for _, del := range eng.Delays {
+		if del.From == one && del.To == two || del.From == two && del.To == one {
+			return del.Delay
+		}
+	}
+	return 0
+}
+
 // Model describes the replica groups of one model.
 type Model struct {
 	Name string
