--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -102,9 +102,9 @@
 	meanDuration time.Duration
 	arrivals     arrivalRate
 	arrived      uint64
-	zones        zoneState
 	// candidates is a buffer of selectUnit.
 	candidates []candidate
+	zones      zoneState
 }
 
 type waiter struct {
@@ -245,10 +245,10 @@
 
 func (dis *Dispatcher) grant(sta *unitState, req Request) *Placement {
 	now := dis.opt.Clock.Now()
+	dis.recordZone(req.Pool, sta)
 	// Allow uses up the single trial of a half-open circuit; selectUnit only reads the state with Open.
 	dis.opt.Breaker.Allow(sta.ID)
 	dis.opt.RateLimits.Spend(sta.Instance())
-	dis.recordZone(req.Pool, sta)
 	sta.own.Requests++
 	if sta.cold(now) {
 		sta.nextColdStart = now.Add(sta.coldInterval(dis.entries))
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -89,17 +89,15 @@
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
 
-	tailers    map[string]*tailer.Tailer
-	tab        atomic.Pointer[router.Table]
-	units      atomic.Pointer[unitTable]
-	bounds     atomic.Pointer[gateconfigurer.Bounds]
-	stopping   atomic.Bool
-	endsAt     atomic.Pointer[time.Time]
-	sawRequest atomic.Bool
-	running    atomic.Int64
-	rpcBytes   counter.Counter
-	// farBytes counts the bytes of requests to backend servers in other availability zones and of their answers.
-	farBytes     atomic.Int64
+	tailers      map[string]*tailer.Tailer
+	tab          atomic.Pointer[router.Table]
+	units        atomic.Pointer[unitTable]
+	bounds       atomic.Pointer[gateconfigurer.Bounds]
+	stopping     atomic.Bool
+	endsAt       atomic.Pointer[time.Time]
+	sawRequest   atomic.Bool
+	running      atomic.Int64
+	rpcBytes     counter.Counter
 	heartbeatSeq atomic.Uint64
 	totalsSeq    atomic.Uint64
 	// silent is what a collector has said about which entries are silent.
@@ -117,6 +115,8 @@
 	// otherLeader is the other entry that last said that it is the leader.
 	otherLeader atomic.Pointer[leaderState]
 	started     time.Time
+	// farBytes counts the bytes of requests to backend servers in other availability zones and of their answers.
+	farBytes atomic.Int64
 }
 
 // New creates an entry; it fails with errors.NotValid if an address of the settings cannot be parsed.
