--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -44,6 +44,8 @@
 	Cost float64
 	// Size is the size of a generation in tokens, zero for plain calls.
 	Size estimator.Request
+	// Objective is when the first event is due, zero if there is none.
+	Objective time.Time
 	// StartBy is the latest useful start of the request, Deadline the latest end.
 	StartBy  time.Time
 	Deadline time.Time
@@ -102,6 +104,7 @@
 	arrived      uint64
 	// candidates is a buffer of selectUnit.
 	candidates []candidate
+	zones      zoneState
 }
 
 type waiter struct {
@@ -242,6 +245,7 @@
 
 func (dis *Dispatcher) grant(sta *unitState, req Request) *Placement {
 	now := dis.opt.Clock.Now()
+	dis.recordZone(req.Pool, sta)
 	// Allow uses up the single trial of a half-open circuit; selectUnit only reads the state with Open.
 	dis.opt.Breaker.Allow(sta.ID)
 	dis.opt.RateLimits.Spend(sta.Instance())
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -124,6 +124,8 @@
 	// otherLeader is the other entry that last said that it is the leader.
 	otherLeader atomic.Pointer[leaderState]
 	started     time.Time
+	// farBytes counts the bytes of requests to backend servers in other availability zones and of their answers.
+	farBytes atomic.Int64
 }
 
 // New creates an entry; it fails with errors.NotValid if an address of the settings cannot be parsed.
@@ -164,7 +166,7 @@
 	gat.lim = ratelimiter.New(gat.clk)
 	gat.dis = dispatcher.New(dispatcher.Options{Zone: gat.set.Zone, Clock: gat.clk, Breaker: breaker.New(breaker.Options{Clock: gat.clk}), RateLimits: gat.lim})
 	gat.bud = budgeter.New(budgeter.Options{Ratio: bou.RetryRatio, Slack: bou.RetrySlack, Window: bou.RetryWindow, Clock: gat.clk})
-	gat.sen = sender.New(&linkDialer{Dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, KeepAlive: -1}, lin: gat.lin, serviceAt: gat.serviceAt}, gat.clk, dialTimeout)
+	gat.sen = sender.New(&linkDialer{Dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, KeepAlive: -1}, lin: gat.lin, serviceAt: gat.serviceAt, isFar: gat.isFar, farBytes: &gat.farBytes}, gat.clk, dialTimeout)
 	gat.det = detector.New(detector.Options{
 		Members: gat.members, Prober: prober{gat: gat}, Links: gat.lin, Registrar: gat.reg, Clock: gat.clk, Logger: gat.log,
 	})
@@ -271,6 +273,7 @@
 func (gat *Server) tick(ctx context.Context) {
 	tic := gat.clk.NewTicker(tickInterval)
 	defer tic.Stop()
+	zon := zoneReport{gat: gat, left: map[string]dispatcher.ZoneLoad{}}
 	for num := 1; ; num++ {
 		select {
 		case <-ctx.Done():
@@ -293,6 +296,7 @@
 			gat.reg.SetNoPeers(live == 1)
 			gat.forgetRateLimits()
 			gat.mtr.recordHeld(gat.res)
+			zon.report()
 		}
 	}
 }
