Send backend servers the class of urgency of a request

Cause: a backend server that has more requests than it can admit admits them in the order of their classes; without the header all requests of a service were of the same class there, whatever the priorities of the routes.

Change: the configuration's table orders the different priorities that the routes and workspaces bring to a service. The gateway passes the place of the request's priority, and the adapter sends it as the class. A service whose requests all have one priority gets no header, as before. What a client sends in the header is still dropped.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -33,6 +33,8 @@
 	Timeout time.Duration
 	// LastEventID is the ID of the last event that was relayed to the caller.
 	LastEventID string
+	// Urgency is the class of urgency among the requests for the service, from 1 for the most urgent, or 0 if there is only one.
+	Urgency int
 }
 
 // ResponseInfo is what the header of a response says about whether the request ran.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -426,7 +426,7 @@
 
 // buildRequest returns the request to a unit. The counts are those of the attempts before.
 func (job *job) buildRequest(pla *dispatcher.Placement, after string, sends, runs int) sender.Request {
-	hop := Hop{ServerID: pla.Unit.ServerID, Workspace: job.wsp.Name, Timeout: job.gat.opt.Clock.Until(job.deadline), LastEventID: after}
+	hop := Hop{ServerID: pla.Unit.ServerID, Workspace: job.wsp.Name, Timeout: job.gat.opt.Clock.Until(job.deadline), LastEventID: after, Urgency: job.tab.Urgency(job.ser.Name, job.tab.Priority(job.rou, job.wsp))}
 	var head http.Header
 	if pla.Unit.Entry == "" {
 		head = job.gat.opt.HeaderCodec.RequestHeader(job.req.Header, job.cal, hop)
--- a/router/table.go
+++ b/router/table.go
@@ -12,11 +12,13 @@
 	Config
 	routesByHost   map[string]map[string]Route
 	workspaceByKey map[string]Workspace
+	// urgencies holds the different priorities of the requests for each service, sorted.
+	urgencies map[string][]int
 }
 
 // New returns the table of a configuration; it fails with errors.NotValid when a route names a service that the configuration does not define.
 func New(cfg Config) (*Table, error) {
-	tab := &Table{Config: cfg, routesByHost: map[string]map[string]Route{}, workspaceByKey: map[string]Workspace{}}
+	tab := &Table{Config: cfg, routesByHost: map[string]map[string]Route{}, workspaceByKey: map[string]Workspace{}, urgencies: urgencies(cfg)}
 	for _, rou := range cfg.Routes {
 		for _, tar := range rou.Targets {
 			if _, known := cfg.Services[tar.Service]; !known {
