Measure the work that callers ask for by pool, over all entries

Cause: groups are planned from slots in use, which say nothing of the prompt tokens that callers ask for, and lag behind a rise.

Change: the new package forecaster keeps decaying sums of prompt and expected answer tokens by pool. Entries state them in heartbeats; the leader sums them up with a recent and a longer mean and the shares of the availability zones. A refused request counts half, since its caller usually sends it once more. Until most live entries have stated their demand the sum is unknown.

--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -22,6 +22,7 @@
 	"github.com/lovagelever/lovagelever/dispatcher"
 	"github.com/lovagelever/lovagelever/elector"
 	"github.com/lovagelever/lovagelever/estimator"
+	"github.com/lovagelever/lovagelever/forecaster"
 	"github.com/lovagelever/lovagelever/gateconfigurer"
 	"github.com/lovagelever/lovagelever/gateway"
 	"github.com/lovagelever/lovagelever/heartbeater"
@@ -87,6 +88,7 @@
 	per *permitter.Permitter
 	lin *linkchecker.Checker
 	pic *peerpicker.Picker
+	frc *forecaster.Forecaster
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
 
@@ -136,6 +138,7 @@
 	gat.started = clk.Now()
 	gat.mes = messenger.New(source, &gat.rpcBytes)
 	gat.reg = registrar.New(clk)
+	gat.frc = forecaster.New(clk)
 	gat.units.Store(&unitTable{})
 	gat.bounds.Store(&set.Bounds)
 	gat.pla.OnLeaving(gat.onLeaving)
@@ -163,7 +166,7 @@
 	})
 	gat.buildInvestigator()
 	gat.gat = gateway.New(gateway.Options{
-		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, PeerSender: gat.peerSender, Links: gat.lin, Peers: peersOf{gat.pic}, Budget: gat.bud, Detector: gat.det, Quarantine: gat.inv,
+		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, PeerSender: gat.peerSender, Links: gat.lin, Peers: peersOf{gat.pic}, Budget: gat.bud, Detector: gat.det, Quarantine: gat.inv, Demand: gat.frc,
 		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, OnPause: gat.onPause, OnRateLimit: gat.onRateLimit, Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
 	})
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -42,6 +42,7 @@
 	outcome := OutcomeRefused
 	switch ref.Type {
 	case refuser.TypeNotRun:
+		job.recordRefusedDemand()
 		if job.quarantined != "" {
 			outcome = OutcomeQuarantined
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,12 +60,14 @@
 	Dispatcher Dispatcher
 	Sender     Sender
 	// PeerSender sends requests to other entries, which Peers selects while Links are lost; all three may be nil.
-	PeerSender  Sender
-	Links       Links
-	Peers       Peers
-	Budget      Budget
-	Detector    Detector
-	Quarantine  Quarantine
+	PeerSender Sender
+	Links      Links
+	Peers      Peers
+	Budget     Budget
+	Detector   Detector
+	Quarantine Quarantine
+	// Demand may be nil.
+	Demand      Demand
 	HeaderCodec HeaderCodec
 	Meter       Meter
 	// OnLeaving receives the backend servers whose responses say that they leave.
@@ -93,6 +95,9 @@
 	if opt.Links == nil {
 		opt.Links = noLinks{}
 	}
+	if opt.Demand == nil {
+		opt.Demand = noDemand{}
+	}
 	return &Gateway{opt: opt, bodies: collector.New(collector.MaxBodyBytes, collector.MaxTotalBytes)}
 }
 
@@ -137,6 +142,8 @@
 	forwarded *forwardState
 	// counted says that the request counts in the retry budget.
 	counted bool
+	// inDemand says that this entry has recorded the request in the demand.
+	inDemand bool
 }
 
 // ServeHTTP proxies one request of a caller.
@@ -162,6 +169,7 @@
 	if !job.counted && (job.forwarded != nil || !job.linksLost()) {
 		gat.opt.Budget.RecordRequest(job.ser.Name)
 		job.counted = true
+		job.recordDemand()
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), job.deadline)
 	defer cancel()
