Plan replica groups by the work that callers ask for

Cause: the leader planned a fixed share of the servers for each model and a fixed fifth as standby. The larger model had too few groups at the peak of a wave while a fifth of the servers stood idle.

Change: where the engine's figures allow an estimate, targets are the groups for the demand at the lowest common utilization that the usable servers allow. As many servers stand by as were lost lately. Groups are given up for another model where more work is served in time over the next seconds, counted with the time to drain and to load. A zone's entries say where groups are formed and opened first. Elsewhere targets follow slots in use as before.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lovagelever/lovagelever/forecaster"
 	"github.com/lovagelever/lovagelever/grouper"
 	"github.com/lovagelever/lovagelever/registrar"
 	"github.com/lovagelever/lovagelever/router"
@@ -52,12 +53,14 @@
 
 // Options configures a conductor. LoadWindow is the period over which loads from the weight store are counted.
 type Options struct {
-	Records            Records
-	Engines            EngineClient
-	View               func() *registrar.View
-	Table              func() *router.Table
-	IsLeader           func() bool
-	Loads              func(service, model string) grouper.Load
+	Records  Records
+	Engines  EngineClient
+	View     func() *registrar.View
+	Table    func() *router.Table
+	IsLeader func() bool
+	Loads    func(service, model string) grouper.Load
+	// Forecast returns the work that callers ask of a model; false means that it is unknown. It may be nil.
+	Forecast           func(service, model string) (forecaster.Forecast, bool)
 	BeforeFirstRequest func() bool
 	// Ended receives the instances of servers that were found to have ended.
 	Ended      func(ins registrar.Instance)
@@ -95,12 +98,17 @@
 	lastListed   map[registrar.Instance]time.Time
 	loadStarts   []time.Time
 	forming      int
+	// losses counts the servers lost lately by service.
+	losses map[string]lossCount
 	// supply holds the state of each service's models in the last plan.
 	supply map[string][]grouper.ModelState
 }
 
 // New returns a conductor that has loaded no decisions.
 func New(opt Options) *Conductor {
+	if opt.Forecast == nil {
+		opt.Forecast = func(string, string) (forecaster.Forecast, bool) { return forecaster.Forecast{}, false }
+	}
 	con := &Conductor{opt: opt, servers: map[registrar.Instance]registrar.Server{}, lastListed: map[registrar.Instance]time.Time{}, supply: map[string][]grouper.ModelState{}}
 	con.reset()
 	return con
@@ -146,6 +154,7 @@
 	con.retired = nil
 	con.ended = map[string]bool{}
 	con.unknownSince = map[string]time.Time{}
+	con.losses = map[string]lossCount{}
 	con.forming = 0
 }
 
@@ -168,6 +177,7 @@
 		if ser.Engine == nil {
 			continue
 		}
+		con.countLosses(ser, vie)
 		if err := con.runPlan(ctx, ser, vie); err != nil {
 			return err
 		}
@@ -310,7 +320,8 @@
 		}
 		con.opt.Logger.WithFields(logrus.Fields{
 			"service": service, "model": sta.Model, "groups": sta.Groups, "target": sta.Target, "needed": sta.Needed, "idle_servers": sta.Idle,
-			"slots": sta.Load.Slots, "in_use": sta.Load.InUse, "waiting": sta.Load.Waiting,
+			"slots": sta.Load.Slots, "in_use": sta.Load.InUse, "waiting": sta.Load.Waiting, "zones": sta.Zones, "lost_servers": con.losses[service].count,
+			"prompt_tokens_per_second": int(sta.Demand.PromptTokens), "answer_tokens_per_second": int(sta.Demand.AnswerTokens), "utilization": sta.Utilization,
 		}).Info("supply of a model changed")
 	}
 }
@@ -320,13 +331,16 @@
 	defer con.mux.Unlock()
 	inp := grouper.Input{
 		Service: ser.Name, Engine: *ser.Engine, View: vie, Era: con.end.Era, BeforeFirstRequest: con.opt.BeforeFirstRequest(),
-		Busy: maps.Clone(con.busy), Dissolving: maps.Clone(con.dissolving), Ended: maps.Clone(con.ended), Staging: maps.Clone(con.staging), Loads: map[string]grouper.Load{},
+		Busy: maps.Clone(con.busy), Dissolving: maps.Clone(con.dissolving), Ended: maps.Clone(con.ended), Staging: maps.Clone(con.staging), Loads: map[string]grouper.Load{}, Forecasts: map[string]forecaster.Forecast{}, Lost: con.losses[ser.Name].count,
 	}
 	for _, frm := range con.formations {
 		inp.Formations = append(inp.Formations, frm)
 	}
 	for _, mod := range ser.Engine.Models {
 		inp.Loads[mod.Name] = con.opt.Loads(ser.Name, mod.Name)
+		if fco, known := con.opt.Forecast(ser.Name, mod.Name); known {
+			inp.Forecasts[mod.Name] = fco
+		}
 	}
 	return inp
 }
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -211,7 +211,7 @@
 	})
 	gat.con = conductor.New(conductor.Options{
 		Records: gat.pla.Records, Engines: gat.pla.Engines, View: gat.reg.View, Table: gat.tab.Load, IsLeader: gat.ele.IsLeader,
-		Loads: gat.loads, BeforeFirstRequest: gat.noRequestsYet, Meter: gat.mtr, Clock: gat.clk, Logger: gat.log,
+		Loads: gat.loads, Forecast: gat.forecast, BeforeFirstRequest: gat.noRequestsYet, Meter: gat.mtr, Clock: gat.clk, Logger: gat.log,
 		LoadWindow: gat.set.Bounds.LoadWindow,
 	})
 }
--- a/gateserver/meter.go
+++ b/gateserver/meter.go
@@ -80,7 +80,7 @@
 	mtr.scope.Gauge("rate_limited_servers").Update(float64(num))
 }
 
-// RecordModel records the numbers of replica groups and slots of a model.
+// RecordModel records the numbers of replica groups and slots of a model, and the work that callers ask of it, also by availability zone.
 func (mtr *meter) RecordModel(service string, sta grouper.ModelState) {
 	sco := mtr.scope.Tagged(map[string]string{"service": service, "model": sta.Model})
 	sco.Gauge("replica_groups").Update(float64(sta.Groups))
@@ -88,4 +88,12 @@
 	sco.Gauge("replica_groups_needed").Update(float64(sta.Needed))
 	sco.Gauge("slots").Update(float64(sta.Load.Slots))
 	sco.Gauge("slots_in_use").Update(float64(sta.Load.InUse))
+	sco.Gauge("prompt_tokens_per_second").Update(sta.Demand.PromptTokens)
+	sco.Gauge("answer_tokens_per_second").Update(sta.Demand.AnswerTokens)
+	sco.Gauge("utilization").Update(sta.Utilization)
+	for zone, zon := range sta.Zones {
+		tagged := sco.Tagged(map[string]string{"availability_zone": zone})
+		tagged.Gauge("zone_replica_groups").Update(float64(zon.Groups))
+		tagged.Gauge("zone_demand_share").Update(zon.Share)
+	}
 }
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/lovagelever/lovagelever/estimator"
+	"github.com/lovagelever/lovagelever/forecaster"
 	"github.com/lovagelever/lovagelever/registrar"
 	"github.com/lovagelever/lovagelever/router"
 )
@@ -16,6 +18,8 @@
 	servingShare = 0.8
 	// scaleUpUtilization is the slot utilization of a model above which it gets more groups.
 	scaleUpUtilization = 0.75
+	// maxZoneShare is the largest share of a model's work that groups of one availability zone are placed for.
+	maxZoneShare = 0.5
 	// rejoinTime is how long a server takes to join a group of the model that it served last.
 	rejoinTime = 200 * time.Millisecond
 	// earlyLoadFactor is the ratio of the time that a load takes before the first request to the time that it takes later.
@@ -48,6 +52,10 @@
 	Staging map[registrar.Instance]string
 	// Loads holds the load of each model by name.
 	Loads map[string]Load
+	// Forecasts holds the work that callers ask of each model by name; a model is missing while it is unknown.
+	Forecasts map[string]forecaster.Forecast
+	// Lost is the number of servers that were lost lately, which decays.
+	Lost float64
 	// BeforeFirstRequest means that no request has arrived yet.
 	BeforeFirstRequest bool
 }
@@ -95,6 +103,17 @@
 	Load   Load
 	// Idle is the number of usable servers in no group whose accelerators hold the model.
 	Idle int
+	// Demand is the work that callers ask for at its peak, and Utilization that of the groups by it; both are zero while the demand is unknown.
+	Demand      estimator.Demand
+	Utilization float64
+	// Zones holds the supply by availability zone, nil while the demand is unknown.
+	Zones map[string]ZoneState
+}
+
+// ZoneState is the supply of one model in an availability zone: its groups there, and the share of the model's work that is asked for there.
+type ZoneState struct {
+	Groups int
+	Share  float64
 }
 
 // round is the state of one planning round.
@@ -104,6 +123,8 @@
 	active         map[string][]Formation
 	standby        map[string][]Formation
 	standbyMembers map[registrar.Instance]Formation
+	// sizing is nil while targets follow the slots in use.
+	sizing *sizing
 	// targets is the number of groups of each model that should serve.
 	targets map[string]int
 	// awaitsRelease holds the domains in which servers of dissolving groups are about to be released for an earlier plan, or for this one by reassign.
@@ -118,7 +139,7 @@
 // NewPlan returns the operations to start now.
 func NewPlan(inp Input) Plan {
 	rnd := &round{
-		inp: inp, active: map[string][]Formation{}, standby: map[string][]Formation{}, standbyMembers: map[registrar.Instance]Formation{},
+		inp: inp, sizing: newSizing(inp), active: map[string][]Formation{}, standby: map[string][]Formation{}, standbyMembers: map[registrar.Instance]Formation{},
 		awaitsRelease: map[string]bool{}, loadingSpares: map[string][]registrar.Server{},
 	}
 	rnd.classify()
@@ -241,23 +262,38 @@
 
 // targetCounts returns the number of groups of each model that should serve.
 func (rnd *round) targetCounts() map[string]int {
-	usable := float64(len(rnd.usable()))
-	shares := 0.0
-	for _, mod := range rnd.inp.Engine.Models {
-		shares += mod.Share
+	if rnd.sizing != nil {
+		return rnd.sizing.targets(rnd.room())
 	}
+	usable := float64(len(rnd.usable()))
+	loads := shareLoads(rnd.inp.Engine.Models)
 	out := map[string]int{}
 	for _, mod := range rnd.inp.Engine.Models {
-		share := 1 / float64(len(rnd.inp.Engine.Models))
-		if shares > 0 {
-			share = mod.Share / shares
-		}
-		num := int(math.Round(usable * share * servingShare / float64(mod.Size)))
+		num := int(math.Round(usable * servingShare * loads[mod.Name]))
 		out[mod.Name] = max(num, rnd.groupsAt(scaleUpUtilization, mod.Name))
 	}
 	return out
 }
 
+// room returns how many servers can serve in groups, and how many groups of each model there is room for. A group takes servers of one domain, and as many servers as were lost lately stand by.
+func (rnd *round) room() (servers int, limits map[string]int) {
+	smallest := slices.MinFunc(rnd.inp.Engine.Models, func(one, two router.Model) int { return cmp.Compare(one.Size, two.Size) }).Size
+	byDomain := map[string]int{}
+	for _, ser := range rnd.usable() {
+		byDomain[ser.Domain]++
+	}
+	limits = map[string]int{}
+	leftOver := 0
+	for _, num := range byDomain {
+		servers += num - num%smallest
+		leftOver += num % smallest
+		for _, mod := range rnd.inp.Engine.Models {
+			limits[mod.Name] += num / mod.Size
+		}
+	}
+	return servers - max(0, int(math.Round(rnd.inp.Lost))-leftOver), limits
+}
+
 // modelStates returns the supply of each model.
 func (rnd *round) modelStates() []ModelState {
 	var out []ModelState
@@ -270,17 +306,36 @@
 				sta.Idle++
 			}
 		}
+		rnd.addDemand(&sta)
 		out = append(out, sta)
 	}
 	return out
 }
 
+// addDemand adds the demand of a model to its state, if it is known.
+func (rnd *round) addDemand(sta *ModelState) {
+	if rnd.sizing == nil {
+		return
+	}
+	sta.Demand = rnd.sizing.peaks[sta.Model]
+	sta.Utilization = rnd.sizing.needed(sta.Model, maxUtilization) / float64(max(1, sta.Groups))
+	sta.Zones = map[string]ZoneState{}
+	for zone, share := range rnd.inp.Forecasts[sta.Model].ZoneShares {
+		sta.Zones[zone] = ZoneState{Share: share}
+	}
+	for _, frm := range rnd.active[sta.Model] {
+		zon := sta.Zones[rnd.zone(frm)]
+		zon.Groups++
+		sta.Zones[rnd.zone(frm)] = zon
+	}
+}
+
 // mostLacking returns the model that lacks the largest share of its groups, apart from the skipped ones.
 func (rnd *round) mostLacking(skipped map[string]bool) (router.Model, bool) {
 	var best router.Model
 	largest := 0.0
 	for _, mod := range rnd.inp.Engine.Models {
-		missing := 1 - float64(len(rnd.active[mod.Name]))/float64(rnd.targets[mod.Name])
+		missing := rnd.missing(mod.Name, len(rnd.active[mod.Name]))
 		if missing > largest && !skipped[mod.Name] {
 			best, largest = mod, missing
 		}
@@ -288,16 +343,21 @@
 	return best, largest > 0
 }
 
-// openStandby opens a ready standby group of the model, in the availability zone with the fewest of its groups. It reports false when there is none.
+// missing returns the share of its groups that a model lacks if it has a number of them.
+func (rnd *round) missing(model string, groups int) float64 {
+	return 1 - float64(groups)/float64(rnd.targets[model])
+}
+
+// openStandby opens a ready standby group of the model, in the availability zone that lacks most of its groups. It reports false when there is none.
 func (rnd *round) openStandby(mod router.Model) bool {
 	var best *Formation
-	fewest := 0
+	most := 0.0
 	for _, frm := range rnd.standby[mod.Name] {
 		if !frm.isReady(rnd.inp.View) {
 			continue
 		}
-		if num := rnd.groupsInZone(mod, rnd.zone(frm)); best == nil || num < fewest {
-			best, fewest = &frm, num
+		if lack := rnd.lackInZone(mod, rnd.zone(frm)); best == nil || lack > most {
+			best, most = &frm, lack
 		}
 	}
 	if best == nil {
@@ -320,14 +380,15 @@
 	return rnd.inp.View.Servers[frm.Members[0].ID].Zone
 }
 
-func (rnd *round) groupsInZone(mod router.Model, zone string) int {
-	num := 0
+// lackInZone returns how many groups a model lacks in an availability zone for the work that is asked for there; without any it is less than zero by the number of its groups. A zone counts for at most maxZoneShare of the work, so that the others bear its loss.
+func (rnd *round) lackInZone(mod router.Model, zone string) float64 {
+	lack := float64(rnd.targets[mod.Name]) * min(maxZoneShare, rnd.inp.Forecasts[mod.Name].ZoneShares[zone])
 	for _, frm := range rnd.active[mod.Name] {
 		if rnd.zone(frm) == zone {
-			num++
+			lack--
 		}
 	}
-	return num
+	return lack
 }
 
 // formGroup proposes a group of the model in the domain where it is ready first. While servers are about to be released it uses free servers only. It reports false when no domain has enough free or standby servers, or when members would have to load from the weight store once requests arrive.
@@ -357,9 +418,9 @@
 	// loads is the number of members that load from the weight store, loaded the number whose accelerators hold the model.
 	loads  int
 	loaded int
-	// zoneGroups and domainGroups are the numbers of the model's groups in the same availability zone and domain.
+	// zoneLack is how many groups the model lacks in the same availability zone, domainGroups the number of its groups in the same domain.
 	// displaced is the number of standby servers that it takes, plus the number of open groups that are dissolved for it.
-	zoneGroups   int
+	zoneLack     float64
 	domainGroups int
 	displaced    int
 }
@@ -373,7 +434,7 @@
 			cmp.Compare(one.ID, two.ID),
 		)
 	})
-	out := choice{members: slices.Clone(list[:mod.Size]), zoneGroups: rnd.groupsInZone(mod, list[0].Zone)}
+	out := choice{members: slices.Clone(list[:mod.Size]), zoneLack: rnd.lackInZone(mod, list[0].Zone)}
 	out.readyIn = rnd.readyIn(mod, out.members[mod.Size-1])
 	for _, ser := range out.members {
 		out.displaced += rnd.standbyCount(ser)
@@ -399,10 +460,10 @@
 	return 0
 }
 
-// before reports whether one candidate is better than another: ready sooner, then better spread over zones and domains.
+// before reports whether one candidate is better than another: ready sooner, then where more of its groups lack, then better spread over domains.
 func (cho choice) before(oth choice) bool {
 	return cmp.Or(
-		cmp.Compare(cho.readyIn, oth.readyIn), cmp.Compare(cho.loads, oth.loads), cmp.Compare(cho.zoneGroups, oth.zoneGroups),
+		cmp.Compare(cho.readyIn, oth.readyIn), cmp.Compare(cho.loads, oth.loads), cmp.Compare(oth.zoneLack, cho.zoneLack),
 		cmp.Compare(cho.domainGroups, oth.domainGroups), cmp.Compare(cho.displaced, oth.displaced),
 	) < 0
 }
