--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -22,6 +22,7 @@
 	"github.com/lovagelever/lovagelever/dispatcher"
 	"github.com/lovagelever/lovagelever/elector"
 	"github.com/lovagelever/lovagelever/estimator"
+	"github.com/lovagelever/lovagelever/forecaster"
 	"github.com/lovagelever/lovagelever/gateconfigurer"
 	"github.com/lovagelever/lovagelever/gateway"
 	"github.com/lovagelever/lovagelever/heartbeater"
@@ -91,6 +92,7 @@
 	lin *linkchecker.Checker
 	res *reserver.Reserver
 	pic *peerpicker.Picker
+	frc *forecaster.Forecaster
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
 
@@ -143,6 +145,7 @@
 	gat.started = clk.Now()
 	gat.mes = messenger.New(source, &gat.rpcBytes)
 	gat.reg = registrar.New(clk)
+	gat.frc = forecaster.New(clk)
 	gat.units.Store(&unitTable{})
 	gat.bounds.Store(&set.Bounds)
 	gat.pla.OnLeaving(gat.onLeaving)
@@ -173,7 +176,7 @@
 	gat.buildInvestigator()
 	gat.buildReserver()
 	gat.gat = gateway.New(gateway.Options{
-		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, PeerSender: gat.peerSender, Links: gat.lin, Peers: peersOf{gat.pic}, Budget: gat.bud, Detector: gat.det, Quarantine: gat.inv,
+		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, PeerSender: gat.peerSender, Links: gat.lin, Peers: peersOf{gat.pic}, Budget: gat.bud, Detector: gat.det, Quarantine: gat.inv, Demand: gat.frc,
 		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, OnPause: gat.onPause, OnRateLimit: gat.onRateLimit, Isolated: gat.isolated, Reserver: gat.res, UnreadFor: gat.set.Held.UnreadFor,
 		Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
 	})
@@ -219,7 +222,7 @@
 	})
 	gat.con = conductor.New(conductor.Options{
 		Records: gat.pla.Records, Engines: gat.pla.Engines, View: gat.reg.View, Table: gat.tab.Load, IsLeader: gat.ele.IsLeader,
-		Loads: gat.loads, BeforeFirstRequest: gat.noRequestsYet, Meter: gat.mtr, Clock: gat.clk, Logger: gat.log,
+		Loads: gat.loads, Forecast: gat.forecast, BeforeFirstRequest: gat.noRequestsYet, Meter: gat.mtr, Clock: gat.clk, Logger: gat.log,
 		LoadWindow: gat.set.Bounds.LoadWindow,
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,12 +63,14 @@
 	Dispatcher Dispatcher
 	Sender     Sender
 	// PeerSender sends requests to other entries, which Peers selects while Links are lost; all three may be nil.
-	PeerSender  Sender
-	Links       Links
-	Peers       Peers
-	Budget      Budget
-	Detector    Detector
-	Quarantine  Quarantine
+	PeerSender Sender
+	Links      Links
+	Peers      Peers
+	Budget     Budget
+	Detector   Detector
+	Quarantine Quarantine
+	// Demand may be nil.
+	Demand      Demand
 	HeaderCodec HeaderCodec
 	Meter       Meter
 	// OnLeaving receives the backend servers whose responses say that they leave.
@@ -112,6 +114,9 @@
 	if opt.UnreadFor <= 0 {
 		opt.UnreadFor = defaultUnreadFor
 	}
+	if opt.Demand == nil {
+		opt.Demand = noDemand{}
+	}
 	return &Gateway{
 		opt: opt, requests: collector.NewWithin(math.MaxInt64, opt.Reserver.Account(reserver.Requests)),
 		responses: collector.NewWithin(collector.MaxBodyBytes, opt.Reserver.Account(reserver.Responses)),
@@ -161,6 +166,8 @@
 	counted bool
 	// bodies are held until the request ends.
 	bodies bodyList
+	// inDemand says that this entry has recorded the request in the demand.
+	inDemand bool
 }
 
 // ServeHTTP proxies one request of a caller.
@@ -187,6 +194,7 @@
 	if !job.counted && (job.forwarded != nil || !job.linksLost()) {
 		gat.opt.Budget.RecordRequest(job.ser.Name)
 		job.counted = true
+		job.recordDemand()
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), job.deadline)
 	defer cancel()
@@ -469,7 +477,7 @@
 
 // buildRequest returns the request to a unit. The counts are those of the attempts before.
 func (job *job) buildRequest(pla *dispatcher.Placement, after string, sends, runs int) sender.Request {
-	hop := Hop{ServerID: pla.Unit.ServerID, Workspace: job.wsp.Name, Timeout: job.gat.opt.Clock.Until(job.deadline), LastEventID: after}
+	hop := Hop{ServerID: pla.Unit.ServerID, Workspace: job.wsp.Name, Timeout: job.gat.opt.Clock.Until(job.deadline), LastEventID: after, Urgency: job.tab.Urgency(job.ser.Name, job.tab.Priority(job.rou, job.wsp))}
 	var head http.Header
 	if pla.Unit.Entry == "" {
 		head = job.gat.opt.HeaderCodec.RequestHeader(job.req.Header, job.cal, hop)
