Hold requests until an entry that starts alone knows a configuration

An entry that has heard no other one holds a request until units are known, for at most the time in which its caller is still there when it is served then, or after which callers come back. Others refuse at once, as before, with a short delay, since another entry serves the request.

--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -96,8 +96,11 @@
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
 
-	tailers      map[string]*tailer.Tailer
-	tab          atomic.Pointer[router.Table]
+	tailers map[string]*tailer.Tailer
+	tab     atomic.Pointer[router.Table]
+	// unitsKnown is closed when the first configuration is in force and units are known.
+	unitsKnown   chan struct{}
+	knowsUnits   sync.Once
 	units        atomic.Pointer[unitTable]
 	bounds       atomic.Pointer[gateconfigurer.Bounds]
 	stopping     atomic.Bool
@@ -136,7 +139,7 @@
 	if source == nil {
 		return nil, errors.NotValidf("gateserver: address %q", set.Address)
 	}
-	gat := &Server{set: set, pla: pla, clk: clk, log: log, mtr: newMeter(), com: compressor.New(), tailers: map[string]*tailer.Tailer{}}
+	gat := &Server{set: set, pla: pla, clk: clk, log: log, mtr: newMeter(), com: compressor.New(), unitsKnown: make(chan struct{}), tailers: map[string]*tailer.Tailer{}}
 	gat.self = advertiser.Entry{
 		Name: set.Name, Zone: set.Zone, CallerAddress: set.Listen.Callers, EntryAddress: set.Listen.Entries,
 		Region: set.Region, ForwardingAddress: set.Listen.Forwarding, Incarnation: uint64(clk.Now().UnixMicro()), Cores: set.CPUCores,
@@ -177,7 +180,7 @@
 	gat.buildReserver()
 	gat.gat = gateway.New(gateway.Options{
 		Table: gat.tab.Load, Dispatcher: gat.dis, Sender: gat.sen, PeerSender: gat.peerSender, Links: gat.lin, Peers: peersOf{gat.pic}, Budget: gat.bud, Detector: gat.det, Quarantine: gat.inv, Demand: gat.frc,
-		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, OnPause: gat.onPause, OnRateLimit: gat.onRateLimit, Isolated: gat.isolated, Reserver: gat.res, UnreadFor: gat.set.Held.UnreadFor,
+		HeaderCodec: gat.pla.HeaderCodec, Meter: gat.mtr, OnLeaving: gat.onLeaving, OnPause: gat.onPause, OnRateLimit: gat.onRateLimit, Started: gat.unitsKnown, Isolated: gat.isolated, Reserver: gat.res, UnreadFor: gat.set.Held.UnreadFor,
 		Clock: gat.clk, Logger: gat.log, Stopping: gat.stopTime,
 	})
 }
@@ -262,9 +265,9 @@
 	return gat.hea != nil && gat.hea.Heard(name) && !gat.saidSilent(name)
 }
 
-// isolated reports whether the store does not answer and no other entry has been heard, as after a loss of power everywhere.
+// isolated reports whether no other entry has been heard, as after a loss of power everywhere.
 func (gat *Server) isolated() bool {
-	return gat.tailers[gat.pla.Topics.Operator].Failed() && !gat.hea.HeardAny()
+	return !gat.hea.HeardAny()
 }
 
 // noRequestsYet reports whether neither this entry nor another one has received a request so far.
--- a/gateserver/units.go
+++ b/gateserver/units.go
@@ -73,6 +73,9 @@
 	}
 	gat.units.Store(out)
 	gat.dis.SetUnits(out.list)
+	if len(out.list) > 0 {
+		gat.knowsUnits.Do(func() { close(gat.unitsKnown) })
+	}
 	gat.logUnits(old, out)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"math"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"strings"
@@ -79,7 +78,8 @@
 	OnPause func(ins registrar.Instance, dur time.Duration)
 	// OnRateLimit receives the rate limit that a backend server states in a response, or that it states none, and when the request was sent.
 	OnRateLimit func(ins registrar.Instance, limited bool, perSecond float64, sentAt time.Time)
-	// Isolated reports whether neither the store nor another entry answers this one; by default they do.
+	// Started is closed when the first configuration is in force and units are known, and Isolated reports whether this entry has heard no other one; by default it has.
+	Started  <-chan struct{}
 	Isolated func() bool
 	// Reserver counts the memory that is held for callers and units; nil means one with a default budget.
 	Reserver *reserver.Reserver
@@ -223,7 +223,9 @@
 func (job *job) prepare() error {
 	job.tab = job.gat.opt.Table()
 	if job.tab == nil {
-		return elsewhere("this entry knows no configuration yet", job.retryAfterStart())
+		if err := job.awaitConfig(); err != nil {
+			return err
+		}
 	}
 	if err := job.checkVersion(); err != nil {
 		return err
@@ -259,14 +261,6 @@
 	return nil
 }
 
-// retryAfterStart returns the retry delay of a request to an entry that knows no configuration yet: another entry may serve it soon, unless none does.
-func (job *job) retryAfterStart() time.Duration {
-	if job.gat.opt.Isolated() {
-		return refuser.OutageRetryAfter(job.cal.Timeout, rand.Float64())
-	}
-	return refuser.DefaultRetryAfter
-}
-
 func (job *job) findRoute() error {
 	job.target = job.req.RequestURI
 	if !strings.HasPrefix(job.target, "/") {
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -224,17 +224,20 @@
 
 // world is a gateway with a listener for callers and workers as backend servers.
 type world struct {
-	dis   *dispatcher.Dispatcher
-	bud   *budgetStub
-	det   *detectorStub
-	mtr   *meterStub
-	tab   atomic.Pointer[router.Table]
-	ends  atomic.Pointer[time.Time]
-	web   *httptest.Server
-	pool  string
-	log   *logtest.Hook
-	links *linksStub
-	peers *peersStub
+	dis  *dispatcher.Dispatcher
+	bud  *budgetStub
+	det  *detectorStub
+	mtr  *meterStub
+	tab  atomic.Pointer[router.Table]
+	ends atomic.Pointer[time.Time]
+	// started is closed when the configuration and units are known.
+	started  chan struct{}
+	isolated atomic.Bool
+	web      *httptest.Server
+	pool     string
+	log      *logtest.Hook
+	links    *linksStub
+	peers    *peersStub
 	// dialer opens the connections to the backend servers.
 	dialer *slowDialer
 	// forwarded listens for the requests of other entries.
@@ -249,7 +252,7 @@
 
 // newWorldWith changes the options of the gateway.
 func newWorldWith(rou router.Route, change func(opt *gateway.Options), workers ...*worker) *world {
-	wor := &world{bud: &budgetStub{}, det: &detectorStub{}, mtr: &meterStub{seen: map[string]int{}}, pool: "s", leaving: make(chan registrar.Instance, 100), links: &linksStub{}, peers: &peersStub{}, dialer: &slowDialer{}}
+	wor := &world{bud: &budgetStub{}, det: &detectorStub{}, mtr: &meterStub{seen: map[string]int{}}, pool: "s", leaving: make(chan registrar.Instance, 100), started: make(chan struct{}), links: &linksStub{}, peers: &peersStub{}, dialer: &slowDialer{}}
 	wor.bud.left.Store(10)
 	clk := clockwork.NewRealClock()
 	wor.dis = dispatcher.New(dispatcher.Options{Zone: "z0", Clock: clk, Breaker: breaker.New(breaker.Options{Clock: clk})})
@@ -262,7 +265,7 @@
 	opt := gateway.Options{
 		Table: wor.tab.Load, Dispatcher: wor.dis, Sender: sender.New(wor.dialer, clk, time.Second), PeerSender: sender.New(&net.Dialer{}, clk, time.Second), Links: wor.links, Peers: wor.peers, Budget: wor.bud, Detector: wor.det, Quarantine: newInvestigator(clk, log),
 		HeaderCodec: codecStub{}, Meter: wor.mtr, OnLeaving: func(ins registrar.Instance) { wor.leaving <- ins },
-		OnRateLimit: func(registrar.Instance, bool, float64, time.Time) {}, OnPause: func(ins registrar.Instance, dur time.Duration) { wor.dis.Pause(ins, dur) }, Clock: clk, Logger: log.WithField("test", true),
+		OnRateLimit: func(registrar.Instance, bool, float64, time.Time) {}, OnPause: func(ins registrar.Instance, dur time.Duration) { wor.dis.Pause(ins, dur) }, Clock: clk, Logger: log.WithField("test", true), Started: wor.started, Isolated: wor.isolated.Load,
 		Stopping: func() (time.Time, bool) {
 			if at := wor.ends.Load(); at != nil {
 				return *at, true
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -242,13 +242,6 @@
 	return tai.opt.Clock.Since(tai.contact), !tai.contact.IsZero() && !tai.failed
 }
 
-// Failed reports whether the last read of the store failed.
-func (tai *Tailer) Failed() bool {
-	tai.mux.Lock()
-	defer tai.mux.Unlock()
-	return tai.failed
-}
-
 // inOutage reports whether removals may be due to leases that expired while the store was unavailable.
 func (tai *Tailer) inOutage() bool {
 	return tai.failed || !tai.outageEnd.IsZero() && tai.opt.Clock.Since(tai.outageEnd) < outageGrace
