--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -89,9 +89,11 @@
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
 
-	tailers      map[string]*tailer.Tailer
-	tab          atomic.Pointer[router.Table]
-	units        atomic.Pointer[unitTable]
+	tailers map[string]*tailer.Tailer
+	tab     atomic.Pointer[router.Table]
+	units   atomic.Pointer[unitTable]
+	// badFigures is why the last engine had no estimator.
+	badFigures   string
 	bounds       atomic.Pointer[gateconfigurer.Bounds]
 	stopping     atomic.Bool
 	endsAt       atomic.Pointer[time.Time]
--- a/gateserver/units.go
+++ b/gateserver/units.go
@@ -53,7 +53,7 @@
 	for _, grp := range vie.Groups {
 		ser, known := tab.Services[grp.Service]
 		if head, listed := grp.Head(); known && listed && ser.Engine != nil {
-			out.addGroup(ser, vie, grp, head)
+			out.addGroup(ser, vie, grp, head, gat.estimatorOf(ser, grp))
 		}
 	}
 	for _, one := range vie.Servers {
@@ -77,7 +77,7 @@
 	tab.members[uni.ID] = members
 }
 
-func (tab *unitTable) addGroup(ser router.Service, vie *registrar.View, grp registrar.Group, head registrar.Server) {
+func (tab *unitTable) addGroup(ser router.Service, vie *registrar.View, grp registrar.Group, head registrar.Server, est *estimator.Estimator) {
 	mod, known := modelOf(ser, grp.Model)
 	if !known {
 		return
@@ -87,9 +87,8 @@
 		Pool: gateway.PoolName(ser.Name, mod.Name), ServerID: head.ID, Started: head.Started, Address: head.Address, Zone: head.Zone,
 		Slots: ser.Engine.Slots, ColdUntil: head.ColdUntil, ColdPerSecond: ser.ColdRequestsPerSecond,
 		TypicalEventInterval: usualPause(ser.Engine, mod), Readiness: dispatcher.Stopping,
+		Estimator: est,
 	}
-	// Without an estimator the unit is chosen by its free slots.
-	uni.Estimator, _ = estimator.New(*ser.Engine, mod)
 	var members []registrar.Server
 	for _, mem := range grp.Members {
 		members = append(members, mem)
@@ -102,6 +101,40 @@
 	tab.add(uni, members)
 }
 
+// estimatorOf returns the estimator of a group, or nil if the engine's figures do not suffice; its units are then chosen by their free slots.
+func (gat *Server) estimatorOf(ser router.Service, grp registrar.Group) *estimator.Estimator {
+	mod, known := modelOf(ser, grp.Model)
+	if !known {
+		return nil
+	}
+	if spansDomains(grp) && ser.Engine.FarFactor > 1 {
+		mod.TimeFactor *= ser.Engine.FarFactor
+	}
+	est, err := estimator.New(*ser.Engine, mod)
+	if err != nil {
+		if key := err.Error(); gat.badFigures != key {
+			gat.badFigures = key
+			gat.log.WithFields(logrus.Fields{"service": ser.Name, "model": mod.Name}).WithError(err).Warn("engine figures do not suffice for predictions, choosing units by free slots")
+		}
+		return nil
+	}
+	return est
+}
+
+// spansDomains reports whether the members of a group are in several fabric domains.
+func spansDomains(grp registrar.Group) bool {
+	domain := ""
+	for _, mem := range grp.Members {
+		if domain == "" {
+			domain = mem.Domain
+		}
+		if mem.Domain != "" && mem.Domain != domain {
+			return true
+		}
+	}
+	return false
+}
+
 // readinessOfMembers returns the readiness of a group that takes no requests. It is broken when its head reports so or nothing listens at the address of a member, unless that drains: it then stops listening while its group still has work. It is only suspected when a member does not answer: a sound server may be silent for a moment, or this entry may be too busy to read the answer.
 func readinessOfMembers(vie *registrar.View, grp registrar.Group, head registrar.Server) dispatcher.Readiness {
 	if head.Group.State == registrar.Broken {
