Choose units by the predicted time to the first event

Cause: units were chosen by free slots, while the time to the first event follows from the prompt tokens that wait to be read there.

Change: where all units of a pool have an estimator, the unit is drawn by predicted first events, with the tokens that other entries send unseen distributed first. Own prompts count as unread until the first event. A factor of each unit and a start delay of each pool are learned. Requests that miss their objective anyway are held while they would delay others, those that no unit answers before the deadline are refused at once, and the longest answers count against a unit's memory. Pools without estimators are served as before.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -44,6 +44,15 @@
 	Cost float64
 	// Size is the size of a generation in tokens, zero for plain calls.
 	Size estimator.Request
+	// MemoryTokens is the most memory that the request can need, in tokens, zero if unknown.
+	MemoryTokens int
+	// Objective is when the first event is due, FirstEventWithin the time that the route allows for it, and MaxEventGap the longest interval between two events; zero if there is none.
+	Objective        time.Time
+	FirstEventWithin time.Duration
+	MaxEventGap      time.Duration
+	// HoldUntil is until when the request may wait for the good of others, and LatestStart replaces StartBy where units are chosen by predicted times; zero if the request can't wait.
+	HoldUntil   time.Time
+	LatestStart time.Time
 	// StartBy is the latest useful start of the request, Deadline the latest end.
 	StartBy  time.Time
 	Deadline time.Time
@@ -98,8 +107,12 @@
 	waiting map[string]*waiter
 	// meanDuration is the moving average of how long served requests took, zero if unknown.
 	meanDuration time.Duration
-	arrivals     arrivalRate
-	arrived      uint64
+	// meanUnread is the moving average of the prompt tokens of requests times the seconds for which they were unread.
+	meanUnread float64
+	// startDelay is the part of the time to a first event that neither reading nor writing explains.
+	startDelay time.Duration
+	arrivals   arrivalRate
+	arrived    uint64
 	// candidates is a buffer of selectUnit.
 	candidates []candidate
 }
@@ -142,6 +155,13 @@
 	cost  float64
 	once  sync.Once
 	since time.Time
+	// size and memory are those of the request, predicted is the uncorrected time to its first event, and factor the unit's correction. Read says that its prompt is read.
+	size      estimator.Request
+	memory    int
+	predicted time.Duration
+	factor    float64
+	read      bool
+	released  bool
 }
 
 // Acquire allocates a slot, waiting for one until StartBy; it fails at once with a refuser.Refusal when none can become free in time.
@@ -150,7 +170,7 @@
 	if wai == nil {
 		return ans.placement, ans.err
 	}
-	timer := dis.opt.Clock.NewTimer(dis.opt.Clock.Until(req.StartBy))
+	timer := dis.opt.Clock.NewTimer(dis.opt.Clock.Until(wai.req.StartBy))
 	defer timer.Stop()
 	select {
 	case ans := <-wai.done:
@@ -183,11 +203,15 @@
 	if poo == nil {
 		return nil, answer{err: refuser.NotRun("no unit of "+req.Pool+" is serving", refuser.DefaultRetryAfter)}
 	}
+	req = poo.extend(req)
 	poo.arrivals.record(dis.opt.Clock.Now())
 	poo.arrived++
 	if err := dis.unavailable(poo, req, poo.arrived); err != nil {
 		return nil, answer{err: err}
 	}
+	if err := dis.refuseLate(poo, req); err != nil {
+		return nil, answer{err: err}
+	}
 	if poo.queue.Len() == 0 {
 		if sta := dis.selectUnit(poo, req); sta != nil {
 			return nil, answer{placement: dis.grant(sta, req)}
@@ -224,10 +248,17 @@
 
 // dispatchWaiting assigns free slots to the requests waiting in the pool.
 func (dis *Dispatcher) dispatchWaiting(poo *pool) {
+	if poo.predicts() {
+		dis.requeueLate(poo, dis.opt.Clock.Now())
+	}
 	for poo.queue.Len() > 0 {
+		units := map[string]*unitState{}
 		itm, found := poo.queue.Pop(func(itm queuer.Item) bool {
 			wai := poo.waiting[itm.ID]
-			return wai == nil || dis.selectUnit(poo, wai.req) != nil
+			if wai != nil {
+				units[itm.ID] = dis.selectUnit(poo, wai.req)
+			}
+			return wai == nil || units[itm.ID] != nil
 		})
 		if !found {
 			return
@@ -235,7 +266,7 @@
 		wai := poo.waiting[itm.ID]
 		delete(poo.waiting, itm.ID)
 		if wai != nil {
-			wai.done <- answer{placement: dis.grant(dis.selectUnit(poo, wai.req), wai.req)}
+			wai.done <- answer{placement: dis.grant(units[itm.ID], wai.req)}
 		}
 	}
 }
@@ -245,11 +276,19 @@
 	// Allow uses up the single trial of a half-open circuit; selectUnit only reads the state with Open.
 	dis.opt.Breaker.Allow(sta.ID)
 	dis.opt.RateLimits.Spend(sta.Instance())
+	pla := &Placement{Unit: sta.Unit, Suspected: sta.suspected, Broken: sta.broken, dis: dis, sta: sta, pool: req.Pool, cost: max(1, req.Cost), since: now, size: req.Size, memory: req.MemoryTokens}
+	if poo := dis.pools[req.Pool]; poo != nil && sta.Estimator != nil {
+		pla.predicted = dis.expect(poo, sta, req, now)
+		pla.factor = sta.correction.factor(now)
+	}
 	sta.own.Requests++
+	sta.own.Unread += req.Size.PromptTokens
+	dis.commit(sta, req.MemoryTokens, now)
+	pla.InUse = sta.own.Requests + sta.remote.Requests
 	if sta.cold(now) {
 		sta.nextColdStart = now.Add(sta.coldInterval(dis.entries))
 	}
-	return &Placement{Unit: sta.Unit, InUse: sta.own.Requests + sta.remote.Requests, Suspected: sta.suspected, Broken: sta.broken, dis: dis, sta: sta, pool: req.Pool, cost: max(1, req.Cost), since: now}
+	return pla
 }
 
 // NewPlacement returns a placement at a unit whose slots no dispatcher allocates.
@@ -269,7 +308,12 @@
 	dis.mux.Lock()
 	defer dis.mux.Unlock()
 	now := dis.opt.Clock.Now()
+	pla.released = true
 	pla.sta.own.Requests--
+	pla.sta.own.Committed -= pla.memory
+	if !pla.read {
+		pla.sta.own.Unread -= pla.size.PromptTokens
+	}
 	pla.sta.recordOutcome(out)
 	poo := dis.pools[pla.pool]
 	switch out.Result {
--- a/dispatcher/select.go
+++ b/dispatcher/select.go
@@ -9,25 +9,39 @@
 // tieBreak is the largest random cost, in requests, by which units of the same load are told apart.
 const tieBreak = 1e-3
 
-// candidate is a unit that can take a request. Cost is its load in requests, with the penalties of its score, and first the predicted time to the first event of the request, zero if unknown.
+// candidate is a unit that can take a request. Cost is its load in requests, with the penalties of its score, or in seconds where times are predicted, and first the predicted time to the first event of the request, zero if unknown.
 type candidate struct {
 	sta   *unitState
 	cost  float64
 	first time.Duration
+	// unread is the number of prompt tokens that wait at the unit, rate how many it reads per second, and perRequest how long it reads a usual prompt; zero if unknown.
+	unread     int
+	rate       float64
+	perRequest time.Duration
+	// reported says that other entries report their unread prompt tokens.
+	reported bool
 }
 
-// selectUnit returns a unit with a free slot, or nil.
+// selectUnit returns a unit with a free slot, or nil. Where times are predicted, it is selected by them.
 //
 // The loads of other entries are as old as their heartbeats. If every entry chose the unit that seems least loaded, all
 // requests of one heartbeat interval would go to it. Instead the requests that are expected in an interval are distributed
 // over the units so that the loads become equal, and the unit is drawn with probabilities in proportion.
 func (dis *Dispatcher) selectUnit(poo *pool, req Request) *unitState {
+	if poo.predicts() {
+		return dis.selectFastest(poo, req)
+	}
 	list := dis.filterZones(poo, dis.candidates(poo, req))
 	if len(list) == 0 {
 		return nil
 	}
 	slices.SortFunc(list, func(one, two candidate) int { return cmp.Compare(one.cost, two.cost) })
 	filled, level := equalize(list, poo.unseen(dis.remoteAge())*poo.shareOfZone(dis.opt.Zone))
+	return dis.draw(filled, level)
+}
+
+// draw returns one of the units that reach a level of cost, with probabilities in proportion to what each lacks.
+func (dis *Dispatcher) draw(filled []candidate, level float64) *unitState {
 	left := dis.opt.Random() * (level*float64(len(filled)) - sumOfCosts(filled))
 	for _, can := range filled {
 		if left -= level - can.cost; left < 0 {
@@ -43,7 +57,7 @@
 	expected := poo.unseen(dis.remoteAge()) / float64(max(1, len(poo.units)))
 	list := poo.candidates[:0]
 	for _, sta := range poo.units {
-		if !sta.hasCapacity(now) || slices.Contains(req.Exclude, sta.ID) || dis.lacksPermit(sta) || dis.pauses[sta.Instance()].After(now) || dis.opt.Breaker.IsOpen(sta.ID) {
+		if !dis.usable(sta, req, now) {
 			continue
 		}
 		can := candidate{sta: sta, cost: sta.score(dis.opt.Zone)*float64(max(1, sta.Slots)) + tieBreak*dis.opt.Random()}
@@ -59,6 +73,12 @@
 	return list
 }
 
+// usable reports whether a unit has a free slot for the request, and nothing forbids to send it there now.
+func (dis *Dispatcher) usable(sta *unitState, req Request, now time.Time) bool {
+	return sta.hasCapacity(now) && !slices.Contains(req.Exclude, sta.ID) && !dis.lacksPermit(sta) &&
+		!dis.pauses[sta.Instance()].After(now) && !dis.opt.Breaker.IsOpen(sta.ID)
+}
+
 // equalize distributes requests over units, sorted by cost, so that those that get any reach the same cost. It returns these units and their cost.
 func equalize(list []candidate, requests float64) (filled []candidate, level float64) {
 	sum := requests
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -71,11 +71,14 @@
 type unitState struct {
 	Unit
 	// own is the work of this entry on the unit, remote that of the other entries that counts, and reported the sum of what each of them reports.
-	own           estimator.Work
-	remote        estimator.Work
-	reported      estimator.Work
-	faultRate     float64
-	slowness      float64
+	own       estimator.Work
+	remote    estimator.Work
+	reported  estimator.Work
+	faultRate float64
+	slowness  float64
+	// correction multiplies the predicted times, and grown is the memory that was committed recently.
+	correction    correction
+	grown         growth
 	fullUntil     time.Time
 	nextColdStart time.Time
 	// paced is set while the unit serves and is cold.
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -83,13 +83,13 @@
 // Predict returns what a unit with some work does with one more request; slowness multiplies all times.
 func (est *Estimator) Predict(wor Work, req Request, slowness float64) Prediction {
 	prompt, answer := bounded(req.PromptTokens), bounded(req.AnswerTokens)
-	unread := float64(wor.Unread + prompt)
 	writing := est.writingTime(wor)
+	// The request arrives in the middle of a pass, which reads a chunk of what waits.
+	running := min(float64(wor.Unread), est.chunk)
+	unread := float64(wor.Unread+prompt) - running
 	passes := max(1, math.Ceil(unread/est.chunk))
-	chunk := min(unread, est.chunk) * est.readToken
-	// The request arrives in the middle of a pass.
-	running := writing + min(float64(wor.Unread), est.chunk)*est.readToken
-	first := running/2 + passes*writing + unread*est.readToken + est.pairTime(prompt)
+	chunk := min(float64(wor.Unread+prompt), est.chunk) * est.readToken
+	first := (writing+running*est.readToken)/2 + passes*writing + unread*est.readToken + est.pairTime(prompt)
 	factor := est.pace * slowness
 	return Prediction{
 		FirstEvent:    seconds(first * factor),
@@ -100,7 +100,12 @@
 
 // ReadingRate returns how many prompt tokens a unit with some work reads per second while more wait than it reads in a pass.
 func (est *Estimator) ReadingRate(wor Work, slowness float64) float64 {
-	return est.chunk / ((est.writingTime(wor) + est.chunk*est.readToken) * est.pace * slowness)
+	return est.chunk / (est.PassTime(wor).Seconds() * slowness)
+}
+
+// PassTime returns the duration of a pass of a unit with some work that reads as much as it can.
+func (est *Estimator) PassTime(wor Work) time.Duration {
+	return seconds((est.writingTime(wor) + est.chunk*est.readToken) * est.pace)
 }
 
 // UsualRequest returns the mean size of requests.
--- a/gateserver/units.go
+++ b/gateserver/units.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lovagelever/lovagelever/dispatcher"
@@ -29,6 +30,8 @@
 	serviceByAddress map[string]string
 	// serverByHash maps the hashes of suspected instances in heartbeats to backend servers.
 	serverByHash map[uint64]registrar.Server
+	// badFigures is why the units of an engine have no estimator, empty if all have one.
+	badFigures string
 }
 
 // updateUnits keeps the list of units up to date with the list of backend servers and the configuration.
@@ -53,7 +56,7 @@
 	for _, grp := range vie.Groups {
 		ser, known := tab.Services[grp.Service]
 		if head, listed := grp.Head(); known && listed && ser.Engine != nil {
-			out.addGroup(ser, vie, grp, head, gat.estimatorOf(ser, grp))
+			out.addGroup(ser, vie, grp, head)
 		}
 	}
 	for _, one := range vie.Servers {
@@ -77,7 +80,7 @@
 	tab.members[uni.ID] = members
 }
 
-func (tab *unitTable) addGroup(ser router.Service, vie *registrar.View, grp registrar.Group, head registrar.Server, est *estimator.Estimator) {
+func (tab *unitTable) addGroup(ser router.Service, vie *registrar.View, grp registrar.Group, head registrar.Server) {
 	mod, known := modelOf(ser, grp.Model)
 	if !known {
 		return
@@ -87,8 +90,12 @@
 		Pool: gateway.PoolName(ser.Name, mod.Name), ServerID: head.ID, Started: head.Started, Address: head.Address, Zone: head.Zone,
 		Slots: ser.Engine.Slots, ColdUntil: head.ColdUntil, ColdPerSecond: ser.ColdRequestsPerSecond,
 		TypicalEventInterval: usualPause(ser.Engine, mod), Readiness: dispatcher.Stopping,
-		Estimator: est,
 	}
+	est, err := estimatorOf(*ser.Engine, mod, grp)
+	if err != nil {
+		tab.badFigures = errors.Annotatef(err, "service %s", ser.Name).Error()
+	}
+	uni.Estimator = est
 	var members []registrar.Server
 	for _, mem := range grp.Members {
 		members = append(members, mem)
@@ -101,24 +108,12 @@
 	tab.add(uni, members)
 }
 
-// estimatorOf returns the estimator of a group, or nil if the engine's figures do not suffice; its units are then chosen by their free slots.
-func (gat *Server) estimatorOf(ser router.Service, grp registrar.Group) *estimator.Estimator {
-	mod, known := modelOf(ser, grp.Model)
-	if !known {
-		return nil
-	}
-	if spansDomains(grp) && ser.Engine.FarFactor > 1 {
-		mod.TimeFactor *= ser.Engine.FarFactor
+// estimatorOf returns the estimator of a group; it fails with errors.NotValid if the engine's figures do not suffice for predictions.
+func estimatorOf(eng router.Engine, mod router.Model, grp registrar.Group) (*estimator.Estimator, error) {
+	if spansDomains(grp) {
+		mod.TimeFactor *= max(1, eng.FarFactor)
 	}
-	est, err := estimator.New(*ser.Engine, mod)
-	if err != nil {
-		if key := err.Error(); gat.badFigures != key {
-			gat.badFigures = key
-			gat.log.WithFields(logrus.Fields{"service": ser.Name, "model": mod.Name}).WithError(err).Warn("engine figures do not suffice for predictions, choosing units by free slots")
-		}
-		return nil
-	}
-	return est
+	return estimator.New(eng, mod)
 }
 
 // spansDomains reports whether the members of a group are in several fabric domains.
@@ -179,8 +174,11 @@
 	return router.Model{}, false
 }
 
-// logUnits logs the units whose readiness has changed.
+// logUnits logs the units whose readiness has changed, and engine figures that do not suffice.
 func (gat *Server) logUnits(old, now *unitTable) {
+	if now.badFigures != "" && now.badFigures != old.badFigures {
+		gat.log.WithField("why", now.badFigures).Warn("engine figures do not suffice for predictions, units are chosen by free slots")
+	}
 	was := map[string]dispatcher.Readiness{}
 	for _, uni := range old.list {
 		was[uni.ID] = uni.Readiness
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -362,14 +362,26 @@
 	if latest := job.deadline.Add(-cost); latest.Before(startBy) {
 		startBy = latest
 	}
-	return job.gat.opt.Dispatcher.Acquire(ctx, dispatcher.Request{
+	req := dispatcher.Request{
 		ID: job.cal.ID, Pool: job.pool(), Workspace: job.wsp.Name,
 		Priority: job.tab.Priority(job.rou, job.wsp), Resumed: opt.resumed,
 		Cost:    cost.Seconds() * costPerSecond,
 		Size:    job.size(),
 		StartBy: startBy, Deadline: job.deadline, Exclude: opt.exclude,
 		Late: now.After(objective) || job.cal.Timeout > 0 && job.cal.Timeout < job.rou.Timeout-job.rou.Objective,
-	})
+	}
+	if job.ser.Engine != nil {
+		req.MemoryTokens = max(0, job.cal.PromptTokens) + max(0, job.cal.AnswerTokens)
+		req.Objective, req.FirstEventWithin, req.MaxEventGap = objective, job.rou.Objective, job.rou.MaxEventGap
+		if !opt.resumed && !opt.atOnce {
+			req.HoldUntil = objective
+			req.LatestStart = job.arrived.Add(waitObjectives * job.rou.Objective)
+			if latest := job.deadline.Add(-stopWorkFactor * cost); latest.Before(req.LatestStart) {
+				req.LatestStart = latest
+			}
+		}
+	}
+	return job.gat.opt.Dispatcher.Acquire(ctx, req)
 }
 
 // size returns the size of a generation in tokens. The length of the answer is what callers expect, or else the most that they take.
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -203,6 +203,7 @@
 	}
 	if err == nil {
 		att.first = &eve
+		att.placement.FirstEvent()
 	}
 	return dispatcher.Served
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -13,6 +13,8 @@
 	defaultBodyBytes = 4 << 20
 	// queueWaitShare is the fraction of a route's objective that a request may wait for a slot; the rest is left for the backend server to run it.
 	queueWaitShare = 0.6
+	// waitObjectives is how long a stream may wait for a slot where units are chosen by predicted times, in multiples of the route's objective; callers abandon a stream after patienceObjectives.
+	waitObjectives = 2
 	// resumedQueueWait is how long a request that has partly run may wait for another slot; callers abandon a silent stream after callerPatience.
 	resumedQueueWait = 1200 * time.Millisecond
 	// A stopping entry accepts a request only if stopWorkFactor times its expected work, plus stopMargin, is left before the entry ends: streams on a full unit take up to three times as long.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -238,6 +238,7 @@
 		}
 		if eve.hasData {
 			num++
+			att.placement.FirstEvent()
 			wat.noteEvent()
 			rel.noteSound(wat)
 		}
@@ -283,7 +284,7 @@
 	rel.log.WithFields(logrus.Fields{
 		"route": rel.rou.Name, "pool": rel.pool(), "unit": rel.placement.Unit.ID, "sends": rel.sends, "objective_ms": rel.rou.Objective.Milliseconds(),
 		"after_ms": now.Sub(rel.arrived).Milliseconds(), "queued_ms": rel.queued.Milliseconds(), "unit_ms": now.Sub(rel.sentAt).Milliseconds(),
-		"unit_in_use": rel.placement.InUse, "unit_slots": rel.placement.Unit.Slots,
+		"unit_in_use": rel.placement.InUse, "unit_slots": rel.placement.Unit.Slots, "predicted_ms": rel.placement.Predicted().Milliseconds(),
 	}).Info("first event late")
 }
 
