--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -89,11 +89,9 @@
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
 
-	tailers map[string]*tailer.Tailer
-	tab     atomic.Pointer[router.Table]
-	units   atomic.Pointer[unitTable]
-	// badFigures is why the last engine had no estimator.
-	badFigures   string
+	tailers      map[string]*tailer.Tailer
+	tab          atomic.Pointer[router.Table]
+	units        atomic.Pointer[unitTable]
 	bounds       atomic.Pointer[gateconfigurer.Bounds]
 	stopping     atomic.Bool
 	endsAt       atomic.Pointer[time.Time]
@@ -272,6 +270,9 @@
 			gat.bud.SetEntries(live)
 			gat.reg.SetNoPeers(live == 1)
 			gat.forgetRateLimits()
+			for pool, factor := range gat.dis.Corrections() {
+				gat.mtr.RecordCorrection(pool, factor)
+			}
 		}
 	}
 }
--- a/gateserver/meter.go
+++ b/gateserver/meter.go
@@ -80,6 +80,11 @@
 	mtr.scope.Gauge("rate_limited_servers").Update(float64(num))
 }
 
+// RecordCorrection records by which factor the first events of a pool's slowest unit take longer than predicted.
+func (mtr *meter) RecordCorrection(pool string, factor float64) {
+	mtr.scope.Tagged(map[string]string{"pool": pool}).Gauge("first_event_correction").Update(factor)
+}
+
 // RecordModel records the numbers of replica groups and slots of a model.
 func (mtr *meter) RecordModel(service string, sta grouper.ModelState) {
 	sco := mtr.scope.Tagged(map[string]string{"service": service, "model": sta.Model})
