--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -303,6 +303,9 @@
 			gat.forgetRateLimits()
 			gat.mtr.recordHeld(gat.res)
 			zon.report()
+			for pool, factor := range gat.dis.Corrections() {
+				gat.mtr.RecordCorrection(pool, factor)
+			}
 		}
 	}
 }
--- a/gateserver/units.go
+++ b/gateserver/units.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lovagelever/lovagelever/dispatcher"
@@ -33,6 +34,8 @@
 	zoneByAddress map[string]string
 	// serverByHash maps the hashes of suspected instances in heartbeats to backend servers.
 	serverByHash map[uint64]registrar.Server
+	// badFigures is why the units of an engine have no estimator, empty if all have one.
+	badFigures string
 }
 
 // updateUnits keeps the list of units up to date with the list of backend servers and the configuration.
@@ -95,8 +98,11 @@
 		Slots: ser.Engine.Slots, ColdUntil: head.ColdUntil, ColdPerSecond: ser.ColdRequestsPerSecond,
 		TypicalEventInterval: usualPause(ser.Engine, mod), Readiness: dispatcher.Stopping,
 	}
-	// Without an estimator the unit is chosen by its free slots.
-	uni.Estimator, _ = estimator.New(*ser.Engine, mod)
+	est, err := estimatorOf(*ser.Engine, mod, grp)
+	if err != nil {
+		tab.badFigures = errors.Annotatef(err, "service %s", ser.Name).Error()
+	}
+	uni.Estimator = est
 	var members []registrar.Server
 	for _, mem := range grp.Members {
 		members = append(members, mem)
@@ -109,6 +115,28 @@
 	tab.add(uni, members)
 }
 
+// estimatorOf returns the estimator of a group; it fails with errors.NotValid if the engine's figures do not suffice for predictions.
+func estimatorOf(eng router.Engine, mod router.Model, grp registrar.Group) (*estimator.Estimator, error) {
+	if spansDomains(grp) {
+		mod.TimeFactor *= max(1, eng.FarFactor)
+	}
+	return estimator.New(eng, mod)
+}
+
+// spansDomains reports whether the members of a group are in several fabric domains.
+func spansDomains(grp registrar.Group) bool {
+	domain := ""
+	for _, mem := range grp.Members {
+		if domain == "" {
+			domain = mem.Domain
+		}
+		if mem.Domain != "" && mem.Domain != domain {
+			return true
+		}
+	}
+	return false
+}
+
 // readinessOfMembers returns the readiness of a group that takes no requests. It is broken when its head reports so or nothing listens at the address of a member, unless that drains: it then stops listening while its group still has work. It is only suspected when a member does not answer: a sound server may be silent for a moment, or this entry may be too busy to read the answer.
 func readinessOfMembers(vie *registrar.View, grp registrar.Group, head registrar.Server) dispatcher.Readiness {
 	if head.Group.State == registrar.Broken {
@@ -153,8 +181,11 @@
 	return router.Model{}, false
 }
 
-// logUnits logs the units whose readiness has changed.
+// logUnits logs the units whose readiness has changed, and engine figures that do not suffice.
 func (gat *Server) logUnits(old, now *unitTable) {
+	if now.badFigures != "" && now.badFigures != old.badFigures {
+		gat.log.WithField("why", now.badFigures).Warn("engine figures do not suffice for predictions, units are chosen by free slots")
+	}
 	was := map[string]dispatcher.Readiness{}
 	for _, uni := range old.list {
 		was[uni.ID] = uni.Readiness
--- a/gateway/read_ahead.go
+++ b/gateway/read_ahead.go
@@ -81,6 +81,7 @@
 		}
 		if eve.hasData {
 			rea.num++
+			rea.att.placement.FirstEvent()
 			rea.wat.noteEvent()
 			rea.rel.noteSound(rea.wat)
 		}
