--- a/spiller/spiller.go
+++ b/spiller/spiller.go
@@ -10,9 +10,9 @@
 	// needShare is the share of an objective from which requests at home are at risk: predictions don't contain those that are under way.
 	needShare = 0.5
 	// roomShare is the share of an objective above which a zone is short itself.
-	roomShare = 0.75
+	roomShare = 0.9
 	// worthShare is the share of an objective by which leaving must be faster to be worth the traffic between zones.
-	worthShare = 0.1
+	worthShare = 0.05
 	// reactionTime is added to the age of loads for the time in which a request that was sent shows in them.
 	reactionTime = 100 * time.Millisecond
 	// integralDelays is how many delays the integral part takes to add what the proportional part gives at once.
