--- a/prover/gate_deployment_test.go
+++ b/prover/gate_deployment_test.go
@@ -36,6 +36,7 @@
 	poolService      = "pool"
 	deskService      = "desk"
 	gateStopGrace    = 8 * time.Second
+	gateMemoryMB     = 184
 	gateStartTimeout = 15 * time.Second
 	streamWork       = 30 * time.Millisecond
 	deskWork         = 40 * time.Millisecond
@@ -205,9 +206,9 @@
 address: %s
 listen: {callers: "%[3]s:8000", readiness: "%[3]s:8001", directory: "%[3]s:8002", entries: "%[3]s:8003", metrics: "%[3]s:8004", forwarding: "%[3]s:8005"}
 store: {address: %q, shortest_lease: 1000ms}
-memory_mb: 284
+memory_mb: %d
 bounds: {stop_grace: %v, longest_directory_validity: 5s, retry_ratio: 0.2, retry_slack: 105, retry_window: 10s, load_window: 5s}
-`, num, gateZone(num), ip, storeLink, gateStopGrace)
+`, num, gateZone(num), ip, storeLink, gateMemoryMB, gateStopGrace)
 	file := filepath.Join(gts.dir, fmt.Sprintf("gate-%d.yaml", num))
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
 	pro := startProcess(gts.dir, fmt.Sprintf("gate-%d", num), "lovagelever", "gate", "--settings", file)
--- a/prover/gate_fault_test.go
+++ b/prover/gate_fault_test.go
@@ -26,7 +26,7 @@
 	storeBusy   = storeFault("store refuses two entries as busy", func(flt *storefaker.Faults) { flt.BusySources = []string{gateIP(1), gateIP(3)} })
 	// gateFaults lists the fault generators of the soak test.
 	gateFaults = []gateFaultGenerator{
-		killGate, pauseGate, stopGate, reloadGate, partitionFromStore, partitionFromWorker, cutGate, cutGate, resetWorker, slowNetwork, killWorker, killWorker, drainWorker, pauseWorker, limitWorker, delayOrders, spoilAnswers, spoilAnswers,
+		killGate, pauseGate, stopGate, reloadGate, partitionFromStore, partitionFromWorker, cutGate, cutGate, resetWorker, slowNetwork, killWorker, killWorker, drainWorker, pauseWorker, limitWorker, delayOrders, spoilAnswers, spoilAnswers, slowWorker, slowCallers,
 		storeDown, storePause, storeSlow, storeLosing, storeBusy, dropHistory, restoreStore, reassignLeases, takeZoneOut, changeRoutes,
 	}
 )
@@ -248,6 +248,28 @@
 	}
 }
 
+// slowWorker has a backend server read requests slowly.
+func slowWorker(gts *gates, rng *rand.Rand) fault {
+	zone, num := randomWorker(rng)
+	id := workerID(zone, num)
+	pause := randomDuration(rng, 20*time.Millisecond, time.Second)
+	return fault{
+		name: fmt.Sprintf("%s reads with pauses of %v", id, pause), target: "worker at " + workerIP(zone, num),
+		begin: func() { gts.wor.SetReadPause(id, pause) }, end: func() { gts.wor.SetReadPause(id, 0) },
+	}
+}
+
+// slowCallers adds callers of one entry that get large answers and read them slowly.
+func slowCallers(gts *gates, rng *rand.Rand) fault {
+	num := 1 + rng.IntN(gateCount)
+	pause := randomDuration(rng, 20*time.Millisecond, time.Second)
+	var stop func()
+	return fault{
+		name: fmt.Sprintf("callers of gate-%d read with pauses of %v", num, pause), target: "slow callers",
+		begin: func() { stop = gts.slowLoad(rng, num, slowSoakCallers, pause) }, end: func() { stop() },
+	}
+}
+
 // spoilAnswers makes a backend server end its answers with the connection, end them early, or send them without end.
 func spoilAnswers(gts *gates, rng *rand.Rand) fault {
 	zone, num := randomWorker(rng)
