Keep servers on standby only as far as the demand allows

Cause: after many servers left at once the count of lost servers kept groups on standby while those that served were asked for more than they could do.

Change: servers stand by only while the others serve the demand at the utilization that a donor of groups keeps.

Result: go test ./grouper passes, with a spec that fixes both sides.

--- a/grouper/demand_test.go
+++ b/grouper/demand_test.go
@@ -239,6 +239,23 @@
 		Expect(12*sce.openGroups("large") + 6*sce.openGroups("small")).To(Equal(144))
 	})
 
+	// Guards against servers that stand by for later losses while callers wait for those that serve.
+	It("keeps as many servers on standby as were lost lately, but none while the demand needs all", func() {
+		for _, cas := range []struct {
+			factor  float64
+			standby int
+		}{{0.4, 36 - 18}, {1.6, 0}} {
+			sce := newScene(false, func(int, string, time.Duration) float64 { return cas.factor })
+			sce.observe()
+			sce.inp.Lost = 36
+			sum := 0
+			for _, sta := range sce.plan().Models {
+				sum += sta.Target * tokenEngine.Models[slices.IndexFunc(tokenEngine.Models, func(mod router.Model) bool { return mod.Name == sta.Model })].Size
+			}
+			Expect(144-sum).To(Equal(cas.standby), "factor %v", cas.factor)
+		}
+	})
+
 	for _, cas := range []struct {
 		name string
 		// demand returns the load for a seed.
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -275,8 +275,8 @@
 	return out
 }
 
-// room returns how many servers can serve in groups, and how many groups of each model there is room for. A group takes servers of one domain, and as many servers as were lost lately stand by.
-func (rnd *round) room() (servers int, limits map[string]int) {
+// room returns how many servers there are for groups, how many of them should stand by, and how many groups of each model there is room for. A group takes servers of one domain. As many servers stand by as were lost lately, first those that fill no group.
+func (rnd *round) room() (servers, standby int, limits map[string]int) {
 	smallest := slices.MinFunc(rnd.inp.Engine.Models, func(one, two router.Model) int { return cmp.Compare(one.Size, two.Size) }).Size
 	byDomain := map[string]int{}
 	for _, ser := range rnd.usable() {
@@ -291,7 +291,7 @@
 			limits[mod.Name] += num / mod.Size
 		}
 	}
-	return servers - max(0, int(math.Round(rnd.inp.Lost))-leftOver), limits
+	return servers, max(0, int(math.Round(rnd.inp.Lost))-leftOver), limits
 }
 
 // modelStates returns the supply of each model.
--- a/grouper/sizing.go
+++ b/grouper/sizing.go
@@ -35,8 +35,10 @@
 	return siz
 }
 
-// targets returns the number of groups of each model for a number of servers; limits bounds the groups of a model. While each model is comfortable with what the shares of the configuration give it, these are the targets.
-func (siz *sizing) targets(servers int, limits map[string]int) map[string]int {
+// targets returns the number of groups of each model for a number of servers, of which some stand by as far as the demand allows; limits bounds the groups of a model. While each model is comfortable with what the shares of the configuration give it, these are the targets.
+func (siz *sizing) targets(servers, standby int, limits map[string]int) map[string]int {
+	spare := float64(servers) - siz.servers(donorUtilization)
+	servers -= max(0, min(standby, int(spare)))
 	usual := divide(siz.models, servers, shareLoads(siz.models), limits)
 	if siz.suffices(usual) {
 		return usual
