--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -112,8 +112,8 @@
 
 // ZoneState is the supply of one model in an availability zone: its groups there, and the share of the model's work that is asked for there.
 type ZoneState struct {
-	Groups int
-	Share  float64
+	Groups int     `json:"groups"`
+	Share  float64 `json:"share"`
 }
 
 // round is the state of one planning round.
