Divide the room of pools among workspaces over all entries

Cause: each entry's queue shares only what reaches that entry. Many entries with short queues share nothing: a workspace that floods the entries takes what it asks for.

Change: the new package sharer measures started and refused work by class (pool and priority) and workspace. Heartbeats carry the use of an entry, totals the limits that a collector computes. While work is refused, each entry admits the same part of an excessive workspace's requests and refuses the rest at once. The dispatcher asks for it before it allocates a slot; without workspaces or refusals nothing changes.

Not in it: weights, which the configuration does not have; metrics; a reserve of the last room of a unit for more urgent requests.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -31,6 +31,8 @@
 	Breaker    Breaker
 	RateLimits RateLimits
 	Random     func() float64
+	// Shares by default divides nothing.
+	Shares Shares
 }
 
 // Request asks for a slot of any unit in a pool.
@@ -124,6 +126,9 @@
 	if opt.RateLimits == nil {
 		opt.RateLimits = noRateLimits{}
 	}
+	if opt.Shares == nil {
+		opt.Shares = noShares{}
+	}
 	return &Dispatcher{opt: opt, units: map[string]*unitState{}, pools: map[string]*pool{}, remoteByEntry: map[string]map[string]estimator.Work{}, entries: 1, pauses: map[registrar.Instance]time.Time{}}
 }
 
@@ -144,8 +149,8 @@
 	since time.Time
 }
 
-// Acquire allocates a slot, waiting for one until StartBy; it fails at once with a refuser.Refusal when none can become free in time.
-func (dis *Dispatcher) Acquire(ctx context.Context, req Request) (*Placement, error) {
+// acquire allocates a slot whatever the share of the workspace.
+func (dis *Dispatcher) acquire(ctx context.Context, req Request) (*Placement, error) {
 	wai, ans := dis.enqueue(req)
 	if wai == nil {
 		return ans.placement, ans.err
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -36,6 +36,7 @@
 	"github.com/lovagelever/lovagelever/registrar"
 	"github.com/lovagelever/lovagelever/router"
 	"github.com/lovagelever/lovagelever/sender"
+	"github.com/lovagelever/lovagelever/sharer"
 	"github.com/lovagelever/lovagelever/tailer"
 )
 
@@ -84,6 +85,7 @@
 	inv *investigator.Investigator
 	com *compressor.Compressor
 	lim *ratelimiter.RateLimiter
+	sha *sharer.Sharer
 	per *permitter.Permitter
 	lin *linkchecker.Checker
 	pic *peerpicker.Picker
@@ -155,7 +157,8 @@
 func (gat *Server) buildRequestPath(source net.IP) {
 	bou := gat.set.Bounds
 	gat.lim = ratelimiter.New(gat.clk)
-	gat.dis = dispatcher.New(dispatcher.Options{Zone: gat.set.Zone, Clock: gat.clk, Breaker: breaker.New(breaker.Options{Clock: gat.clk}), RateLimits: gat.lim})
+	gat.sha = sharer.New(sharer.Options{Clock: gat.clk})
+	gat.dis = dispatcher.New(dispatcher.Options{Zone: gat.set.Zone, Clock: gat.clk, Breaker: breaker.New(breaker.Options{Clock: gat.clk}), RateLimits: gat.lim, Shares: gat.sha})
 	gat.bud = budgeter.New(budgeter.Options{Ratio: bou.RetryRatio, Slack: bou.RetrySlack, Window: bou.RetryWindow, Clock: gat.clk})
 	gat.sen = sender.New(&linkDialer{Dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, KeepAlive: -1}, lin: gat.lin, serviceAt: gat.serviceAt}, gat.clk, dialTimeout)
 	gat.det = detector.New(detector.Options{
--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -41,7 +41,7 @@
 	bea := heartbeater.Heartbeat{
 		Name: gat.set.Name, Incarnation: gat.self.Incarnation, Seq: gat.heartbeatSeq.Add(1),
 		Stopping: gat.stopping.Load(), Running: map[uint64]estimator.Work{}, Alive: map[uint64]bool{},
-		ExchangesWork: true, Demand: gat.ownDemand(),
+		ExchangesWork: true, Demand: gat.ownDemand(), Uses: gat.sha.Own(),
 	}
 	alive := gat.det.ActiveUnits()
 	bea.Fresh = gat.upToDate() && gat.nom.Reads()
@@ -247,6 +247,7 @@
 func (gat *Server) onPeerSilent(name string) {
 	gat.dis.SetRemoteLoad(name, nil)
 	gat.onDemand(name, nil)
+	gat.sha.SetRemote(name, nil)
 	gat.workPeers.Delete(name)
 	gat.upToDatePeers.Delete(name)
 	gat.pic.RecordSilent(name, nil)
--- a/gateserver/totals.go
+++ b/gateserver/totals.go
@@ -62,13 +62,14 @@
 		all[uint32(hash(unit))] = wor
 	}
 	silent := gat.silentPeers()
+	limits := gat.sha.Limits()
 	seq := gat.totalsSeq.Add(1)
 	out := map[heartbeater.Peer]heartbeater.Totals{}
 	for _, pee := range peers {
 		if slices.Contains(names, pee.Name) || hash(pee.Name)%uint64(len(names)) != uint64(own) {
 			continue
 		}
-		tot := heartbeater.Totals{Name: gat.set.Name, Incarnation: gat.self.Incarnation, Seq: seq, Silent: silent, RequestsOnly: !gat.exchangesWork(pee.Name)}
+		tot := heartbeater.Totals{Name: gat.set.Name, Incarnation: gat.self.Incarnation, Seq: seq, Silent: silent, Limits: limits, RequestsOnly: !gat.exchangesWork(pee.Name)}
 		tot.Work = without(all, gat.dis.RemoteLoad(pee.Name))
 		tot.Running = requestsOf(tot.Work)
 		out[pee] = tot
@@ -105,6 +106,9 @@
 		return
 	}
 	gat.noteSilent(tot.Silent)
+	if !tot.RequestsOnly {
+		gat.sha.SetLimits(tot.Limits, gat.clk.Now().Add(totalsTTL))
+	}
 	byHash := gat.units.Load().unitByShortHash
 	running := make(map[string]estimator.Work, len(tot.Running))
 	for key, num := range tot.Running {
@@ -123,9 +127,10 @@
 	gat.dis.SetRemoteTotals(running, totalsAge, gat.clk.Now().Add(totalsTTL))
 }
 
-// noteExchange records what a heartbeat says about work in tokens and about demand.
+// noteExchange records what a heartbeat says about work in tokens, the use of workspaces and demand.
 func (gat *Server) noteExchange(bea heartbeater.Heartbeat) {
 	gat.workPeers.Store(bea.Name, bea.ExchangesWork)
+	gat.sha.SetRemote(bea.Name, bea.Uses)
 	gat.onDemand(bea.Name, bea.Demand)
 }
 
--- a/heartbeater/beat.go
+++ b/heartbeater/beat.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/lovagelever/lovagelever/estimator"
+	"github.com/lovagelever/lovagelever/sharer"
 )
 
 const (
@@ -48,6 +49,8 @@
 	ExchangesWork bool
 	// Demand is what the callers of the entry ask for, with one element for each pool.
 	Demand []Demand
+	// Uses is the use of the workspaces at the entry in classes that are short of room.
+	Uses []sharer.Use
 }
 
 // Encode returns the wire format of a heartbeat; items that do not fit into one packet are omitted.
@@ -115,6 +118,7 @@
 		ends = append(ends, uint64(max(0, end)))
 	}
 	more.addDemands(bea.Demand)
+	more.addUses(bea.Uses)
 	// Each of the four lists has its length, and the fields have it twice.
 	room := maxDatagramBytes - len(out) - ends.bytes() - more.bytes() - 5*lengthBytes
 	// Entries of earlier versions take the services among the suspects for servers that they do not know.
@@ -153,6 +157,7 @@
 	ends, more := rea.readEnds(bea.ExchangesWork)
 	bea.TopicEnds = ends
 	bea.Demand = more.demands()
+	bea.Uses = more.uses()
 	work := more.work()
 	for num := rea.readUvarint(); num > 0 && !rea.malformed; num-- {
 		bea.Suspects = append(bea.Suspects, rea.readUint64())
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -15,12 +15,14 @@
 
 	"github.com/lovagelever/lovagelever/estimator"
 	"github.com/lovagelever/lovagelever/heartbeater"
+	"github.com/lovagelever/lovagelever/sharer"
 )
 
 var full = heartbeater.Heartbeat{
 	Name: "edge-1", Incarnation: 1 << 60, Seq: 300, Stopping: true, Fresh: true, Leads: true, Silent: []uint64{77, 1 << 62}, TopicEnds: []int64{5, 0, 700},
 	Running: map[uint64]estimator.Work{1: {Requests: 3, Unread: 1472, Committed: 5120}, 1 << 63: {Requests: 20}}, Alive: map[uint64]bool{1: true}, Suspects: []uint64{9, 8},
 	ExchangesWork: true, Demand: []heartbeater.Demand{{Pool: 1 << 63, Demand: estimator.Demand{Requests: 1.25, PromptTokens: 900, AnswerTokens: 30}}},
+	Uses: []sharer.Use{{Key: sharer.Key{Class: 1 << 31, Workspace: 2}, Started: 800, Refused: 40, Limited: 3}},
 }
 
 var _ = Describe("Heartbeat", func() {
@@ -57,6 +59,7 @@
 	It("are unchanged by encoding and decoding, and rejected when truncated at any byte", func() {
 		want := heartbeater.Totals{Name: "edge-1", Incarnation: 1 << 60, Seq: 7, Running: map[uint32]int{1: 3, 1 << 31: 700}, Silent: []uint32{5, 1 << 31}}
 		want.Work = map[uint32]estimator.Work{1: {Requests: 3, Unread: 640, Committed: 2560}, 1 << 31: {Requests: 700}}
+		want.Limits = []sharer.Limit{{Key: sharer.Key{Class: 1 << 31, Workspace: 2}, Part: 0.25}, {Key: sharer.Key{Class: 7}, Part: 1}}
 		data := heartbeater.EncodeTotals(want)
 		got, err := heartbeater.DecodeTotals(data)
 		Expect(err).NotTo(HaveOccurred())
--- a/heartbeater/totals.go
+++ b/heartbeater/totals.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/lovagelever/lovagelever/estimator"
+	"github.com/lovagelever/lovagelever/sharer"
 )
 
 const (
@@ -29,6 +30,8 @@
 	Work map[uint32]estimator.Work
 	// Silent lists the entries from which the sender has heard nothing for a while, by the lower half of the hashes of their names.
 	Silent []uint32
+	// Limits are the limits of workspaces that follow from the use of all entries.
+	Limits []sharer.Limit
 	// RequestsOnly says that the receiver is of a version that does not know of work in tokens.
 	RequestsOnly bool
 }
@@ -47,6 +50,9 @@
 	for _, name := range tot.Silent {
 		out = binary.BigEndian.AppendUint32(out, name)
 	}
+	if !tot.RequestsOnly {
+		out = appendLimits(out, tot.Limits)
+	}
 	units := make([]uint32, 0, len(tot.Running))
 	for uni := range tot.Running {
 		units = append(units, uni)
@@ -96,6 +102,9 @@
 	for num := rea.readUvarint(); num > 0 && !rea.malformed; num-- {
 		tot.Silent = append(tot.Silent, rea.readUint32())
 	}
+	if !tot.RequestsOnly {
+		tot.Limits = rea.readShareLimits()
+	}
 	var units []uint32
 	for num := rea.readUvarint(); num > 0 && !rea.malformed; num-- {
 		uni := rea.readUint32()
--- a/heartbeater/work.go
+++ b/heartbeater/work.go
@@ -87,9 +87,8 @@
 	var out []Demand
 	for num := min(fie.next(), maxDemands); num > 0 && len(*fie) >= width; num-- {
 		dem := Demand{Pool: fie.next()}
-		dem.Requests = float64(min(fie.next(), maxRate)) / rateResolution
-		dem.PromptTokens = float64(min(fie.next(), maxRate))
-		dem.AnswerTokens = float64(min(fie.next(), maxRate))
+		dem.Requests = fie.rate() / rateResolution
+		dem.PromptTokens, dem.AnswerTokens = fie.rate(), fie.rate()
 		out = append(out, dem)
 	}
 	return out
