--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -207,7 +207,7 @@
 	defer dis.mux.Unlock()
 	poo := dis.pools[req.Pool]
 	if poo == nil {
-		return nil, answer{err: refuser.NotRun("no unit of "+req.Pool+" is serving", refuser.DefaultRetryAfter)}
+		return nil, answer{err: noUnitServing(req.Pool)}
 	}
 	req = poo.extend(req)
 	poo.arrivals.record(dis.opt.Clock.Now())
--- a/dispatcher/pause.go
+++ b/dispatcher/pause.go
@@ -76,7 +76,11 @@
 	if free.After(now) {
 		return refuser.NotRun("every unit of "+req.Pool+" wants a pause or is at its rate limit", free.Sub(now))
 	}
-	return refuser.NotRun("no unit of "+req.Pool+" is serving", refuser.DefaultRetryAfter)
+	return noUnitServing(req.Pool)
+}
+
+func noUnitServing(pool string) error {
+	return refuser.NotRun("no unit of "+pool+" is serving", refuser.DefaultRetryAfter)
 }
 
 // refuseUnavailable refuses the waiting requests that no unit can start in time.
--- a/explainer/explanation.go
+++ b/explainer/explanation.go
@@ -26,7 +26,7 @@
 	RetryAfterMS float64 `json:"retry_after_ms,omitempty"`
 }
 
-// Explanation says where a request would go now. Units are in the order in which the entry prefers them; Selected is the unit that it would draw, empty if the request would wait or be refused.
+// Explanation says where a request would go now. Units are in the order of preference, those of the entry's availability zone first; Preferred is the first of them, empty if the request would wait or be refused. The entry spreads requests over the units that are about as good. Leaving is the share of requests that goes to other zones.
 type Explanation struct {
 	Entry            string   `json:"entry"`
 	AvailabilityZone string   `json:"availability_zone"`
@@ -38,7 +38,8 @@
 	Priority         int      `json:"priority"`
 	ObjectiveMS      int64    `json:"objective_ms,omitempty"`
 	Waiting          int      `json:"waiting"`
-	Selected         string   `json:"selected,omitempty"`
+	Leaving          float64  `json:"leaving_zone_share"`
+	Preferred        string   `json:"preferred,omitempty"`
 	Units            []Unit   `json:"units,omitempty"`
 	Refusal          *Refusal `json:"refusal,omitempty"`
 }
@@ -49,7 +50,7 @@
 	out.printf("entry %s in %s, configuration %d\n", exp.Entry, exp.AvailabilityZone, exp.ConfigVersion)
 	if exp.Route != "" {
 		out.printf("route %s to %s, workspace %q, priority %d, first event within %d ms\n", exp.Route, exp.Pool, exp.Workspace, exp.Priority, exp.ObjectiveMS)
-		out.printf("%d requests wait at this entry\n", exp.Waiting)
+		out.printf("%d requests wait at this entry, %.2f of all leave the availability zone\n", exp.Waiting, exp.Leaving)
 	}
 	switch {
 	case exp.Refusal != nil:
@@ -58,10 +59,10 @@
 			out.printf(" (retry after %.0f ms)", exp.Refusal.RetryAfterMS)
 		}
 		out.printf("\n")
-	case exp.Selected == "":
+	case exp.Preferred == "":
 		out.printf("would wait in the queue\n")
 	default:
-		out.printf("would go to %s\n", exp.Selected)
+		out.printf("would go to %s, or to one that is about as good\n", exp.Preferred)
 	}
 	for _, uni := range exp.Units {
 		uni.write(out)
--- a/gateserver/run.go
+++ b/gateserver/run.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lovagelever/lovagelever/explainer"
 	"github.com/lovagelever/lovagelever/gateconfigurer"
 	"github.com/lovagelever/lovagelever/gateway"
 	"github.com/lovagelever/lovagelever/messenger"
@@ -93,6 +94,7 @@
 	keep := min(directoryValidity, gat.set.Bounds.LongestDirectoryValidity)
 	metrics := echo.New()
 	metrics.GET("/metrics", echo.WrapHandler(gat.mtr.handler()))
+	metrics.GET(explainer.Path, gat.explain)
 	out := []*http.Server{
 		callers,
 		{Addr: gat.set.Listen.Readiness, Handler: gat.pla.Readiness(gat.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -244,11 +244,7 @@
 		return refuser.NotRun("no service has a share of route "+job.rou.Name, refuser.DefaultRetryAfter)
 	}
 	job.ser = ser
-	wait := job.rou.Timeout
-	if job.cal.Timeout > 0 && (wait <= 0 || job.cal.Timeout < wait) {
-		wait = job.cal.Timeout
-	}
-	job.deadline = job.arrived.Add(wait)
+	job.setDeadline()
 	if why := job.gat.opt.Reserver.Admit(); why != "" {
 		return elsewhere("the memory of this entry is in use: "+string(why), retryAfterNoMemory)
 	}
@@ -261,6 +257,14 @@
 	return nil
 }
 
+func (job *job) setDeadline() {
+	wait := job.rou.Timeout
+	if job.cal.Timeout > 0 && (wait <= 0 || job.cal.Timeout < wait) {
+		wait = job.cal.Timeout
+	}
+	job.deadline = job.arrived.Add(wait)
+}
+
 func (job *job) findRoute() error {
 	job.target = job.req.RequestURI
 	if !strings.HasPrefix(job.target, "/") {
@@ -394,6 +398,11 @@
 }
 
 func (job *job) allocate(ctx context.Context, opt placeOptions) (*dispatcher.Placement, error) {
+	return job.gat.opt.Dispatcher.Acquire(ctx, job.slotRequest(opt))
+}
+
+// slotRequest returns the request for a slot.
+func (job *job) slotRequest(opt placeOptions) dispatcher.Request {
 	now := job.gat.opt.Clock.Now()
 	cost := job.expectedWork()
 	objective := job.arrived.Add(job.rou.Objective)
@@ -426,7 +435,7 @@
 			}
 		}
 	}
-	return job.gat.opt.Dispatcher.Acquire(ctx, req)
+	return req
 }
 
 // size returns the size of a generation in tokens. The length of the answer is what callers expect, or else the most that they take.
