Keep servers on standby, and give up groups only for overloaded models or survivors

Cause: with the planning by work all servers served from the start and open groups were given up wherever the work served in time rose.

A fifth of the servers stands by again as far as the demand allows it, the start follows the shares of the configuration, and groups are given up where the demand overloads a model or most members are survivors.

--- a/grouper/convert.go
+++ b/grouper/convert.go
@@ -4,23 +4,16 @@
 	"maps"
 	"math"
 	"slices"
-	"time"
 
 	"github.com/lovagelever/lovagelever/registrar"
 	"github.com/lovagelever/lovagelever/router"
 )
 
 const (
-	// reassignUtilization is the slot utilization of a model from which other models give up groups for it even where no group of it has survivors. It is above scaleUpUtilization, so that standby groups are used first.
+	// reassignUtilization is the utilization of a model from which other models give up groups for it even where no group of it has survivors. It is above scaleUpUtilization, so that standby groups are used first.
 	reassignUtilization = 0.9
-	// donorUtilization is the slot utilization that a donor model may reach on the groups that it keeps. It is below scaleUpUtilization, so that the donor does not ask for the groups back at once.
+	// donorUtilization is the utilization that a donor model may reach on the groups that it keeps. It is below scaleUpUtilization, so that the donor does not ask for the groups back at once.
 	donorUtilization = 0.7
-	// demandHorizon is for how long demand is expected to stay as it is.
-	demandHorizon = 10 * time.Second
-	// drainTime is how long a group usually finishes its requests after it is closed.
-	drainTime = time.Second
-	// minGain is the share of a new group, over demandHorizon, that must be used for other groups to be given up for it.
-	minGain = 0.1
 )
 
 // reassign dissolves surplus groups of other models where their servers, together with idle ones, can form a group of a model without any load from the weight store. The new group is formed in a later round, once the servers are free. reassign reports false when there are no such groups.
@@ -58,54 +51,18 @@
 	return true
 }
 
-// isWorth reports whether open groups are given up for a new group of a model. Without a known demand that is where most members of the new group are survivors of an earlier group of the model, and elsewhere if the model is overloaded.
+// isWorth reports whether open groups are given up for a new group of a model: where most members of the new group are survivors of an earlier group of the model, and elsewhere if the model is overloaded.
 func (rnd *round) isWorth(mod router.Model, cho choice, taken []Formation) bool {
-	if rnd.sizing != nil {
-		return rnd.lacksMost(mod, taken) && rnd.gain(mod, cho, taken) > 0
-	}
-	loa := rnd.inp.Loads[mod.Name]
-	overloaded := float64(loa.InUse+loa.Waiting) >= reassignUtilization*float64(loa.Slots)
-	return (overloaded || 2*cho.loaded > mod.Size) && rnd.canSpare(taken)
+	return (rnd.overloaded(mod) || 2*cho.loaded > mod.Size) && rnd.canSpare(taken)
 }
 
-// lacksMost reports whether a model still lacks the largest share of its groups when some groups of others are given up, so that it gets their servers.
-func (rnd *round) lacksMost(mod router.Model, taken []Formation) bool {
-	left := rnd.groupCounts()
-	for _, frm := range taken {
-		left[frm.Model]--
-	}
-	for _, oth := range rnd.inp.Engine.Models {
-		if oth.Name != mod.Name && rnd.missing(oth.Name, left[oth.Name]) >= rnd.missing(mod.Name, left[mod.Name]) {
-			return false
-		}
-	}
-	return true
-}
-
-// gain returns the work that is served in time within demandHorizon by giving up groups for a new one of a model, in seconds of a server, less what it must exceed. Meanwhile the groups that are given up are missing and the new one does not serve yet. What is served after it is more than before, so that no two conversions undo each other while the demand stays.
-func (rnd *round) gain(mod router.Model, cho choice, taken []Formation) float64 {
-	groups := rnd.groupCounts()
-	before := rnd.sizing.served(groups)
-	for _, frm := range taken {
-		groups[frm.Model]--
-	}
-	during := rnd.sizing.served(groups)
-	groups[mod.Name]++
-	after := rnd.sizing.served(groups)
-	takes := cho.readyIn
-	if len(taken) > 0 {
-		takes += drainTime
-	}
-	return (after-before)*(demandHorizon-takes).Seconds() - (before-during)*takes.Seconds() - minGain*float64(mod.Size)*demandHorizon.Seconds()
-}
-
-// groupCounts returns the number of groups of each model that serve or are being formed to serve.
-func (rnd *round) groupCounts() map[string]int {
-	out := map[string]int{}
-	for name, frms := range rnd.active {
-		out[name] = len(frms)
+// overloaded reports whether the demand of a model exceeds what its groups serve at scaleUpUtilization, or else its load what they serve at reassignUtilization, since slots in use follow the load late.
+func (rnd *round) overloaded(mod router.Model) bool {
+	if rnd.sizing != nil {
+		return rnd.sizing.needed(mod.Name, scaleUpUtilization) > float64(len(rnd.active[mod.Name]))
 	}
-	return out
+	loa := rnd.inp.Loads[mod.Name]
+	return float64(loa.InUse+loa.Waiting) >= reassignUtilization*float64(loa.Slots)
 }
 
 // awaitsEnough reports whether servers are about to be released in as many domains as the model lacks groups.
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -275,7 +275,7 @@
 	return out
 }
 
-// room returns how many servers there are for groups, how many of them should stand by, and how many groups of each model there is room for. A group takes servers of one domain. As many servers stand by as were lost lately, first those that fill no group.
+// room returns how many servers there are for groups, how many of them should stand by, and how many groups of each model there is room for. A group takes servers of one domain. As many servers stand by as were lost lately, at least those of which servingShare is the rest, and first those that fill no group.
 func (rnd *round) room() (servers, standby int, limits map[string]int) {
 	smallest := slices.MinFunc(rnd.inp.Engine.Models, func(one, two router.Model) int { return cmp.Compare(one.Size, two.Size) }).Size
 	byDomain := map[string]int{}
@@ -291,7 +291,8 @@
 			limits[mod.Name] += num / mod.Size
 		}
 	}
-	return servers, max(0, int(math.Round(rnd.inp.Lost))-leftOver), limits
+	standby = max(int(math.Round(rnd.inp.Lost)), int((1-servingShare)*float64(len(rnd.usable()))))
+	return servers, max(0, standby-leftOver), limits
 }
 
 // modelStates returns the supply of each model.
@@ -335,7 +336,7 @@
 	var best router.Model
 	largest := 0.0
 	for _, mod := range rnd.inp.Engine.Models {
-		missing := rnd.missing(mod.Name, len(rnd.active[mod.Name]))
+		missing := 1 - float64(len(rnd.active[mod.Name]))/float64(rnd.targets[mod.Name])
 		if missing > largest && !skipped[mod.Name] {
 			best, largest = mod, missing
 		}
@@ -343,11 +344,6 @@
 	return best, largest > 0
 }
 
-// missing returns the share of its groups that a model lacks if it has a number of them.
-func (rnd *round) missing(model string, groups int) float64 {
-	return 1 - float64(groups)/float64(rnd.targets[model])
-}
-
 // openStandby opens a ready standby group of the model, in the availability zone that lacks most of its groups. It reports false when there is none.
 func (rnd *round) openStandby(mod router.Model) bool {
 	var best *Formation
--- a/grouper/sizing.go
+++ b/grouper/sizing.go
@@ -21,13 +21,13 @@
 	peaks      map[string]estimator.Demand
 }
 
-// newSizing returns the sizing for the engine and the forecasts of a plan's input, nil if a forecast is unknown or the engine's figures do not suffice. Before the first request there is no work yet.
+// newSizing returns the sizing for the engine and the forecasts of a plan's input, nil if a forecast is unknown or the engine's figures do not suffice.
 func newSizing(inp Input) *sizing {
 	siz := &sizing{models: inp.Engine.Models, estimators: map[string]*estimator.Estimator{}, peaks: map[string]estimator.Demand{}}
 	for _, mod := range siz.models {
 		fco, known := inp.Forecasts[mod.Name]
 		est, err := estimator.New(inp.Engine, mod)
-		if err != nil || !known && !inp.BeforeFirstRequest {
+		if err != nil || !known {
 			return nil
 		}
 		siz.estimators[mod.Name], siz.peaks[mod.Name] = est, fco.Peak()
@@ -89,20 +89,6 @@
 	return true
 }
 
-// inTimeUtilizations are the utilizations at which served takes the groups of a model: requests are served in time ever less often from the first to the last.
-var inTimeUtilizations = []float64{0.5, 0.7, 0.9}
-
-// served returns the work that some groups of the models serve in time, in servers.
-func (siz *sizing) served(groups map[string]int) float64 {
-	sum := 0.0
-	for _, mod := range siz.models {
-		for _, utl := range inTimeUtilizations {
-			sum += float64(mod.Size) * min(float64(groups[mod.Name]), siz.needed(mod.Name, utl))
-		}
-	}
-	return sum / float64(len(inTimeUtilizations))
-}
-
 // divide divides servers among the models, so that the model with the highest load per group gets the next one; loads are in groups, and limits bounds the groups of a model. Each model gets at least one group.
 func divide(models []router.Model, servers int, loads map[string]float64, limits map[string]int) map[string]int {
 	out := map[string]int{}
