--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -224,6 +224,7 @@
 
 // world is a gateway with a listener for callers and workers as backend servers.
 type world struct {
+	gat  *gateway.Gateway
 	dis  *dispatcher.Dispatcher
 	bud  *budgetStub
 	det  *detectorStub
@@ -275,6 +276,7 @@
 	}
 	change(&opt)
 	gat := gateway.New(opt)
+	wor.gat = gat
 	wor.web, wor.forwarded = httptest.NewUnstartedServer(gat), httptest.NewServer(gat.Forwarded())
 	wor.web.Config.ConnContext = gateway.LimitSendBuffer
 	wor.web.Start()
