--- a/dispatcher/select.go
+++ b/dispatcher/select.go
@@ -31,7 +31,7 @@
 	if poo.predicts() {
 		return dis.selectFastest(poo, req)
 	}
-	list := dis.filterZones(poo, req, dis.candidates(poo, req))
+	list := dis.candidates(poo, req)
 	if len(list) == 0 {
 		return nil
 	}
@@ -61,9 +61,6 @@
 			continue
 		}
 		can := candidate{sta: sta, cost: sta.score(dis.opt.Zone)*float64(max(1, sta.Slots)) + tieBreak*dis.opt.Random()}
-		if sta.Estimator != nil {
-			can.first = sta.Estimator.Predict(sta.own.Plus(sta.remote), req.Size, sta.slowness).FirstEvent
-		}
 		if sta.Zone != dis.opt.Zone {
 			can.cost += expected
 		}
