Give up groups for a model that its mean demand overloads

Cause: a model counted as overloaded by the crest of its demand, above three quarters.

The mean demand of the last seconds counts, above reassignUtilization.

--- a/grouper/convert.go
+++ b/grouper/convert.go
@@ -56,10 +56,10 @@
 	return (rnd.overloaded(mod) || 2*cho.loaded > mod.Size) && rnd.canSpare(taken)
 }
 
-// overloaded reports whether the demand of a model exceeds what its groups serve at scaleUpUtilization, or else its load what they serve at reassignUtilization, since slots in use follow the load late.
+// overloaded reports whether the mean demand of a model, or else its load, exceeds what its groups serve at reassignUtilization. A crest of the demand is over before a conversion pays.
 func (rnd *round) overloaded(mod router.Model) bool {
 	if rnd.sizing != nil {
-		return rnd.sizing.needed(mod.Name, scaleUpUtilization) > float64(len(rnd.active[mod.Name]))
+		return rnd.sizing.overloads(mod.Name, len(rnd.active[mod.Name]), reassignUtilization)
 	}
 	loa := rnd.inp.Loads[mod.Name]
 	return float64(loa.InUse+loa.Waiting) >= reassignUtilization*float64(loa.Slots)
--- a/grouper/sizing.go
+++ b/grouper/sizing.go
@@ -18,19 +18,21 @@
 type sizing struct {
 	models     []router.Model
 	estimators map[string]*estimator.Estimator
-	peaks      map[string]estimator.Demand
+	// peaks holds the demand at its recent peak, means that of the last seconds.
+	peaks map[string]estimator.Demand
+	means map[string]estimator.Demand
 }
 
 // newSizing returns the sizing for the engine and the forecasts of a plan's input, nil if a forecast is unknown or the engine's figures do not suffice.
 func newSizing(inp Input) *sizing {
-	siz := &sizing{models: inp.Engine.Models, estimators: map[string]*estimator.Estimator{}, peaks: map[string]estimator.Demand{}}
+	siz := &sizing{models: inp.Engine.Models, estimators: map[string]*estimator.Estimator{}, peaks: map[string]estimator.Demand{}, means: map[string]estimator.Demand{}}
 	for _, mod := range siz.models {
 		fco, known := inp.Forecasts[mod.Name]
 		est, err := estimator.New(inp.Engine, mod)
 		if err != nil || !known {
 			return nil
 		}
-		siz.estimators[mod.Name], siz.peaks[mod.Name] = est, fco.Peak()
+		siz.estimators[mod.Name], siz.peaks[mod.Name], siz.means[mod.Name] = est, fco.Peak(), fco.Mean
 	}
 	return siz
 }
@@ -56,6 +58,11 @@
 	return siz.estimators[model].GroupsNeeded(siz.peaks[model], utilization)
 }
 
+// overloads reports whether the mean demand of a model exceeds what a number of groups serves at a utilization.
+func (siz *sizing) overloads(model string, groups int, utilization float64) bool {
+	return siz.estimators[model].GroupsNeeded(siz.means[model], utilization) > float64(groups)
+}
+
 // utilization returns the lowest utilization, the same for all models, at which the groups fit into a number of servers, at most maxUtilization.
 func (siz *sizing) utilization(servers int) float64 {
 	low, high := 0.0, maxUtilization
