review: a late withdrawal makes a restarted entry deaf for good

The store may carry out a lost append seconds later. The withdrawal of a stopped entry then deletes the registration of the process that was started in its place, which never registers again. The other entries send it nothing from then on, also not what they know of requests that crash workers.

Nothing is fixed.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the review's scripts, after the build of the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target
+go build -o target/review-latewithdrawal ./review/latewithdrawal
--- /dev/null
+++ b/review/rig/caller.go
@@ -0,0 +1,54 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Host, Path and Key are those of the only route and of its caller.
+const (
+	Host    = "review.example"
+	Path    = "/book/x"
+	Key     = "key-of-the-review"
+	timeout = 4 * time.Second
+)
+
+// Caller sends requests that may run once, each on a new connection.
+type Caller struct {
+	rec *Record
+	cli *http.Client
+	num atomic.Int64
+}
+
+// NewCaller returns a caller.
+func NewCaller(rec *Record) *Caller {
+	return &Caller{rec: rec, cli: &http.Client{Timeout: timeout + time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// Send sends one request to an entry and returns its ID and the status, 0 if there was no answer.
+func (cal *Caller) Send(gat *Gate, body string) (id string, status int) {
+	id = fmt.Sprintf("%016x", 1000+cal.num.Add(1))
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+gat.Callers+Path, strings.NewReader(body))
+	if err != nil {
+		return id, 0
+	}
+	req.Host = Host
+	req.Header.Set("Lovagelever-Request-Id", id)
+	req.Header.Set("Lovagelever-Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
+	req.Header.Set("Authorization", "Bearer "+Key)
+	cal.rec.Logf("client sends %s (%s) to %s", id, body, gat.Name)
+	res, err := cal.cli.Do(req)
+	if err != nil {
+		cal.rec.Logf("client gets no answer to %s: %v", id, err)
+		return id, 0
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, _ := io.ReadAll(res.Body)
+	cal.rec.Logf("client gets %d for %s: %.120s", res.StatusCode, id, text)
+	return id, res.StatusCode
+}
--- /dev/null
+++ b/review/rig/link.go
@@ -0,0 +1,112 @@
+package rig
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"sync"
+	"time"
+)
+
+// Link passes the calls of one entry on to the store. It can lose the answer of one withdrawal, which the store then carries out late.
+type Link struct {
+	// Address is the IP:PORT at which the entry reaches the store.
+	Address string
+	srv     *httptest.Server
+	store   string
+	rec     *Record
+
+	mux    sync.Mutex
+	late   time.Duration
+	writes int
+	lost   int
+}
+
+// NewLink starts a link to the store at an address.
+func NewLink(store string, rec *Record) *Link {
+	lin := &Link{store: store, rec: rec}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: store})
+	proxy.FlushInterval = -1
+	proxy.ErrorLog = log.New(io.Discard, "", 0)
+	lin.srv = httptest.NewServer(http.HandlerFunc(func(wtr http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodPost && lin.losesAnswer(req) {
+			<-req.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		proxy.ServeHTTP(wtr, req)
+	}))
+	lin.Address = lin.srv.Listener.Addr().String()
+	return lin
+}
+
+// LoseWithdrawal has the store carry out the next withdrawal of a registration late, and not answer it; 0 ends that.
+func (lin *Link) LoseWithdrawal(late time.Duration) {
+	lin.mux.Lock()
+	defer lin.mux.Unlock()
+	lin.late = late
+}
+
+// Writes returns how many writing calls the entry has sent, and how many answers were lost.
+func (lin *Link) Writes() (all, lost int) {
+	lin.mux.Lock()
+	defer lin.mux.Unlock()
+	return lin.writes, lin.lost
+}
+
+// losesAnswer reports whether the answer of a call is lost, and carries the call out late if so.
+func (lin *Link) losesAnswer(req *http.Request) bool {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return false
+	}
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	lin.mux.Lock()
+	defer lin.mux.Unlock()
+	lin.writes++
+	late := lin.late
+	if late == 0 || req.URL.Path != "/log-append" || req.URL.Query().Get("topic") != "keyed.entries" || !isDeletion(body) {
+		return false
+	}
+	lin.late = 0
+	lin.lost++
+	lin.rec.Logf("store: loses the answer of a withdrawal, and carries it out %v later", late)
+	target := "http://" + lin.store + req.URL.RequestURI()
+	time.AfterFunc(late, func() { lin.carryOut(target, body) })
+	return true
+}
+
+func (lin *Link) carryOut(target string, body []byte) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		lin.rec.Logf("store: the late withdrawal failed: %v", err)
+		return
+	}
+	_ = res.Body.Close()
+	lin.rec.Logf("store: has carried out the late withdrawal, status %d", res.StatusCode)
+}
+
+// isDeletion reports whether the body of an append is one record with a key and no value.
+func isDeletion(body []byte) bool {
+	const lengthBytes = 4
+	if len(body) < lengthBytes+1 {
+		return false
+	}
+	size := int(binary.BigEndian.Uint32(body))
+	return size == len(body)-lengthBytes && size == 1+int(body[lengthBytes])
+}
+
+// Close ends the link.
+func (lin *Link) Close() {
+	lin.srv.CloseClientConnections()
+	lin.srv.Close()
+}
