review: a request that crashes workers beside a sound one is never refused

Subjects that were at the same crashes form one verdict, which refuses only requests that have them all. Of two requests that always run beside each other, none has the fingerprints of both.

Nothing is fixed.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 go build -o target/review-latewithdrawal ./review/latewithdrawal
+go build -o target/review-besideit ./review/besideit
--- a/review/latewithdrawal/main.go
+++ b/review/latewithdrawal/main.go
@@ -6,7 +6,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"syscall"
@@ -66,7 +65,7 @@
 		return false, err
 	}
 	defer sto.Close()
-	if err := publish(sto); err != nil {
+	if err := rig.Publish(sto); err != nil {
 		return false, err
 	}
 	sce := &scene{rec: rec, wor: rig.NewWorkers("desk", sto, rec), cal: rig.NewCaller(rec)}
@@ -89,7 +88,7 @@
 			return false, err
 		}
 	}
-	if err := sce.awaitServing(); err != nil {
+	if err := rig.AwaitServing(sce.cal, sce.gates); err != nil {
 		return false, err
 	}
 	time.Sleep(settled)
@@ -98,53 +97,13 @@
 			return false, err
 		}
 	}
-	if err := sce.awaitServing(); err != nil {
+	if err := rig.AwaitServing(sce.cal, sce.gates); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * settled)
 	return sce.crash()
 }
 
-// publish writes a configuration with one route, whose requests may run once.
-func publish(sto *storefaker.Faker) error {
-	data, err := json.Marshal(map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "book", "host": rig.Host, "path_prefix": "/book/", "type": "unsafe", "timeout_ms": 2000, "goal_ms": 300,
-			"priority": 2, "service": "desk", "attempts": 1, "public": false,
-		}},
-		"services": []any{map[string]any{"name": "desk", "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false, "cold_start_s": 0, "cold_per_s": 0}},
-		"tenants":  []any{map[string]any{"name": "tenant-1", "api_keys": []string{rig.Key}}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
-	if err != nil {
-		return err
-	}
-	sto.Put("keyed.op", "config", data)
-	return nil
-}
-
-// awaitServing waits until each entry has served a request.
-func (sce *scene) awaitServing() error {
-	for _, gat := range sce.gates {
-		if err := gat.AwaitReady(15 * time.Second); err != nil {
-			return err
-		}
-		served := false
-		for range 20 {
-			if _, status := sce.cal.Send(gat, "usual"); status == 200 {
-				served = true
-				break
-			}
-			time.Sleep(250 * time.Millisecond)
-		}
-		if !served {
-			return fmt.Errorf("%s serves nothing", gat.Name)
-		}
-	}
-	return nil
-}
-
 // restart stops an entry as the platform does and starts it again; with trouble the store carries out its withdrawal late.
 func (sce *scene) restart(num int, trouble bool) error {
 	if trouble {
--- /dev/null
+++ b/review/rig/start.go
@@ -0,0 +1,52 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Operation takes the records of the operator.
+type Operation interface {
+	Put(topic, key string, value []byte) int64
+}
+
+// Publish writes a configuration with one route, whose requests may run once.
+func Publish(ope Operation) error {
+	data, err := json.Marshal(map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "book", "host": Host, "path_prefix": "/book/", "type": "unsafe", "timeout_ms": 2000, "goal_ms": 300,
+			"priority": 2, "service": "desk", "attempts": 1, "public": false,
+		}},
+		"services": []any{map[string]any{"name": "desk", "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false, "cold_start_s": 0, "cold_per_s": 0}},
+		"tenants":  []any{map[string]any{"name": "tenant-1", "api_keys": []string{Key}}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+	if err != nil {
+		return err
+	}
+	ope.Put("keyed.op", "config", data)
+	return nil
+}
+
+// AwaitServing waits until each entry has served a request.
+func AwaitServing(cal *Caller, gates []*Gate) error {
+	for _, gat := range gates {
+		if err := gat.AwaitReady(15 * time.Second); err != nil {
+			return err
+		}
+		served := false
+		for range 20 {
+			if _, status := cal.Send(gat, "usual"); status == 200 {
+				served = true
+				break
+			}
+			time.Sleep(250 * time.Millisecond)
+		}
+		if !served {
+			return fmt.Errorf("%s serves nothing", gat.Name)
+		}
+	}
+	return nil
+}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -17,11 +17,15 @@
 	lapseAfter = 3 * heartbeat
 	downFor    = 4 * time.Second
 	work       = 50 * time.Millisecond
+	longWork   = 300 * time.Millisecond
 	slots      = 6
 )
 
-// Deadly is the body of a request that crashes each worker that begins to run it.
-const Deadly = "deadly"
+// Deadly is the body of a request that crashes each worker that begins to run it, Long that of one that takes longer than others.
+const (
+	Deadly = "deadly"
+	Long   = "long"
+)
 
 // Run is one run of a request at a worker.
 type Run struct {
@@ -172,11 +176,16 @@
 	wor.own.mux.Lock()
 	wor.own.runs = append(wor.own.runs, Run{ID: id, Body: string(body), Worker: own, At: time.Now()})
 	wor.own.mux.Unlock()
-	time.Sleep(work)
-	if string(body) == Deadly {
-		wor.own.rec.Logf("worker %s runs %s (%s) from %s", own, id, body, req.RemoteAddr)
+	wor.own.rec.Logf("worker %s runs %s (%s) from %s", own, id, body, req.RemoteAddr)
+	switch string(body) {
+	case Deadly:
+		time.Sleep(work)
 		wor.crash()
 		return
+	case Long:
+		time.Sleep(longWork)
+	default:
+		time.Sleep(work)
 	}
 	head.Set("Lovagelever-Stamp", "stamp."+own)
 	_, _ = io.WriteString(wtr, "done")
