review: a stopping entry takes on streams that it cannot finish

A stopping entry decides by the caller's estimate of the length whether a stream ends before the process does. An answer that is longer than estimated is cut off in the middle, also of requests sent later than 3 s after SIGTERM.

Nothing is fixed.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,3 +6,4 @@
 go build -o target/review-latewithdrawal ./review/latewithdrawal
 go build -o target/review-besideit ./review/besideit
 go build -o target/review-latecrash ./review/latecrash
+go build -o target/review-stopaccept ./review/stopaccept
--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -16,7 +16,7 @@
 	Path       = "/book/x"
 	StreamPath = "/chat/x"
 	Key        = "key-of-the-review"
-	timeout    = 4 * time.Second
+	timeout    = 8 * time.Second
 )
 
 // Caller sends requests that may run once, each on a new connection.
@@ -38,10 +38,23 @@
 
 // SendTo sends one request for a path, like Send.
 func (cal *Caller) SendTo(gat *Gate, path, body string) (id string, status int) {
+	id, status, _ = cal.send(gat, path, body, nil)
+	return id, status
+}
+
+// Request sends one request for a stream, and reports whether its answer came whole.
+func (cal *Caller) Request(gat *Gate, stm Stream) (id string, status int, whole bool) {
+	return cal.send(gat, StreamPath, fmt.Sprintf("stream of %d tokens", stm.Has), stm.header())
+}
+
+func (cal *Caller) send(gat *Gate, path, body string, head http.Header) (id string, status int, whole bool) {
 	id = fmt.Sprintf("%016x", 1000+cal.num.Add(1))
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+gat.Callers+path, strings.NewReader(body))
 	if err != nil {
-		return id, 0
+		return id, 0, false
+	}
+	for name, vals := range head {
+		req.Header[name] = vals
 	}
 	req.Host = Host
 	req.Header.Set("Lovagelever-Request-Id", id)
@@ -51,10 +64,10 @@
 	res, err := cal.cli.Do(req)
 	if err != nil {
 		cal.rec.Logf("client gets no answer to %s: %v", id, err)
-		return id, 0
+		return id, 0, false
 	}
 	defer func() { _ = res.Body.Close() }()
 	text, err := io.ReadAll(res.Body)
-	cal.rec.Logf("client gets %d for %s: %.120q, end: %v", res.StatusCode, id, text, err)
-	return id, res.StatusCode
+	cal.rec.Logf("client gets %d for %s: %.60q, %d bytes, end: %v", res.StatusCode, id, text, len(text), err)
+	return id, res.StatusCode, err == nil
 }
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -62,6 +62,8 @@
 	own  *Workers
 	num  int
 	host *hoster.Server
+	// extend adds to the entry in the list; nil adds nothing.
+	extend func(entry map[string]any)
 
 	mux   sync.Mutex
 	start int
@@ -125,10 +127,14 @@
 		return
 	}
 	wor.seq++
-	data, err := json.Marshal(map[string]any{
+	entry := map[string]any{
 		"service": wor.own.service, "addr": wor.host.Address(), "zone": fmt.Sprintf("zone-%d", wor.num%3), "version": "v1",
 		"slots": slots, "state": "ready", "cold_left_ms": 0, "seq": wor.seq, "born": wor.born,
-	})
+	}
+	if wor.extend != nil {
+		wor.extend(entry)
+	}
+	data, err := json.Marshal(entry)
 	if err == nil {
 		wor.own.list.PutServer(wor.id, data)
 	}
@@ -213,14 +219,18 @@
 		last = 0
 	}
 	ctl := http.NewResponseController(wtr)
-	for num := last + 1; num <= streamEvents; num++ {
+	events, pause := streamEvents, eventPause
+	if tokens, err := strconv.Atoi(req.Header.Get("Answer-Tokens")); err == nil {
+		events, pause = tokens/tokensAnEvent, tokensAnEvent*tokenTime
+	}
+	for num := last + 1; num <= events; num++ {
 		if _, err := fmt.Fprintf(wtr, "id: %d\ndata: event %d\n\n", num, num); err != nil || ctl.Flush() != nil {
 			return
 		}
 		select {
 		case <-req.Context().Done():
 			return
-		case <-time.After(eventPause):
+		case <-time.After(pause):
 		}
 	}
 }
