--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -37,7 +37,7 @@
 // Add starts a worker at a loopback address.
 func (own *Engines) Add(ip string) error {
 	eng := &engine{worker: worker{own: own.Workers, num: len(own.all)}}
-	eng.worker.extend = eng.describe
+	eng.extend = eng.describe
 	eng.host = hoster.New(ip+":0", http.HandlerFunc(eng.serve))
 	own.all = append(own.all, &eng.worker)
 	if err := eng.begin(); err != nil {
--- a/review/rig/gate.go
+++ b/review/rig/gate.go
@@ -25,7 +25,7 @@
 	dir       string
 	rec       *Record
 	cmd       *exec.Cmd
-	ended     chan error
+	ended     chan struct{}
 }
 
 // NewGate writes the settings of an entry at a loopback address that uses the store at an address.
@@ -95,9 +95,13 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	gat.cmd, gat.ended = cmd, make(chan error, 1)
+	gat.cmd, gat.ended = cmd, make(chan struct{})
 	gat.rec.Logf("%s started", gat.Name)
-	go func(ended chan<- error) { ended <- cmd.Wait() }(gat.ended)
+	go func(ended chan<- struct{}) {
+		// How it ended is of no interest.
+		_ = cmd.Wait()
+		close(ended)
+	}(gat.ended)
 	return nil
 }
 
