--- a/review/rig/gate.go
+++ b/review/rig/gate.go
@@ -30,13 +30,9 @@
 
 // NewGate writes the settings of an entry at a loopback address that uses the store at an address.
 func NewGate(dir, name, zone, ip, store string, rec *Record) (*Gate, error) {
-	var ports []any
-	for range 6 {
-		address, err := freeAddress(ip)
-		if err != nil {
-			return nil, err
-		}
-		ports = append(ports, address)
+	ports, err := freeAddresses(ip, 6)
+	if err != nil {
+		return nil, err
 	}
 	text := fmt.Sprintf(`name: %s
 availability_zone: %s
@@ -68,13 +64,34 @@
 	return gat, os.WriteFile(gat.settings(), []byte(text), 0o600)
 }
 
-func freeAddress(ip string) (string, error) {
-	lis, err := new(net.ListenConfig).Listen(context.Background(), "tcp", ip+":0")
+// freeAddresses returns addresses at which nothing listens. They are below the ports that outgoing connections get.
+func freeAddresses(ip string, num int) (out []any, err error) {
+	const first, last = 20000, 30000
+	for port := first + os.Getpid()%1000*5; port < last && len(out) < num; port++ {
+		address := fmt.Sprintf("%s:%d", ip, port)
+		if isFree(address) {
+			out = append(out, address)
+		}
+	}
+	if len(out) < num {
+		return nil, errors.New("no free ports at " + ip)
+	}
+	return out, nil
+}
+
+// isFree reports whether nothing has bound an address for TCP or UDP.
+func isFree(address string) bool {
+	lis, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
 	if err != nil {
-		return "", err
+		return false
 	}
 	defer func() { _ = lis.Close() }()
-	return lis.Addr().String(), nil
+	con, err := new(net.ListenConfig).ListenPacket(context.Background(), "udp", address)
+	if err != nil {
+		return false
+	}
+	_ = con.Close()
+	return true
 }
 
 func (gat *Gate) settings() string {
