--- a/review/build.sh
+++ b/review/build.sh
@@ -7,3 +7,4 @@
 go build -o target/review-besideit ./review/besideit
 go build -o target/review-latecrash ./review/latecrash
 go build -o target/review-stopaccept ./review/stopaccept
+go build -o target/review-longread ./review/longread
--- a/review/rig/link.go
+++ b/review/rig/link.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/http/httputil"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -26,6 +27,7 @@
 	late   time.Duration
 	writes int
 	lost   int
+	onRead chan struct{}
 }
 
 // NewLink starts a link to the store at an address.
@@ -34,12 +36,16 @@
 	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: store})
 	proxy.FlushInterval = -1
 	proxy.ErrorLog = log.New(io.Discard, "", 0)
+	proxy.ModifyResponse = limitRead
 	lin.srv = httptest.NewServer(http.HandlerFunc(func(wtr http.ResponseWriter, req *http.Request) {
 		if req.Method == http.MethodPost && lin.losesAnswer(req) {
 			<-req.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
 		proxy.ServeHTTP(wtr, req)
+		if req.URL.Path == "/log-read" && req.URL.Query().Get("topic") == "keyed.op" {
+			lin.noteRead()
+		}
 	}))
 	lin.Address = lin.srv.Listener.Addr().String()
 	return lin
@@ -52,6 +58,49 @@
 	lin.late = late
 }
 
+// AfterRead returns a channel that is closed once the entry has been sent the next answer to a read of what the operator writes.
+func (lin *Link) AfterRead() <-chan struct{} {
+	lin.mux.Lock()
+	defer lin.mux.Unlock()
+	lin.onRead = make(chan struct{})
+	return lin.onRead
+}
+
+func (lin *Link) noteRead() {
+	lin.mux.Lock()
+	defer lin.mux.Unlock()
+	if lin.onRead != nil {
+		close(lin.onRead)
+		lin.onRead = nil
+	}
+}
+
+// limitRead cuts the answer to a read to what the store sends at most, in whole records; the project's stand-in of the store sends all.
+func limitRead(res *http.Response) error {
+	const headBytes, lengthBytes, maxBytes = 16, 4, 1024 << 10
+	if res.Request.URL.Path != "/log-read" || res.StatusCode != http.StatusOK {
+		return nil
+	}
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	_ = res.Body.Close()
+	end := headBytes
+	for end+lengthBytes <= len(data) {
+		next := end + lengthBytes + int(binary.BigEndian.Uint32(data[end:]))
+		if next > headBytes+maxBytes {
+			break
+		}
+		end = next
+	}
+	end = min(end, len(data))
+	res.Body = io.NopCloser(bytes.NewReader(data[:end]))
+	res.ContentLength = int64(end)
+	res.Header.Set("Content-Length", strconv.Itoa(end))
+	return nil
+}
+
 // Writes returns how many writing calls the entry has sent, and how many answers were lost.
 func (lin *Link) Writes() (all, lost int) {
 	lin.mux.Lock()
