Read the records behind a page that the store cut

Cause: the store returns at most 1,024 kB of records and names the end of the whole partition beside them. The tailer took that end for the offset up to which it had read, so what was cut off was never read, neither by this entry nor by those that ask it. The class: a position that another side names is taken for one's own progress. All topics were concerned; the check of group decisions compares ends and is not.

Change: a page ends at the offset behind its last record and says whether the store has more; the tailer reads on at once, and counts as up to date with the store only after the last page.

--- a/tailer/era_test.go
+++ b/tailer/era_test.go
@@ -138,7 +138,7 @@
 }
 
 func newEraFleet(rng *rand.Rand) *eraFleet {
-	fle := &eraFleet{rng: rng, clk: clockwork.NewFakeClock(), sto: &fakeStore{}, written: map[string]string{}}
+	fle := &eraFleet{rng: rng, clk: clockwork.NewFakeClock(), sto: &fakeStore{pageRecords: 3}, written: map[string]string{}}
 	const entries = 4
 	for range entries {
 		pee := &fakePeers{}
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -39,10 +39,11 @@
 	Offset int64
 }
 
-// Page is a batch of records; End is the offset after the newest record of the topic. Era rises when the store comes back from an older copy: offsets then begin anew at that of the copy.
+// Page is a batch of records; End is the offset up to which it has the records of the topic, and More says that the store has records behind it. Era rises when the store comes back from an older copy: offsets then begin anew at that of the copy.
 type Page struct {
 	Era     int64
 	End     int64
+	More    bool
 	Records []Record
 	// Outage says that removals among the records may be leases that expired while the store was unavailable.
 	Outage bool
@@ -193,20 +194,25 @@
 }
 
 func (tai *Tailer) read(ctx context.Context) error {
-	tai.mux.Lock()
-	known, era, from := tai.known, tai.era, tai.end
-	tai.mux.Unlock()
-	if known {
+	for tai.isKnown() {
+		era, from := tai.End()
 		pag, err := tai.opt.Store.Read(ctx, tai.opt.Topic, from, readWait)
-		if err == nil && pag.Era == era {
-			tai.apply(pag, false)
+		if err != nil && !errors.Is(err, ErrExpired) {
+			return err
+		}
+		if err != nil || pag.Era != era {
+			tai.opt.Logger.WithFields(logrus.Fields{"topic": tai.opt.Topic, "from": from}).Info("requested records have expired; reading the whole topic")
+			break
+		}
+		tai.apply(pag, false)
+		if !pag.More {
 			tai.noteSuccess()
 			return nil
 		}
-		if err != nil && !errors.Is(err, ErrExpired) {
-			return err
+		if len(pag.Records) == 0 {
+			return nil
 		}
-		tai.opt.Logger.WithFields(logrus.Fields{"topic": tai.opt.Topic, "from": from}).Info("requested records have expired; reading the whole topic")
+		tai.opt.Logger.WithFields(logrus.Fields{"topic": tai.opt.Topic, "from": from, "next": pag.End}).Info("the store cut a page, reading on")
 	}
 	pag, err := tai.opt.Store.Newest(ctx, tai.opt.Topic)
 	if err != nil {
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -32,6 +32,8 @@
 	first int64
 	down  bool
 	reads int
+	// pageRecords is the number of records after which a read is cut, 0 for none.
+	pageRecords int
 }
 
 func (sto *fakeStore) put(key, value string) {
@@ -81,7 +83,11 @@
 		return tailer.Page{}, errors.WithType(errDown, tailer.ErrExpired)
 	}
 	out := tailer.Page{Era: sto.era, End: int64(len(sto.recs))}
-	for _, rec := range sto.recs[from:] {
+	for num, rec := range sto.recs[from:] {
+		if num == sto.pageRecords && num > 0 {
+			out.End, out.More = from+int64(num), true
+			break
+		}
 		rec.Era = sto.era
 		out.Records = append(out.Records, rec)
 	}
