Read the store for records that no other entry can tell

An entry that follows others reads the store only through them. Where their heartbeats arrive and its calls to them do not, as in a cut one way between entries, each request for records fails and the entry never reads the store, though it reaches it: its callers are served by an older configuration (CONFIG), and leaving servers get new work, until the cut ends.

Change: after two requests have failed, the second to another entry, the store is read once. The new test fails on the former code with 7 and with 390 entries; now each of 6 followers reads the store once if no entry can be asked, and none of 389 does if only the first request fails.

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -19,6 +19,8 @@
 	// retryAfter is the delay after a failed read, and hence between requests to other entries, and the timeout of such a
 	// request: less than a third of the shortest limit for changes, which is 2 s.
 	retryAfter = 300 * time.Millisecond
+	// asksBeforeRead is how many requests to other entries fail before an entry that follows them reads the store: the first may go to one that has just stopped.
+	asksBeforeRead = 2
 	// outageGrace is how long after an outage a removal may be due to a lease that expired during it; heartbeats resume
 	// within 2 s after the store is back.
 	outageGrace = 2 * time.Second
@@ -173,12 +175,19 @@
 	return tai.era, tai.end
 }
 
-// followPeers waits until another entry has read newer records, and requests them from an entry.
+// followPeers waits until another entry has read newer records, and requests them from entries. If none can tell them, it reads the store: datagrams may arrive from entries that this one cannot call.
 func (tai *Tailer) followPeers(ctx context.Context) {
 	select {
 	case <-ctx.Done():
 	case <-tai.peerAhead:
-		tai.askPeer(ctx)
+		for range asksBeforeRead {
+			if tai.askPeer(ctx) {
+				return
+			}
+		}
+		if err := tai.Step(ctx); err != nil {
+			tai.opt.Logger.WithError(err).WithField("topic", tai.opt.Topic).Info("neither an entry nor the store could tell the newest records")
+		}
 	case <-tai.opt.Clock.After(readersCheckInterval):
 		tai.expireUnwritten()
 	}
@@ -253,16 +262,18 @@
 	return tai.failed || !tai.outageEnd.IsZero() && tai.opt.Clock.Since(tai.outageEnd) < outageGrace
 }
 
-func (tai *Tailer) askPeer(ctx context.Context) {
+// askPeer requests newer records from another entry, and reports whether it has told them.
+func (tai *Tailer) askPeer(ctx context.Context) bool {
 	era, from := tai.End()
 	ctx, cancel := context.WithTimeout(ctx, retryAfter)
 	defer cancel()
 	pag, err := tai.opt.Peers.Ask(ctx, tai.opt.Topic, era, from)
 	if err != nil {
 		tai.opt.Logger.WithError(err).WithField("topic", tai.opt.Topic).Info("no entry could tell the newest records")
-		return
+		return false
 	}
 	tai.apply(pag, false)
+	return true
 }
 
 // apply stores the records of a page that are newer than the known ones, and passes them to OnChange. The first page of a later era must have all keys.
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -46,6 +47,12 @@
 	sto.recs = append(sto.recs, rec)
 }
 
+func (sto *fakeStore) readCount() int {
+	sto.mux.Lock()
+	defer sto.mux.Unlock()
+	return sto.reads
+}
+
 func (sto *fakeStore) setDown(down bool) {
 	sto.mux.Lock()
 	defer sto.mux.Unlock()
@@ -102,14 +109,15 @@
 	sto.era++
 }
 
-// fakePeers answers with the records of another tailer.
+// fakePeers answers with the records of another tailer, after a number of requests that fail.
 type fakePeers struct {
 	other *tailer.Tailer
 	reads bool
+	fails atomic.Int64
 }
 
 func (pee *fakePeers) Ask(_ context.Context, _ string, era, from int64) (tailer.Page, error) {
-	if pee.other == nil {
+	if pee.other == nil || pee.fails.Add(-1) >= 0 {
 		return tailer.Page{}, errDown
 	}
 	return pee.other.Since(era, from)
@@ -180,6 +188,42 @@
 		step()
 	})
 
+	for _, cas := range []struct {
+		name    string
+		entries int
+		fails   int64
+		reads   int
+	}{
+		{"reads the store for records that no entry can tell, 7 entries", 7, 1 << 40, 6},
+		{"asks a second entry before it reads the store, 7 entries", 7, 1, 0},
+		{"asks a second entry before it reads the store, 390 entries", 390, 1, 0},
+	} {
+		It(cas.name, func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var followers []*recordingTailer
+			own := &fakeStore{recs: slices.Clone(sto.recs)}
+			for range cas.entries - 1 {
+				pee := &fakePeers{other: tai.Tailer, reads: true}
+				one := newRecordingTailer(own, pee, clk)
+				Expect(one.Step(ctx)).To(Succeed())
+				pee.fails.Store(cas.fails)
+				go one.Run(ctx)
+				followers = append(followers, one)
+			}
+			sto.put("a", "2")
+			own.put("a", "2")
+			step()
+			for _, one := range followers {
+				one.NotifyEnd(tai.End())
+			}
+			for _, one := range followers {
+				Eventually(one.current).Should(HaveKeyWithValue("a", "2"))
+			}
+			Expect(own.readCount()).To(Equal(cas.reads))
+		})
+	}
+
 	It("reports the newest value of each key, and removals", func() {
 		sto.put("a", "2")
 		sto.put("b", "")
