Earn retries, so that a restart does not renew the budget

Cause: a process that has just started took itself for the only entry, with the whole slack, until it had heard the others, and began with an empty window, whatever its predecessor had spent. Entries that were left after a kill, or in one part of a cut network, divided the slack among fewer while what the others had spent still counted. The class: a share of a common limit that is computed from whom one hears at the moment, and forgotten at a restart.

Change: retries are earned with requests and with time, and are saved up to a part of the budget of a window; a process begins with nothing. What is saved up before a window and earned in it is within the budget, however often the processes change. The slack is divided among the registered entries, heard or not, and nobody has a part of it until the registrations have been read.

--- a/advertiser/advertiser.go
+++ b/advertiser/advertiser.go
@@ -89,6 +89,17 @@
 	return num, rank
 }
 
+// Members returns the number of registered entries including this one, whether they run or not, and the rank of this one among them by name.
+func (adv *Advertiser) Members() (num, rank int) {
+	others := adv.Others()
+	for _, ent := range others {
+		if ent.Name < adv.self {
+			rank++
+		}
+	}
+	return len(others) + 1, rank
+}
+
 // Addresses returns the addresses that a caller in an availability zone can connect to: those of entries that run and are not stopping, only in its own zone if that has enough of them, and so chosen that each entry gets callers in proportion to its capacity. A caller is identified by any string that it keeps, such as its IP address.
 func (adv *Advertiser) Addresses(caller, zone string) []string {
 	var out []string
--- a/advertiser/advertiser_test.go
+++ b/advertiser/advertiser_test.go
@@ -50,6 +50,8 @@
 		recentlyHeard["a"] = false
 		num, rank := adv.Live()
 		Expect([]int{num, rank}).To(Equal([]int{3, 1}))
+		num, rank = adv.Members()
+		Expect([]int{num, rank}).To(Equal([]int{4, 2}))
 	})
 
 	It("accepts a new incarnation of an entry that was stopping", func() {
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -10,8 +10,8 @@
 // bucketCount is the number of buckets of the sliding window, which moves by one bucket at a time.
 const bucketCount = 10
 
-// safetyFactor is the part of the budget that is used; the rest covers requests in flight and entries that were just added.
-const safetyFactor = 0.8
+// earnedShare is the part of the budget that is earned over a window. The rest is what may be saved up before it, so that all that is spent in a window is within the budget whatever processes have spent it.
+const earnedShare = 0.6
 
 // Options set the budget of each service: in any Window, all entries together may send Ratio retries per request plus Slack retries.
 type Options struct {
@@ -21,24 +21,27 @@
 	Clock  clockwork.Clock
 }
 
-// Budgeter holds this entry's part of the retry budget of each service; it is safe for concurrent use.
+// Budgeter holds this entry's part of the retry budget of each service; it is safe for concurrent use. It begins with nothing, since what the process before it has spent still counts.
 type Budgeter struct {
-	opt      Options
-	start    time.Time
-	mux      sync.Mutex
+	opt   Options
+	start time.Time
+	mux   sync.Mutex
+	// entries is how many entries share the slack, 0 until that is known.
 	entries  int
-	services map[string]*window
+	services map[string]*account
 }
 
-type window struct {
+// account holds the retries that were earned for a service and not spent, and the requests in the window.
+type account struct {
+	balance  float64
+	earnedAt time.Time
 	ticks    [bucketCount]int64
 	requests [bucketCount]float64
-	retries  [bucketCount]float64
 }
 
-// New returns a budgeter for a single entry; SetEntries changes their number.
+// New returns a budgeter that has no part of the slack until SetEntries is called.
 func New(opt Options) *Budgeter {
-	return &Budgeter{opt: opt, start: opt.Clock.Now(), entries: 1, services: map[string]*window{}}
+	return &Budgeter{opt: opt, start: opt.Clock.Now(), services: map[string]*account{}}
 }
 
 // SetBounds changes Ratio and Slack.
@@ -48,10 +51,13 @@
 	bud.opt.Ratio, bud.opt.Slack = ratio, slack
 }
 
-// SetEntries sets how many entries share the budget, including this one.
+// SetEntries sets how many entries share the slack, including this one, whether they run or not.
 func (bud *Budgeter) SetEntries(num int) {
 	bud.mux.Lock()
 	defer bud.mux.Unlock()
+	for _, acc := range bud.services {
+		bud.earn(acc)
+	}
 	bud.entries = max(1, num)
 }
 
@@ -59,25 +65,21 @@
 func (bud *Budgeter) RecordRequest(service string) {
 	bud.mux.Lock()
 	defer bud.mux.Unlock()
-	win, pos := bud.currentBucket(service)
-	win.requests[pos]++
+	acc := bud.account(service)
+	acc.requests[bud.currentBucket(acc)]++
+	acc.balance += earnedShare * bud.opt.Ratio
 }
 
 // Allow takes one retry from the budget of the service, or returns false if the budget is used up.
 func (bud *Budgeter) Allow(service string) bool {
 	bud.mux.Lock()
 	defer bud.mux.Unlock()
-	win, pos := bud.currentBucket(service)
-	requests, retries := 0.0, 0.0
-	for num := range bucketCount {
-		requests += win.requests[num]
-		retries += win.retries[num]
-	}
-	limit := safetyFactor * (bud.opt.Ratio*requests + bud.opt.Slack/float64(bud.entries))
-	if retries+1 > limit {
+	acc := bud.account(service)
+	acc.balance = min(acc.balance, bud.limit(acc))
+	if acc.balance < 1 {
 		return false
 	}
-	win.retries[pos]++
+	acc.balance--
 	return true
 }
 
@@ -85,32 +87,58 @@
 func (bud *Budgeter) Return(service string) {
 	bud.mux.Lock()
 	defer bud.mux.Unlock()
-	win, pos := bud.currentBucket(service)
-	for range bucketCount {
-		if win.retries[pos] > 0 {
-			win.retries[pos]--
-			return
-		}
-		pos = (pos + bucketCount - 1) % bucketCount
+	bud.account(service).balance++
+}
+
+// account returns the account of a service with all that it has earned.
+func (bud *Budgeter) account(service string) *account {
+	acc := bud.services[service]
+	if acc == nil {
+		acc = &account{earnedAt: bud.start}
+		bud.services[service] = acc
 	}
+	bud.earn(acc)
+	return acc
 }
 
-// currentBucket returns the window of a service and the index of its current bucket, and clears the buckets that have left the window.
-func (bud *Budgeter) currentBucket(service string) (*window, int) {
-	win := bud.services[service]
-	if win == nil {
-		win = &window{}
-		bud.services[service] = win
+// slack returns this entry's part of the slack.
+func (bud *Budgeter) slack() float64 {
+	if bud.entries == 0 {
+		return 0
 	}
+	return bud.opt.Slack / float64(bud.entries)
+}
+
+// earn adds this entry's part of the slack for the time that has passed.
+func (bud *Budgeter) earn(acc *account) {
+	now := bud.opt.Clock.Now()
+	windows := now.Sub(acc.earnedAt).Seconds() / bud.opt.Window.Seconds()
+	acc.balance += earnedShare * windows * bud.slack()
+	acc.earnedAt = now
+	acc.balance = min(acc.balance, bud.limit(acc))
+}
+
+// limit returns how many retries may be saved up.
+func (bud *Budgeter) limit(acc *account) float64 {
+	bud.currentBucket(acc)
+	requests := 0.0
+	for _, num := range acc.requests {
+		requests += num
+	}
+	return (1 - earnedShare) * (bud.opt.Ratio*requests + bud.slack())
+}
+
+// currentBucket returns the index of the account's current bucket, and clears the buckets that have left the window.
+func (bud *Budgeter) currentBucket(acc *account) int {
 	tick := int64(bud.opt.Clock.Since(bud.start))*bucketCount/int64(bud.opt.Window) + bucketCount
 	for num := range bucketCount {
-		if win.ticks[num] <= tick-bucketCount {
-			win.requests[num], win.retries[num] = 0, 0
+		if acc.ticks[num] <= tick-bucketCount {
+			acc.requests[num] = 0
 		}
 	}
 	pos := int(tick % bucketCount)
-	if win.ticks[pos] != tick {
-		win.ticks[pos], win.requests[pos], win.retries[pos] = tick, 0, 0
+	if acc.ticks[pos] != tick {
+		acc.ticks[pos], acc.requests[pos] = tick, 0
 	}
-	return win, pos
+	return pos
 }
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -278,6 +278,15 @@
 	return !gat.sawRequest.Load()
 }
 
+// shareLimits sets the number of entries that share the limit on retries. It counts the registered ones: those that this entry does not hear may serve callers all the same, and have spent their part until they stopped.
+func (gat *Server) shareLimits() {
+	if !gat.tailers[gat.pla.Topics.Entries].Known() {
+		return
+	}
+	num, _ := gat.adv.Members()
+	gat.bud.SetEntries(num)
+}
+
 // tick periodically expires state that is limited by time, and updates the number of live entries.
 func (gat *Server) tick(ctx context.Context) {
 	tic := gat.clk.NewTicker(tickInterval)
@@ -301,7 +310,7 @@
 			live, rank := gat.adv.Live()
 			gat.dis.SetEntries(live, rank)
 			gat.dis.SetLoadAge(gat.loadAge())
-			gat.bud.SetEntries(live)
+			gat.shareLimits()
 			gat.reg.SetNoPeers(live == 1)
 			gat.forgetRateLimits()
 			gat.mtr.recordHeld(gat.res)
--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -151,4 +151,5 @@
 		}
 		gat.adv.Put(ent)
 	}
+	gat.shareLimits()
 }
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -121,7 +121,7 @@
 func (tai *Tailer) Run(ctx context.Context) {
 	othersRead := true
 	for ctx.Err() == nil {
-		if now := tai.isKnown() && tai.opt.Peers.OthersRead(); now != othersRead {
+		if now := tai.Known() && tai.opt.Peers.OthersRead(); now != othersRead {
 			othersRead = now
 			tai.opt.Logger.WithFields(logrus.Fields{"topic": tai.opt.Topic, "reads": !othersRead}).Info("source of a topic changed")
 		}
@@ -143,8 +143,8 @@
 	}
 }
 
-// isKnown reports whether the topic has been read once.
-func (tai *Tailer) isKnown() bool {
+// Known reports whether the topic has been read once.
+func (tai *Tailer) Known() bool {
 	tai.mux.Lock()
 	defer tai.mux.Unlock()
 	return tai.known
@@ -203,7 +203,7 @@
 }
 
 func (tai *Tailer) read(ctx context.Context) error {
-	for tai.isKnown() {
+	for tai.Known() {
 		era, from := tai.End()
 		pag, err := tai.opt.Store.Read(ctx, tai.opt.Topic, from, readWait)
 		if err != nil && !errors.Is(err, ErrExpired) {
