--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -10,8 +10,11 @@
 // bucketCount is the number of buckets of the sliding window, which moves by one bucket at a time.
 const bucketCount = 10
 
-// earnedShare is the part of the budget that is earned over a window. The rest is what may be saved up before it, so that all that is spent in a window is within the budget whatever processes have spent it.
-const earnedShare = 0.6
+// earnedRatio and earnedSlack are the parts of the budget that are earned over a window. The rest is what may be saved up before it, so that all that is spent in a window is within the budget whatever processes have spent it. At hundreds of entries half of a part of the slack is just one retry.
+const (
+	earnedRatio = 0.8
+	earnedSlack = 0.5
+)
 
 // Options set the budget of each service: in any Window, all entries together may send Ratio retries per request plus Slack retries.
 type Options struct {
@@ -67,7 +70,7 @@
 	defer bud.mux.Unlock()
 	acc := bud.account(service)
 	acc.requests[bud.currentBucket(acc)]++
-	acc.balance += earnedShare * bud.opt.Ratio
+	acc.balance += earnedRatio * bud.opt.Ratio
 }
 
 // Allow takes one retry from the budget of the service, or returns false if the budget is used up.
@@ -113,7 +116,7 @@
 func (bud *Budgeter) earn(acc *account) {
 	now := bud.opt.Clock.Now()
 	windows := now.Sub(acc.earnedAt).Seconds() / bud.opt.Window.Seconds()
-	acc.balance += earnedShare * windows * bud.slack()
+	acc.balance += earnedSlack * windows * bud.slack()
 	acc.earnedAt = now
 	acc.balance = min(acc.balance, bud.limit(acc))
 }
@@ -125,7 +128,7 @@
 	for _, num := range acc.requests {
 		requests += num
 	}
-	return (1 - earnedShare) * (bud.opt.Ratio*requests + bud.slack())
+	return (1-earnedRatio)*bud.opt.Ratio*requests + (1-earnedSlack)*bud.slack()
 }
 
 // currentBucket returns the index of the account's current bucket, and clears the buckets that have left the window.
