Count a send at another entry that handed the request back

A request that another entry hands back as not run was taken for one that no backend server had received.

Cause: the entry that forwards a request took the send back for each answer "not run" that leaves the request to others, though the other entry may have lost its links only after its server had rejected the request.

Change: such an answer says whether a server has got the request. An entry of an earlier version does not say, and counts as if one had.

The new test, a second entry whose server rejects the request while its links are lost, and a third one, without any retry in the budget, fails on the former code for all three kinds of requests: the third one gets it.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -57,6 +57,8 @@
 	// Final means that the response was passed on by another entry and is the answer to the caller, Refused that the other entry made it.
 	Final   bool
 	Refused bool
+	// Sent means that another entry, which did not serve the request, has sent it to a backend server.
+	Sent bool
 }
 
 // Concerns reports whether the response was sent by the backend server that the request was meant for.
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -188,7 +188,7 @@
 	job := hed.rel.job
 	ver := job.parseResponse(att.placement, att.exc.Response, att.sentAt)
 	if ver.NotRun {
-		if att.placement.Unit.Entry == "" {
+		if att.placement.Unit.Entry == "" || ver.Sent {
 			hed.count(0)
 		}
 		return dispatcher.Rejected
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -41,6 +41,8 @@
 	refusalHeader = "Entry-Refusal"
 	// serverHeader names the backend server that made the response, as ID@START.
 	serverHeader = "Entry-Server"
+	// sentHeader of a refusal says whether the entry has sent the request to a backend server, which counts in the retry budget.
+	sentHeader = "Entry-Sent"
 	// versionHeader holds the version of the configuration by which the entry has handled the request.
 	versionHeader = "Entry-Config-Version"
 )
@@ -159,6 +161,7 @@
 		}
 	}
 	job.wtr.Header().Set(refusalHeader, mark)
+	job.wtr.Header().Set(sentHeader, strconv.FormatBool(job.sends > job.forwarded.sends))
 }
 
 // markResponse names, for the entry that forwarded the request, the backend server that made the response.
@@ -187,14 +190,16 @@
 func (job *job) parsePeerResponse(pla *dispatcher.Placement, res *http.Response) ResponseInfo {
 	ver := job.gat.opt.HeaderCodec.ParseResponse(job.cal, res)
 	mark, server := res.Header.Get(refusalHeader), res.Header.Get(serverHeader)
+	// Entries of earlier versions do not say whether they have sent the request.
+	sent := res.Header.Get(sentHeader) != "false"
 	job.gat.noteVersion(res.Header.Get(versionHeader))
-	for _, name := range []string{refusalHeader, serverHeader, versionHeader} {
+	for _, name := range []string{refusalHeader, serverHeader, sentHeader, versionHeader} {
 		res.Header.Del(name)
 	}
 	switch mark {
 	case refusalElsewhere:
 		job.gat.opt.Peers.Avoid(pla.Unit.Entry)
-		return ResponseInfo{NotRun: true}
+		return ResponseInfo{NotRun: true, Sent: sent}
 	case refusalOutdated:
 		return ResponseInfo{NotRun: true}
 	}
--- a/gateway/peer_test.go
+++ b/gateway/peer_test.go
@@ -149,6 +149,25 @@
 		Expect(wor.peers.avoided).To(BeEmpty())
 	})
 
+	// Guards against free retries at a third entry after a backend server of the second one has rejected the request.
+	for _, rou := range []router.Route{safe, unsafe, resumable} {
+		It("go to no third entry without a retry of the budget once a server has rejected them: "+string(rou.Kind), func() {
+			var second *world
+			rejecting := newWorker(func(con net.Conn, req *http.Request, _ []byte) bool {
+				second.links.lost.Store(true)
+				head(con, req, http.StatusServiceUnavailable, "X-Not-Run: 1\r\nContent-Length: 0\r\n")
+				return true
+			})
+			second = newWorld(rou, rejecting)
+			third := newWorker(whole(200, "text"))
+			wor := lostBefore(rou, second, newWorld(rou, third))
+			wor.bud.left.Store(0)
+			Expect(wor.call(context.Background()).status).To(Equal(http.StatusServiceUnavailable))
+			Expect(rejecting.runs()).To(Equal(1))
+			Expect(third.runs()).To(BeZero())
+		})
+	}
+
 	It("go to a third entry when the second one ends", func() {
 		second := newWorld(unsafe, newWorker(whole(200, "wrong")))
 		ends := time.Now()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -142,7 +142,7 @@
 
 // count adds the end of an exchange to the counts of the request, and records whether the call proved sound or broke off. A server that fails may not have begun to work on it.
 func (job *job) count(res result) {
-	if res.sent && (res.mayRun || res.unit.Entry == "") {
+	if res.sent && (res.mayRun || res.unit.Entry == "" || res.rep.ver.Sent) {
 		job.sends++
 	}
 	if !res.mayRun {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -189,7 +189,7 @@
 	switch {
 	case !rep.ver.NotRun:
 		rel.mayHaveRun += rel.runsOf(rel.placement.Unit)
-	case rel.placement.Unit.Entry != "":
+	case rel.placement.Unit.Entry != "" && !rep.ver.Sent:
 		rel.sends--
 	}
 	res, err := classify(*rep, err)
