Divide the rate of cold servers among the registered entries

Change: the registered entries share the rate, heard or not, and an entry sends nothing to a cold server until it has read the registrations.

The new test has 7, 74 and 390 entries start together before a cold server that bears 17 requests a second.

--- a/advertiser/advertiser.go
+++ b/advertiser/advertiser.go
@@ -74,19 +74,15 @@
 	return out
 }
 
-// Live returns the number of live entries, which are this one and the others that have been heard from recently, and the rank of this one among them by name.
-func (adv *Advertiser) Live() (num, rank int) {
-	num = 1
+// Live returns the number of live entries, which are this one and the others that have been heard from recently.
+func (adv *Advertiser) Live() int {
+	num := 1
 	for _, ent := range adv.Others() {
-		if !adv.recentlyHeard(ent.Name) {
-			continue
-		}
-		num++
-		if ent.Name < adv.self {
-			rank++
+		if adv.recentlyHeard(ent.Name) {
+			num++
 		}
 	}
-	return num, rank
+	return num
 }
 
 // Members returns the number of registered entries including this one, whether they run or not, and the rank of this one among them by name.
--- a/advertiser/advertiser_test.go
+++ b/advertiser/advertiser_test.go
@@ -45,12 +45,11 @@
 		Entry("this entry stopping", func() { ready = false }, "at-a", "at-b"),
 	)
 
-	It("counts the live entries and ranks this one among them", func() {
+	It("counts the live entries, and ranks this one among the registered ones", func() {
 		put("z", "z")
 		recentlyHeard["a"] = false
-		num, rank := adv.Live()
-		Expect([]int{num, rank}).To(Equal([]int{3, 1}))
-		num, rank = adv.Members()
+		Expect(adv.Live()).To(Equal(3))
+		num, rank := adv.Members()
 		Expect([]int{num, rank}).To(Equal([]int{4, 2}))
 	})
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -166,28 +166,28 @@
 				for _, dis := range all {
 					dis.SetUnits([]dispatcher.Unit{cold})
 				}
-				const step = 50 * time.Millisecond
-				var sent []int
-				for range 200 {
-					clk.Advance(step)
-					num := 0
-					for _, dis := range all {
-						req := dispatcher.Request{ID: "r", Pool: pool, Cost: 1, StartBy: clk.Now(), Deadline: clk.Now().Add(time.Minute)}
-						if _, err := dis.Acquire(context.Background(), req); err == nil {
-							num++
-						}
-					}
-					sent = append(sent, num)
+				total := playCold(clk, all, 200, 1.5*perSecond+5)
+				Expect(float64(total)).To(BeNumerically(">", 0.8*perSecond*10))
+			})
+		}
+
+		for _, num := range []int{7, 74, 390} {
+			It(fmt.Sprintf("send nothing to a cold unit until each knows their number, and then no more than allowed: %d entries started together", num), func() {
+				clk := clockwork.NewFakeClock()
+				cold := unit("a", "z", 100)
+				cold.ColdPerSecond, cold.ColdUntil = perSecond, clk.Now().Add(time.Hour)
+				var all []*dispatcher.Dispatcher
+				for range num {
+					dis := dispatcher.New(dispatcher.Options{Zone: "z", Clock: clk, Breaker: breaker.New(breaker.Options{Clock: clk}), Random: rand.Float64})
+					dis.SetEntries(0, 0)
+					dis.SetUnits([]dispatcher.Unit{cold})
+					all = append(all, dis)
 				}
-				inSecond, total := 0, 0
-				for pos, num := range sent {
-					inSecond, total = inSecond+num, total+num
-					if pos >= int(time.Second/step) {
-						inSecond -= sent[pos-int(time.Second/step)]
-					}
-					Expect(float64(inSecond)).To(BeNumerically("<=", 1.5*perSecond+5))
+				Expect(playCold(clk, all, 20, 0)).To(BeZero())
+				for rank, dis := range all {
+					dis.SetEntries(num, rank)
 				}
-				Expect(float64(total)).To(BeNumerically(">", 0.8*perSecond*10))
+				Expect(float64(playCold(clk, all, 200, 1.5*perSecond+5))).To(BeNumerically(">", 0.8*perSecond*10))
 			})
 		}
 	})
@@ -216,3 +216,27 @@
 		Expect(one.Broken).To(BeClosed())
 	})
 })
+
+// playCold has entries send as much as they may in each step, and returns how much they sent; limit is what all may send in any second.
+func playCold(clk *clockwork.FakeClock, all []*dispatcher.Dispatcher, steps int, limit float64) int {
+	const step = 50 * time.Millisecond
+	var sent []int
+	inSecond, total := 0, 0
+	for pos := range steps {
+		clk.Advance(step)
+		num := 0
+		for _, dis := range all {
+			req := dispatcher.Request{ID: "r", Pool: pool, Cost: 1, StartBy: clk.Now(), Deadline: clk.Now().Add(time.Minute)}
+			if _, err := dis.Acquire(context.Background(), req); err == nil {
+				num++
+			}
+		}
+		sent = append(sent, num)
+		inSecond, total = inSecond+num, total+num
+		if pos >= int(time.Second/step) {
+			inSecond -= sent[pos-int(time.Second/step)]
+		}
+		Expect(float64(inSecond)).To(BeNumerically("<=", limit))
+	}
+	return total
+}
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -117,6 +117,10 @@
 
 // updatePacing schedules this entry's first request to a unit that begins to serve while cold, or becomes cold while serving. The entries take turns, each unit in another order.
 func (sta *unitState) updatePacing(now time.Time, entries, rank int, random float64) {
+	if entries == 0 {
+		sta.paced, sta.nextColdStart = false, sta.ColdUntil
+		return
+	}
 	before := sta.paced
 	sta.paced = sta.Readiness == Serving && sta.cold(now)
 	if !sta.paced || before {
--- a/dispatcher/update.go
+++ b/dispatcher/update.go
@@ -90,11 +90,19 @@
 	return out
 }
 
-// SetEntries sets how many entries share the units, including this one, and the rank of this one among them, from 0.
+// SetEntries sets how many entries share the units, including this one, and the rank of this one among them, from 0. While their number is unknown, which is 0, cold units get no requests.
 func (dis *Dispatcher) SetEntries(num, rank int) {
 	dis.mux.Lock()
 	defer dis.mux.Unlock()
-	dis.entries, dis.rank = max(1, num), max(0, rank)
+	begins := dis.entries == 0
+	dis.entries, dis.rank = max(0, num), max(0, rank)
+	if !begins {
+		return
+	}
+	now := dis.opt.Clock.Now()
+	for _, sta := range dis.units {
+		sta.updatePacing(now, dis.entries, dis.rank, dis.opt.Random())
+	}
 }
 
 // SetLoadAge sets how old the loads of other entries are at most.
--- a/gateserver/demand.go
+++ b/gateserver/demand.go
@@ -41,7 +41,7 @@
 func (gat *Server) forecast(service, model string) (forecaster.Forecast, bool) {
 	gat.onDemand(gat.set.Name, gat.ownDemand())
 	known := gat.frc.Expire(demandStates * gat.peerStateTTL())
-	if live, _ := gat.adv.Live(); 2*known <= live {
+	if live := gat.adv.Live(); 2*known <= live {
 		return forecaster.Forecast{}, false
 	}
 	return gat.frc.Sum(hash(gateway.PoolName(service, model)), gat.entryZones()), true
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -174,6 +174,7 @@
 	gat.lim = ratelimiter.New(gat.clk)
 	gat.sha = sharer.New(sharer.Options{Clock: gat.clk})
 	gat.dis = dispatcher.New(dispatcher.Options{Zone: gat.set.Zone, Clock: gat.clk, Breaker: breaker.New(breaker.Options{Clock: gat.clk}), RateLimits: gat.lim, Shares: gat.sha})
+	gat.dis.SetEntries(0, 0)
 	gat.bud = budgeter.New(budgeter.Options{Ratio: bou.RetryRatio, Slack: bou.RetrySlack, Window: bou.RetryWindow, Clock: gat.clk})
 	gat.sen = sender.New(&linkDialer{Dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, KeepAlive: -1}, lin: gat.lin, serviceAt: gat.serviceAt, isFar: gat.isFar, farBytes: &gat.farBytes}, gat.clk, dialTimeout)
 	gat.det = detector.New(detector.Options{
@@ -278,13 +279,14 @@
 	return !gat.sawRequest.Load()
 }
 
-// shareLimits sets the number of entries that share the limit on retries. It counts the registered ones: those that this entry does not hear may serve callers all the same, and have spent their part until they stopped.
+// shareLimits sets the number of entries that share the limits on retries and on requests to cold servers. It counts the registered ones: those that this entry does not hear may serve callers all the same, and have spent their part until they stopped.
 func (gat *Server) shareLimits() {
 	if !gat.tailers[gat.pla.Topics.Entries].Known() {
 		return
 	}
-	num, _ := gat.adv.Members()
+	num, rank := gat.adv.Members()
 	gat.bud.SetEntries(num)
+	gat.dis.SetEntries(num, rank)
 }
 
 // tick periodically expires state that is limited by time, and updates the number of live entries.
@@ -307,8 +309,7 @@
 		if num%sweepTicks == 0 {
 			gat.sen.Sweep()
 			gat.peerSender.Sweep()
-			live, rank := gat.adv.Live()
-			gat.dis.SetEntries(live, rank)
+			live := gat.adv.Live()
 			gat.dis.SetLoadAge(gat.loadAge())
 			gat.shareLimits()
 			gat.reg.SetNoPeers(live == 1)
