Keep a late withdrawal from removing the next process's registration

Cause: the withdrawal was an unconditional append that deletes by name, which the store may carry out seconds later, and an entry passed over all records with its own name. The class: a record of one incarnation that removes that of a later one.

An entry that sees its registration deleted, missing from a complete list, or replaced by that of an earlier incarnation writes it again; that also heals what entries of an earlier version withdraw. A complete list removes the entries that it lacks.

--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -101,11 +101,14 @@
 	tailers map[string]*tailer.Tailer
 	tab     atomic.Pointer[router.Table]
 	// unitsKnown is closed when the first configuration is in force and units are known.
-	unitsKnown   chan struct{}
-	knowsUnits   sync.Once
-	units        atomic.Pointer[unitTable]
-	bounds       atomic.Pointer[gateconfigurer.Bounds]
-	stopping     atomic.Bool
+	unitsKnown chan struct{}
+	knowsUnits sync.Once
+	units      atomic.Pointer[unitTable]
+	bounds     atomic.Pointer[gateconfigurer.Bounds]
+	stopping   atomic.Bool
+	// registered is the last registration of this entry that the store has accepted, registering says that it is being written again.
+	registered   atomic.Pointer[registration]
+	registering  atomic.Bool
 	endsAt       atomic.Pointer[time.Time]
 	sawRequest   atomic.Bool
 	running      atomic.Int64
--- a/gateserver/platform.go
+++ b/gateserver/platform.go
@@ -44,8 +44,8 @@
 	// DecodeOperatorRecord and DecodeServer decode one record of the operator and server topics.
 	DecodeOperatorRecord func(rec tailer.Record) (OperatorRecord, error)
 	DecodeServer         func(rec tailer.Record, now time.Time) (registrar.Server, error)
-	// Register writes the registration of this entry, Withdraw removes it.
-	Register func(ctx context.Context, ent advertiser.Entry) error
+	// Register writes the registration of this entry and returns its offset, Withdraw removes it.
+	Register func(ctx context.Context, ent advertiser.Entry) (offset int64, err error)
 	Withdraw func(ctx context.Context, name string) error
 	// Readiness returns the handler of the readiness check; Directory returns the handler that tells callers the addresses of entries.
 	Readiness func(ready func() bool) http.Handler
--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -47,10 +47,12 @@
 	withdrawn time.Time
 }
 
-func (sto *store) put(topic, key string, value []byte) {
+func (sto *store) put(topic, key string, value []byte) int64 {
 	sto.mux.Lock()
 	defer sto.mux.Unlock()
-	sto.recs[topic] = append(sto.recs[topic], tailer.Record{Key: key, Value: value, Offset: int64(len(sto.recs[topic]))})
+	offset := int64(len(sto.recs[topic]))
+	sto.recs[topic] = append(sto.recs[topic], tailer.Record{Key: key, Value: value, Offset: offset})
+	return offset
 }
 
 func (sto *store) Newest(_ context.Context, topic string) (tailer.Page, error) {
@@ -118,7 +120,7 @@
 			return gateserver.OperatorRecord{Config: &router.Config{Version: 1}}, nil
 		},
 		DecodeServer: func(tailer.Record, time.Time) (registrar.Server, error) { return registrar.Server{}, nil },
-		Register:     func(context.Context, advertiser.Entry) error { return nil },
+		Register:     func(context.Context, advertiser.Entry) (int64, error) { return 0, nil },
 		Withdraw: func(context.Context, string) error {
 			sto.mux.Lock()
 			defer sto.mux.Unlock()
--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lovagelever/lovagelever/advertiser"
@@ -133,9 +134,12 @@
 
 // onEntries applies the registrations of entries.
 func (gat *Server) onEntries(cha tailer.Change) {
-	if slices.Contains(cha.Unwritten, gat.set.Name) && !gat.stopping.Load() {
+	if gat.lostRegistration(cha) {
 		go gat.registerAgain()
 	}
+	if cha.Full {
+		gat.removeUnlisted(cha.Records)
+	}
 	for _, rec := range cha.Records {
 		if rec.Key == gat.set.Name {
 			continue
@@ -144,8 +148,8 @@
 			gat.adv.Remove(rec.Key)
 			continue
 		}
-		var ent advertiser.Entry
-		if err := json.Unmarshal(rec.Value, &ent); err != nil || ent.Name != rec.Key {
+		ent, err := decodeEntry(rec)
+		if err != nil {
 			gat.log.WithError(err).WithField("entry", rec.Key).Warn("registration of an entry cannot be read")
 			continue
 		}
@@ -153,3 +157,61 @@
 	}
 	gat.shareLimits()
 }
+
+// decodeEntry decodes the registration of an entry; it fails with errors.NotValid.
+func decodeEntry(rec tailer.Record) (advertiser.Entry, error) {
+	var ent advertiser.Entry
+	if err := json.Unmarshal(rec.Value, &ent); err != nil {
+		return ent, errors.NewNotValid(err, "gateserver: registration")
+	}
+	if ent.Name != rec.Key {
+		return ent, errors.NotValidf("gateserver: registration of %q", ent.Name)
+	}
+	return ent, nil
+}
+
+// listDelay is how long after a registration a complete list may still lack it.
+const listDelay = 5 * time.Second
+
+// registration is where and when the store has accepted a registration of this entry.
+type registration struct {
+	offset int64
+	at     time.Time
+}
+
+// lostRegistration reports whether a change says that the registration of this entry is gone, be it lost with an older copy of the store, deleted late by the process before it, or replaced by that process's.
+func (gat *Server) lostRegistration(cha tailer.Change) bool {
+	if gat.stopping.Load() {
+		return false
+	}
+	if slices.Contains(cha.Unwritten, gat.set.Name) {
+		return true
+	}
+	reg := gat.registered.Load()
+	if reg == nil {
+		return false
+	}
+	listed, lost := false, false
+	for _, rec := range cha.Records {
+		if rec.Key != gat.set.Name {
+			continue
+		}
+		ent, err := decodeEntry(rec)
+		listed = true
+		lost = rec.Offset > reg.offset && (err != nil || ent.Incarnation < gat.self.Incarnation)
+	}
+	return lost || cha.Full && !listed && gat.clk.Since(reg.at) > listDelay
+}
+
+// removeUnlisted removes the entries that a complete list lacks.
+func (gat *Server) removeUnlisted(list []tailer.Record) {
+	listed := map[string]bool{}
+	for _, rec := range list {
+		listed[rec.Key] = true
+	}
+	for _, ent := range gat.adv.Others() {
+		if !listed[ent.Name] {
+			gat.adv.Remove(ent.Name)
+		}
+	}
+}
--- a/gateserver/run.go
+++ b/gateserver/run.go
@@ -136,8 +136,9 @@
 // register registers this entry, and retries until the store accepts it.
 func (gat *Server) register(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := gat.pla.Register(ctx, gat.self)
+		offset, err := gat.pla.Register(ctx, gat.self)
 		if err == nil {
+			gat.registered.Store(&registration{offset: offset, at: gat.clk.Now()})
 			return
 		}
 		gat.log.WithError(err).Info("registration failed, trying again")
@@ -148,13 +149,17 @@
 	}
 }
 
-// registerAgain registers this entry after the store has lost its registration, at a random time, so that not all entries write at once.
+// registerAgain registers this entry after its registration was lost or replaced by an earlier one, at a random time, so that not all entries write at once.
 func (gat *Server) registerAgain() {
+	if !gat.registering.CompareAndSwap(false, true) {
+		return
+	}
+	defer gat.registering.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), unwrittenEntryTTL)
 	defer cancel()
 	gat.clk.Sleep(rand.N(registerSpread))
 	if !gat.stopping.Load() {
-		gat.log.Info("registering again, the store has lost the registration")
+		gat.log.Info("registering again, the registration is lost")
 		gat.register(ctx)
 	}
 }
