Take on no request whose longest answer outlasts a stopping entry

Cause: whether there is time was decided by the length that the caller expects, which is right at the median and often far off; calls of a service without an engine were taken to need 60 ms whatever the service.

Change: what counts is the longest answer that the caller accepts, on a full unit, at most until the deadline, and for plain calls the slowest recent ones of their service. The former bound of three times the expected work stays as well. What cannot end in time is refused at once as not run, as before. Refusals before a deadline is known are logged without one.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -52,11 +52,15 @@
 	default:
 		outcome = OutcomeInvalid
 	}
-	job.log.WithFields(logrus.Fields{
+	log := job.log.WithFields(logrus.Fields{
 		"status": ref.Status, "why": ref.Message, "route": job.rou.Name, "workspace": job.wsp.Name, "pool": job.pool(),
 		"sends": job.sends, "may_have_run": job.mayHaveRun, "after_ms": job.gat.opt.Clock.Since(job.arrived).Milliseconds(),
-		"deadline_in_ms": job.gat.opt.Clock.Until(job.deadline).Milliseconds(), "config_version": job.configVersion(), "quarantined": job.quarantined,
-	}).Info("request refused")
+		"config_version": job.configVersion(), "quarantined": job.quarantined,
+	})
+	if !job.deadline.IsZero() {
+		log = log.WithField("deadline_in_ms", job.gat.opt.Clock.Until(job.deadline).Milliseconds())
+	}
+	log.Info("request refused")
 	job.markRefusal(err, ref)
 	head := job.wtr.Header()
 	head.Set("Content-Type", "application/json")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,8 @@
 	opt       Options
 	requests  *collector.Collector
 	responses *collector.Collector
+	// durations are those of plain calls, by service.
+	durations durations
 	// peerVersion is the newest version of the configuration by which other entries have served callers of this one.
 	peerVersion atomic.Int64
 }
@@ -251,7 +253,7 @@
 	if err := job.readBody(); err != nil {
 		return err
 	}
-	if ends, stopping := job.gat.opt.Stopping(); stopping && job.gat.opt.Clock.Until(ends) < stopWorkFactor*job.expectedWork()+stopMargin {
+	if ends, stopping := job.gat.opt.Stopping(); stopping && job.gat.opt.Clock.Until(ends) < job.longestWork()+stopMargin {
 		return elsewhere("this entry ends before the request could", retryAfterStopping)
 	}
 	return nil
@@ -452,19 +454,33 @@
 
 // expectedWork estimates how long a unit needs to run the request.
 func (job *job) expectedWork() time.Duration {
-	eng := job.ser.Engine
-	if eng == nil {
+	if job.ser.Engine == nil {
 		return plainCallWork
 	}
+	return job.engineWork(job.size(), job.ser.Engine.Slots/2)
+}
+
+// longestWork returns how long a unit may need to run the request, at most until its deadline: the answer may be as long as the caller accepts, however long it is expected to be.
+func (job *job) longestWork() time.Duration {
+	left := max(0, job.gat.opt.Clock.Until(job.deadline))
+	if job.ser.Engine == nil {
+		return min(left, stopWorkFactor*max(plainCallWork, job.gat.durations.slowest(job.ser.Name)))
+	}
+	siz := estimator.Request{PromptTokens: job.cal.PromptTokens, AnswerTokens: job.cal.AnswerTokens}
+	return min(left, max(job.engineWork(siz, job.ser.Engine.Slots), stopWorkFactor*job.expectedWork()))
+}
+
+// engineWork estimates how long a unit needs to run a generation beside a number of others.
+func (job *job) engineWork(siz estimator.Request, others int) time.Duration {
+	eng := job.ser.Engine
 	pace := 1.0
 	for _, mod := range eng.Models {
 		if mod.Name == job.cal.Model {
 			pace = mod.TimeFactor
 		}
 	}
-	siz := job.size()
 	read := float64(siz.PromptTokens) / max(1, eng.PromptTokensPerSecond)
-	write := float64(siz.AnswerTokens) * (eng.Step + time.Duration(eng.Slots/2)*eng.StepPerRequest).Seconds()
+	write := float64(siz.AnswerTokens) * (eng.Step + time.Duration(others)*eng.StepPerRequest).Seconds()
 	return time.Duration((read + write) * pace * float64(time.Second))
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -186,6 +186,9 @@
 		out.Result = res
 	}
 	out.Duration = job.gat.opt.Clock.Since(began)
+	if out.Result == dispatcher.Served && pla.Unit.Entry == "" {
+		job.gat.durations.record(job.ser.Name, out.Duration)
+	}
 	return result{rep: rep, err: err, unit: pla.Unit, began: began, sent: true, mayRun: !rep.ver.NotRun, cancelled: ctx.Err() != nil}
 }
 
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -36,7 +36,12 @@
 	ms, _ := strconv.Atoi(req.Header.Get("X-Within"))
 	parts := strings.Split(req.Header.Get("X-Parts"), ",")
 	parts = parts[:len(parts)-1]
+	tokens := make([]int, 3)
+	for num, text := range strings.SplitN(req.Header.Get("X-Tokens"), ",", len(tokens)) {
+		tokens[num], _ = strconv.Atoi(text)
+	}
 	return gateway.Call{
+		PromptTokens: tokens[0], AnswerTokens: tokens[1], LengthHint: tokens[2],
 		ID: req.Header.Get("X-Id"), Key: req.Header.Get("X-Key"), Timeout: time.Duration(ms) * time.Millisecond,
 		Model: req.Header.Get("X-Model"), LastEventID: req.Header.Get("X-After"), PromptParts: parts,
 	}
