Apply the records of a server in the order of the log

A server that is removed and listed again within one read got no requests until its record changed, which may be never: each batch applied all new records before all removals.

Change: the last record of a server in a batch decides.

--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -64,7 +64,7 @@
 	now := gat.clk.Now()
 	list := map[string]registrar.Server{}
 	var upd registrar.Change
-	for _, rec := range cha.Records {
+	for _, rec := range newestOfEach(cha.Records) {
 		if len(rec.Value) == 0 {
 			upd.Remove = append(upd.Remove, rec.Key)
 			continue
@@ -88,6 +88,21 @@
 	gat.reg.Apply(upd)
 }
 
+// newestOfEach returns the last record of each key, in their order.
+func newestOfEach(list []tailer.Record) []tailer.Record {
+	last := map[string]int{}
+	for num, rec := range list {
+		last[rec.Key] = num
+	}
+	out := make([]tailer.Record, 0, len(last))
+	for num, rec := range list {
+		if last[rec.Key] == num {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
 // onLeaving marks a backend server that has said in a response that it leaves.
 func (gat *Server) onLeaving(ins registrar.Instance) {
 	if gat.reg.MarkLeaving(ins) {
