--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -125,9 +125,11 @@
 	lastCollected atomic.Pointer[time.Time]
 	collectsSince atomic.Pointer[time.Time]
 	// peerCount is how many entries receive heartbeats.
-	peerCount     atomic.Int64
-	self          advertiser.Entry
-	zonesOut      sync.Map
+	peerCount atomic.Int64
+	self      advertiser.Entry
+	zonesOut  sync.Map
+	// unusable maps the keys of records of backend servers that cannot be used to their offsets.
+	unusable      sync.Map
 	upToDatePeers sync.Map
 	// newsFrom maps each topic to the entry that last said that it knows newer records.
 	newsFrom sync.Map
--- a/gateserver/list_test.go
+++ b/gateserver/list_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/lovagelever/lovagelever/gateserver"
@@ -18,6 +20,7 @@
 
 var _ = Describe("List of backend servers", func() {
 	var gat *gateserver.Server
+	var hook *logtest.Hook
 	listed := func(id string, fields string) tailer.Record {
 		return tailer.Record{Key: id, Value: fmt.Appendf(nil, `{"service":"s","addr":"127.0.0.1:9","zone":"z","state":"ready","slots":4,"born":1%s}`, fields)}
 	}
@@ -29,7 +32,8 @@
 		return out
 	}
 	BeforeEach(func() {
-		log, _ := logtest.NewNullLogger()
+		var log *logrus.Logger
+		log, hook = logtest.NewNullLogger()
 		pla := platform(&store{})
 		pla.DecodeOperatorRecord = func(tailer.Record) (gateserver.OperatorRecord, error) {
 			return gateserver.OperatorRecord{Config: &router.Config{Version: 1, Services: map[string]router.Service{"s": {Name: "s"}}}}, nil
@@ -55,4 +59,28 @@
 		gat.ApplyRecords(nil, []tailer.Record{listed("w1", ""), {Key: "w1"}})
 		Expect(serving()).To(ConsistOf("w0"))
 	})
+
+	for _, cas := range []struct{ name, fields string }{
+		{"nested deeply", `,"models":` + strings.Repeat(`[`, 100_000) + strings.Repeat(`]`, 100_000)},
+		{"with nested unknown fields", `,"x":` + strings.Repeat(`{"y":`, 9000) + `1` + strings.Repeat(`}`, 9000)},
+		{"with a number too large", `,"slots":1e400`},
+		{"with a port out of range", `,"addr":"127.0.0.1:99999"`},
+		{"of a negative number of slots", `,"slots":-7`},
+	} {
+		It("stands beside a record of another writer, logged once: "+cas.name, func() {
+			odd := listed("odd", cas.fields)
+			for range 3 {
+				gat.ApplyRecords(nil, []tailer.Record{odd, listed("w1", "")})
+			}
+			Expect(serving()).To(ContainElements("w0", "w1"))
+			warnings := 0
+			for _, ent := range hook.AllEntries() {
+				if ent.Level == logrus.WarnLevel {
+					warnings++
+					Expect(ent.Data).To(HaveKeyWithValue("server", "odd"))
+				}
+			}
+			Expect(warnings).To(BeNumerically("<=", 1))
+		})
+	}
 })
--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -71,7 +71,7 @@
 		}
 		ser, err := gat.pla.DecodeServer(rec, now)
 		if err != nil {
-			gat.log.WithError(err).WithFields(logrus.Fields{"server": rec.Key, "offset": rec.Offset}).Warn("record of a backend server cannot be used")
+			gat.noteUnusable(rec, err)
 			gat.reg.Remove(rec.Key, false)
 			continue
 		}
@@ -103,6 +103,14 @@
 	return out
 }
 
+// noteUnusable logs a record of a backend server that cannot be used, unless it was logged before.
+func (gat *Server) noteUnusable(rec tailer.Record, err error) {
+	if old, known := gat.unusable.Swap(rec.Key, rec.Offset); known && old == rec.Offset {
+		return
+	}
+	gat.log.WithError(err).WithFields(logrus.Fields{"server": rec.Key, "offset": rec.Offset}).Warn("record of a backend server cannot be used")
+}
+
 // onLeaving marks a backend server that has said in a response that it leaves.
 func (gat *Server) onLeaving(ins registrar.Instance) {
 	if gat.reg.MarkLeaving(ins) {
