Let the fault soak mix two builds

LOVAGELEVER_OTHER_BUILD names another build of the program; each entry process of the soak is then at random of that one or of bin/, as in an upgrade.

--- a/prover/gate_deployment_test.go
+++ b/prover/gate_deployment_test.go
@@ -54,8 +54,11 @@
 	ope *operatorfaker.Operator
 	cfg router.Config
 
-	mtx        sync.Mutex
-	procs      map[int]*process
+	mtx   sync.Mutex
+	procs map[int]*process
+	// builds are the programs of which buildRNG selects that of each process, if there is more than one.
+	builds     []string
+	buildRNG   *rand.Rand
 	faultSpans map[int][]span
 	sends      []gateSend
 	// storeMtx guards the fields below: storeUnreachable is set while the store answers no entry, and storeReachableSince is when that last ended.
@@ -129,6 +132,10 @@
 	DeferCleanup(gts.close)
 	gts.sto = storefaker.New(storefaker.Options{Address: storeIP + ":" + storePort, Retain: 2000})
 	Expect(gts.sto.Start()).To(Succeed())
+	if other := os.Getenv(otherBuildVariable); other != "" {
+		gts.builds = []string{"lovagelever", other}
+		gts.buildRNG = rand.New(rand.NewPCG(rng.Uint64(), 3))
+	}
 	gts.ntw.forward(storeLink, storeIP, storePort)
 	gts.ope = operatorfaker.New(gts.sto)
 	Expect(gts.ope.Publish(gts.cfg)).To(Succeed())
@@ -211,10 +218,13 @@
 `, num, gateZone(num), ip, storeLink, gateMemoryMB, gateStopGrace)
 	file := filepath.Join(gts.dir, fmt.Sprintf("gate-%d.yaml", num))
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
-	pro := startProcess(gts.dir, fmt.Sprintf("gate-%d", num), "lovagelever", "gate", "--settings", file)
 	gts.mtx.Lock()
 	defer gts.mtx.Unlock()
-	gts.procs[num] = pro
+	program := "lovagelever"
+	if len(gts.builds) > 0 {
+		program = gts.builds[gts.buildRNG.IntN(len(gts.builds))]
+	}
+	gts.procs[num] = startProcess(gts.dir, fmt.Sprintf("gate-%d", num), program, "gate", "--settings", file)
 }
 
 func (gts *gates) gate(num int) *process {
--- a/prover/process_test.go
+++ b/prover/process_test.go
@@ -14,7 +14,7 @@
 
 const exitTimeout = 5 * time.Second
 
-// process is a started program of bin/. It is only ever signalled by its process ID.
+// process is a started program of bin/, or of an absolute path. It is only ever signalled by its process ID.
 type process struct {
 	name string
 	cmd  *exec.Cmd
@@ -25,7 +25,10 @@
 	out, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	Expect(err).NotTo(HaveOccurred())
 	defer out.Close()
-	cmd := exec.Command(filepath.Join("..", "bin", program), args...)
+	if !filepath.IsAbs(program) {
+		program = filepath.Join("..", "bin", program)
+	}
+	cmd := exec.Command(program, args...)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	Expect(cmd.Start()).To(Succeed())
--- a/prover/suite_test.go
+++ b/prover/suite_test.go
@@ -18,8 +18,10 @@
 	seedVariable     = "LOVAGELEVER_SEED"
 	durationVariable = "LOVAGELEVER_SOAK"
 	netVariable      = "LOVAGELEVER_NET"
-	defaultNet       = 31
-	defaultDuration  = 25 * time.Second
+	// otherBuildVariable is the absolute path of another build; each entry process is at random of that one or of bin/.
+	otherBuildVariable = "LOVAGELEVER_OTHER_BUILD"
+	defaultNet         = 31
+	defaultDuration    = 25 * time.Second
 )
 
 func TestProver(t *testing.T) {
