Take a page of another entry for whole only if it has all removals

An entry that was behind, as after a freeze, kept a backend server, a zone that was out or an entry for good whose record had been removed meanwhile, if the entry that it asked had started after the removal, had read the whole topic anew since, or had forgotten the removal after a minute.

Cause: the answer has the newest records and the end up to which that entry knows the topic.

Change: a tailer knows from which offset on it has all removals. Asked for earlier ones it still sends its records, but the page ends where it begins, so that the asking entry stays behind, asks another one and then reads the store. An entry that has caught up meanwhile asks nobody.

The six new specs failed before: the removed key stayed.

--- a/tailer/era.go
+++ b/tailer/era.go
@@ -59,6 +59,7 @@
 func (tai *Tailer) beginEra(pag Page, now time.Time) Change {
 	before, endBefore := tai.era, tai.end
 	tai.era, tai.end, tai.eraBegan, tai.outageEnd = pag.Era, pag.End, now, now
+	tai.removalsFrom = pag.End
 	for key, sto := range tai.newest {
 		sto.older = nil
 		tai.newest[key] = sto
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -94,13 +94,18 @@
 
 // Tailer follows one topic; it is safe for concurrent use.
 type Tailer struct {
-	opt       Options
-	mux       sync.Mutex
-	newest    map[string]storedRecord
-	era       int64
-	eraBegan  time.Time
-	end       int64
-	known     bool
+	opt      Options
+	mux      sync.Mutex
+	newest   map[string]storedRecord
+	era      int64
+	eraBegan time.Time
+	end      int64
+	known    bool
+	// removalsFrom is the offset from which all removals are known; earlier ones may be unknown or forgotten.
+	removalsFrom int64
+	// peerEra and peerEnd are the latest position up to which another entry has read the topic.
+	peerEra   int64
+	peerEnd   int64
 	contact   time.Time
 	outageEnd time.Time
 	failed    bool
@@ -162,7 +167,12 @@
 func (tai *Tailer) IsBehind(era, end int64) bool {
 	tai.mux.Lock()
 	defer tai.mux.Unlock()
-	return era > tai.era || era == tai.era && end > tai.end
+	return isLater(era, end, tai.era, tai.end)
+}
+
+// isLater reports whether a position in the topic is later than another one.
+func isLater(era, end, otherEra, otherEnd int64) bool {
+	return era > otherEra || era == otherEra && end > otherEnd
 }
 
 // NotifyEnd reports that another entry has read the topic up to an offset of an era.
@@ -170,6 +180,11 @@
 	if !tai.IsBehind(era, end) {
 		return
 	}
+	tai.mux.Lock()
+	if isLater(era, end, tai.peerEra, tai.peerEnd) {
+		tai.peerEra, tai.peerEnd = era, end
+	}
+	tai.mux.Unlock()
 	select {
 	case tai.peerAhead <- struct{}{}:
 	default:
@@ -183,13 +198,20 @@
 	return tai.era, tai.end
 }
 
-// followPeers waits until another entry has read newer records, and requests them from entries. If none can tell them, it reads the store: datagrams may arrive from entries that this one cannot call.
+// isBehindPeer reports whether another entry has read more of the topic.
+func (tai *Tailer) isBehindPeer() bool {
+	tai.mux.Lock()
+	defer tai.mux.Unlock()
+	return isLater(tai.peerEra, tai.peerEnd, tai.era, tai.end)
+}
+
+// followPeers waits until another entry has read newer records, and requests them from entries. If none can tell them all, it reads the store: datagrams may arrive from entries that this one cannot call, or that do not know all removals.
 func (tai *Tailer) followPeers(ctx context.Context) {
 	select {
 	case <-ctx.Done():
 	case <-tai.peerAhead:
 		for range asksBeforeRead {
-			if tai.askPeer(ctx) {
+			if !tai.isBehindPeer() || tai.askPeer(ctx) {
 				return
 			}
 		}
@@ -244,7 +266,8 @@
 }
 
 // Since returns the newest records from an offset of an era on, including removals, or all of them if the era is over; it
-// fails with errors.NotFound before the topic has been read and for an era that this entry does not know.
+// fails with errors.NotFound before the topic has been read and for an era that this entry does not know. The page ends
+// where it begins if this entry does not know all removals since.
 func (tai *Tailer) Since(era, from int64) (Page, error) {
 	tai.mux.Lock()
 	defer tai.mux.Unlock()
@@ -252,6 +275,9 @@
 		return Page{}, errors.NotFoundf("tailer: topic %s of era %d", tai.opt.Topic, era)
 	}
 	out := Page{Era: tai.era, End: tai.end, Outage: tai.inOutage()}
+	if knowsNothing := from == 0; era == tai.era && from < tai.removalsFrom && !knowsNothing {
+		out.End = from
+	}
 	for _, sto := range tai.newest {
 		if era < tai.era || sto.Era == tai.era && sto.Offset >= from {
 			out.Records = append(out.Records, sto.Record)
@@ -281,7 +307,7 @@
 	return tai.returned
 }
 
-// askPeer requests newer records from another entry, and reports whether it has told them.
+// askPeer requests newer records from another entry, and reports whether more of the topic is known then.
 func (tai *Tailer) askPeer(ctx context.Context) bool {
 	era, from := tai.End()
 	ctx, cancel := context.WithTimeout(ctx, retryAfter)
@@ -292,7 +318,7 @@
 		return false
 	}
 	tai.apply(pag, false)
-	return true
+	return isLater(pag.Era, pag.End, era, from)
 }
 
 // apply stores the records of a page that are newer than the known ones, and passes them to OnChange. The first page of a later era must have all keys.
@@ -312,6 +338,9 @@
 	}
 	cha := Change{Full: full, Outage: pag.Outage || tai.inOutage()}
 	cha.Returned = tai.recentReturn(now)
+	if full || !tai.known {
+		tai.removalsFrom = pag.End
+	}
 	if full {
 		tai.markRemoved(pag, now)
 	}
@@ -324,6 +353,9 @@
 	for key, sto := range tai.newest {
 		if sto.Value == nil && now.Sub(sto.at) > removalRetention {
 			delete(tai.newest, key)
+			if sto.Era == tai.era {
+				tai.removalsFrom = max(tai.removalsFrom, sto.Offset+1)
+			}
 		}
 	}
 	tai.mux.Unlock()
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"slices"
@@ -327,6 +328,47 @@
 		Eventually(behind.current).Should(Equal(map[string]string{"a": "2"}))
 	})
 
+	// Guards against backend servers that stay on the list for good because the entry that was asked does not know of their removal.
+	for _, cas := range []struct {
+		name string
+		// begin is how many records the other entry has read before it reads those that it knows at the end, expired how many of them the store lacks then.
+		begin   int
+		expired int64
+		idle    time.Duration
+	}{
+		{"has started after it", 4, 0, 0},
+		{"has forgotten it", 2, 0, time.Hour},
+		{"has read the whole topic since", 1, 4, 0},
+	} {
+		for _, down := range []bool{false, true} {
+			It(fmt.Sprintf("learns of a removal if the entry that it asks %s, store down: %t", cas.name, down), func() {
+				sto.put("b", "")
+				sto.put("c", "1")
+				theirs, own := &fakeStore{recs: sto.recs[:cas.begin]}, &fakeStore{recs: sto.recs[:2]}
+				oth := newRecordingTailer(theirs, &fakePeers{}, clk)
+				behind := newRecordingTailer(own, &fakePeers{other: oth.Tailer, reads: true}, clk)
+				Expect(oth.Step(context.Background())).To(Succeed())
+				Expect(behind.Step(context.Background())).To(Succeed())
+				theirs.recs, theirs.first, own.recs = sto.recs, cas.expired, sto.recs
+				Expect(oth.Step(context.Background())).To(Succeed())
+				theirs.first = 0
+				clk.Advance(cas.idle)
+				Expect(oth.Step(context.Background())).To(Succeed())
+				own.setDown(down)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				go behind.Run(ctx)
+				behind.NotifyEnd(oth.End())
+				Eventually(behind.current).Should(HaveKey("c"))
+				own.setDown(false)
+				Eventually(func() map[string]string {
+					behind.NotifyEnd(oth.End())
+					return behind.current()
+				}).Should(Equal(map[string]string{"a": "1", "c": "1"}))
+			})
+		}
+	}
+
 	It("does not read the store while other entries do", func() {
 		idle := &fakeStore{}
 		behind := newRecordingTailer(idle, &fakePeers{other: tai.Tailer, reads: true}, clk)
