Take totals of a lower incarnation once the higher one is silent

On sites where some entries collect loads for the others, the loads of a collector were ignored for good after it had started again with its clock set back: its incarnation is the time of its start, and that of the process before was higher.

Cause: a record of an earlier incarnation hides those of a later one. Heartbeats of a silent entry are forgotten, the last totals of a collector were not.

Change: totals are compared with those of the same entry only as long as these are recent. The new spec failed before: the totals were never taken.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -99,6 +99,11 @@
 	seq         uint64
 }
 
+// isBefore reports whether a message was sent later than this one.
+func (las lastHeartbeat) isBefore(incarnation, seq uint64) bool {
+	return las.incarnation < incarnation || las.incarnation == incarnation && las.seq < seq
+}
+
 // New returns a heartbeater that listens on its address.
 func New(opt Options) (*Heartbeater, error) {
 	con, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(opt.Address))
@@ -140,6 +145,13 @@
 	return known && hea.opt.Clock.Since(las.at) < SilentAfterIntervals*Interval(len(hea.heard))
 }
 
+// silenceLimit returns after how long without a datagram an entry counts as gone.
+func (hea *Heartbeater) silenceLimit() time.Duration {
+	hea.mux.Lock()
+	defer hea.mux.Unlock()
+	return SilentAfterIntervals * Interval(len(hea.heard))
+}
+
 // Interval returns the time between two heartbeats for a number of other entries.
 func Interval(peers int) time.Duration {
 	return max(MinInterval, time.Duration(peers)*time.Second/maxDatagramsPerSecond)
@@ -250,17 +262,19 @@
 	}
 }
 
-// receiveTotals handles totals unless they are older than others of the same entry.
+// receiveTotals handles totals unless they are older than recent ones of the same entry. An entry whose clock was set back has a lower incarnation after its next start.
 func (hea *Heartbeater) receiveTotals(data []byte) {
 	tot, err := DecodeTotals(data)
 	if err != nil {
 		hea.opt.Logger.WithError(err).Debug("ignoring datagram that holds no valid totals")
 		return
 	}
-	if last, known := hea.totals[tot.Name]; known && (tot.Incarnation < last.incarnation || tot.Incarnation == last.incarnation && tot.Seq <= last.seq) {
+	now := hea.opt.Clock.Now()
+	last, known := hea.totals[tot.Name]
+	if known && now.Sub(last.at) < hea.silenceLimit() && !last.isBefore(tot.Incarnation, tot.Seq) {
 		return
 	}
-	hea.totals[tot.Name] = lastHeartbeat{incarnation: tot.Incarnation, seq: tot.Seq}
+	hea.totals[tot.Name] = lastHeartbeat{at: now, incarnation: tot.Incarnation, seq: tot.Seq}
 	hea.opt.OnTotals(tot)
 }
 
@@ -300,7 +314,7 @@
 	hea.mux.Lock()
 	defer hea.mux.Unlock()
 	old, known := hea.heard[bea.Name]
-	if known && (bea.Incarnation < old.incarnation || bea.Incarnation == old.incarnation && bea.Seq <= old.seq) {
+	if known && !old.isBefore(bea.Incarnation, bea.Seq) {
 		return false
 	}
 	if !known {
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -118,6 +120,8 @@
 	mux    sync.Mutex
 	seqs   []uint64
 	silent []string
+	// totals are the incarnations of the senders of totals.
+	totals []uint64
 }
 
 func (rec *receivedHeartbeats) counts() (heard, silent int) {
@@ -144,6 +148,11 @@
 			defer rec.mux.Unlock()
 			rec.seqs = append(rec.seqs, bea.Seq)
 		},
+		OnTotals: func(tot heartbeater.Totals) {
+			rec.mux.Lock()
+			defer rec.mux.Unlock()
+			rec.totals = append(rec.totals, tot.Incarnation)
+		},
 		OnSilent: func(name string) {
 			rec.mux.Lock()
 			defer rec.mux.Unlock()
@@ -173,6 +182,30 @@
 		Expect(a.Heard("b")).To(BeFalse())
 	})
 
+	// Guards against totals that are ignored for good since their sender has started again with its clock set back.
+	It("takes the totals of a lower incarnation once the higher one is silent", func() {
+		var rec receivedHeartbeats
+		const address = "127.0.0.1:17943"
+		_, stop := startHeartbeater("a", func() []heartbeater.Peer { return nil }, address, &rec)
+		defer stop()
+		con, err := net.Dial("udp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer con.Close()
+		seq := uint64(0)
+		received := func(incarnation uint64) func() []uint64 {
+			return func() []uint64 {
+				seq++
+				_, _ = con.Write(heartbeater.EncodeTotals(heartbeater.Totals{Name: "b", Incarnation: incarnation, Seq: seq}))
+				rec.mux.Lock()
+				defer rec.mux.Unlock()
+				return slices.Clone(rec.totals)
+			}
+		}
+		Eventually(received(2)).Should(ContainElement(uint64(2)))
+		Consistently(received(1), "200ms").ShouldNot(ContainElement(uint64(1)))
+		Eventually(received(1), "3s").Should(ContainElement(uint64(1)))
+	})
+
 	It("sends heartbeats less often in large clusters", func() {
 		Expect(heartbeater.Interval(6)).To(Equal(heartbeater.MinInterval))
 		Expect(heartbeater.Interval(300)).To(Equal(2 * time.Second))
