Keep a request waiting while its permit may still come in time

The cause is in the product and not in the time that the spec takes.

Cause: a request is taken if its permit is expected 0.1 s before its latest start, since permits may be late. The same 0.1 s was taken off when the forecast was made anew with each permit, so that a permit that came a few ms late had the requests refused that were to get the next ones, after they had waited.

Change: requests that wait are refused only if their permit would come after their latest start.

Evidence: the new spec failed before (the request was refused while its permit was due in time).

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -212,7 +212,7 @@
 	req = poo.extend(req)
 	poo.arrivals.record(dis.opt.Clock.Now())
 	poo.arrived++
-	if err := dis.unavailable(poo, req, poo.arrived); err != nil {
+	if err := dis.unavailable(poo, req, poo.arrived, false); err != nil {
 		return nil, answer{err: err}
 	}
 	if err := dis.refuseLate(poo, req); err != nil {
--- a/dispatcher/explain.go
+++ b/dispatcher/explain.go
@@ -32,7 +32,7 @@
 	if poo == nil {
 		return Explanation{Refusal: noUnitServing(req.Pool)}
 	}
-	out := Explanation{Waiting: poo.queue.Len(), Refusal: dis.unavailable(poo, req, poo.arrived+1)}
+	out := Explanation{Waiting: poo.queue.Len(), Refusal: dis.unavailable(poo, req, poo.arrived+1, false)}
 	if out.Refusal == nil {
 		out.Refusal = dis.refuseLate(poo, req)
 	}
--- a/dispatcher/pause.go
+++ b/dispatcher/pause.go
@@ -51,8 +51,8 @@
 }
 
 // unavailable returns the refusal of a request that no unit can start in time, because none serves, or those that do want a pause or are at their rate limit, or nil.
-func (dis *Dispatcher) unavailable(poo *pool, req Request, place uint64) error {
-	if err := dis.permitRefusal(poo, req, place); err != nil {
+func (dis *Dispatcher) unavailable(poo *pool, req Request, place uint64, waits bool) error {
+	if err := dis.permitRefusal(poo, req, place, waits); err != nil {
 		return err
 	}
 	now, serving := dis.opt.Clock.Now(), 0
@@ -86,7 +86,7 @@
 // refuseUnavailable refuses the waiting requests that no unit can start in time.
 func (dis *Dispatcher) refuseUnavailable(poo *pool) {
 	for _, id := range slices.Sorted(maps.Keys(poo.waiting)) {
-		if err := dis.unavailable(poo, poo.waiting[id].req, poo.waiting[id].place); err != nil {
+		if err := dis.unavailable(poo, poo.waiting[id].req, poo.waiting[id].place, true); err != nil {
 			poo.queue.Remove(id)
 			poo.refuse(id, err)
 		}
--- a/dispatcher/ratelimit.go
+++ b/dispatcher/ratelimit.go
@@ -64,7 +64,6 @@
 
 // forecastPermits estimates how many requests this entry can start by a time on units whose servers limit them; false means that it may start others, too, or that too little is known. Of many units those that the entry has asked for are a sample.
 func (dis *Dispatcher) forecastPermits(poo *pool, by time.Time) (forecast, bool) {
-	by = by.Add(-permitDelay)
 	var sum forecast
 	limits, told := 0, 0
 	for _, sta := range poo.units {
@@ -101,9 +100,13 @@
 	return two
 }
 
-// permitRefusal returns the refusal of a request if those ahead of it use up all permits that come before its latest start, or nil; place is its place in the order of arrival.
-func (dis *Dispatcher) permitRefusal(poo *pool, req Request, place uint64) error {
-	fore, known := dis.forecastPermits(poo, req.StartBy)
+// permitRefusal returns the refusal of a request if those ahead of it use up all permits that come before its latest start, or nil; place is its place in the order of arrival. A request that waits already may get its permit later than expected.
+func (dis *Dispatcher) permitRefusal(poo *pool, req Request, place uint64, waits bool) error {
+	by := req.StartBy
+	if !waits {
+		by = by.Add(-permitDelay)
+	}
+	fore, known := dis.forecastPermits(poo, by)
 	if !known {
 		return nil
 	}
--- a/dispatcher/ratelimit_test.go
+++ b/dispatcher/ratelimit_test.go
@@ -118,6 +118,21 @@
 		})
 	}
 
+	// Guards against requests that wait for a permit and are refused when it is a little late.
+	It("keeps a request waiting while its permit still comes in time", func() {
+		fix := newLimitedFixture(1, unit("a", "z", 4))
+		fix.grant("a", 0, 890*time.Millisecond, time.Second)
+		one := fix.acquireAsync(fix.request("1"))
+		Eventually(fix.waiting).Should(Equal(1))
+		fix.grant("a", 0, 980*time.Millisecond, time.Second)
+		fix.dis.DispatchWaiting()
+		Consistently(fix.waiting, "50ms").Should(Equal(1))
+		fix.clk.Advance(980 * time.Millisecond)
+		fix.grant("a", 1, time.Second, time.Second)
+		fix.dis.DispatchWaiting()
+		Eventually(one).Should(Receive(Not(BeNil())))
+	})
+
 	It("counts no more slots than the rate can fill", func() {
 		fix := newLimitedFixture(1, unit("a", "z", 20), unit("b", "z", 20))
 		fix.grant("a", 1, 0, time.Second)
