Send a request that may have run before on a new connection

Streams hung until their deadline and were broken off, and repeatable calls were late, when open connections went silent for good: the second unit was asked on a kept connection that was silent, too.

Cause: a silent connection is noticed only by waiting, and the attempt that follows may use one that died at the same time.

Change: an attempt after one that may have run uses a new connection, and so does the second send of a call that has no response yet.

Both rows of the new spec failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -527,7 +527,7 @@
 	return ver
 }
 
-// buildRequest returns the request to a unit. The counts are those of the attempts before.
+// buildRequest returns the request to a unit. The counts are those of the attempts before. One that may have run before is sent on a new connection, since many kept ones may die unnoticed at the same time.
 func (job *job) buildRequest(pla *dispatcher.Placement, after string, sends, runs int) sender.Request {
 	hop := Hop{ServerID: pla.Unit.ServerID, Workspace: job.wsp.Name, Timeout: job.gat.opt.Clock.Until(job.deadline), LastEventID: after, Urgency: job.tab.Urgency(job.ser.Name, job.tab.Priority(job.rou, job.wsp))}
 	var head http.Header
@@ -542,7 +542,7 @@
 	}
 	return sender.Request{
 		Address: pla.Unit.Address, PoolKey: pla.Unit.Address + "/" + pla.Unit.ServerID, Method: job.req.Method, Target: job.target,
-		Host: job.req.Host, Header: head, Body: job.body, NewConnection: !job.rou.Repeatable() || pla.Unit.Entry != "" || pla.Unit.ID == job.reconnect, Withdrawn: pla.Paused,
+		Host: job.req.Host, Header: head, Body: job.body, NewConnection: !job.rou.Repeatable() || pla.Unit.Entry != "" || pla.Unit.ID == job.reconnect || runs > 0, Withdrawn: pla.Paused,
 	}
 }
 
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelever/lovagelever/dispatcher"
+	"github.com/lovagelever/lovagelever/router"
 )
 
 // after waits before it answers.
@@ -81,6 +82,34 @@
 		})
 	}
 
+	// Guards against requests that wait until their deadline since the connections to both units have gone silent.
+	for _, rou := range []router.Route{resumable, {Kind: router.Safe, Timeout: 5 * time.Second, Objective: 200 * time.Millisecond, Attempts: 2}} {
+		It("is sent on a new connection: "+string(rou.Kind), func() {
+			answer, want := events(lastEvent, complete), eventsFrom(1)
+			if rou.Kind == router.Safe {
+				answer, want = whole(200, "text"), "text"
+			}
+			var used sync.Map
+			one, two := newWorker(silent), newWorker(func(con net.Conn, req *http.Request, body []byte) bool {
+				if _, kept := used.LoadOrStore(con, true); kept {
+					return silent(con, req, body)
+				}
+				_ = answer(con, req, body)
+				return true
+			})
+			wor := newWorld(rou, one, two)
+			wor.setReadiness(time.Time{}, []dispatcher.Readiness{dispatcher.Broken, dispatcher.Serving}, one, two)
+			Expect(wor.call(context.Background()).status).To(Equal(200))
+			wor.setReadiness(time.Time{}, []dispatcher.Readiness{dispatcher.Serving, dispatcher.Serving}, one, two)
+			began := time.Now()
+			res := wor.call(context.Background())
+			Expect(res.status).To(Equal(200))
+			Expect(res.body).To(Equal(want))
+			Expect(one.runs()).To(Equal(1))
+			Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+		})
+	}
+
 	It("ends at once when the first unit is reset and the second one breaks", func() {
 		one, two := newWorker(events(7, func(con net.Conn) { time.Sleep(1500 * time.Millisecond); reset(con) })), newWorker(silent)
 		wor := newWorld(resumable, one, two)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -82,12 +82,13 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
-	start := func(pla *dispatcher.Placement) {
+	start := func(pla *dispatcher.Placement, again bool) {
 		job.tried = append(job.tried, pla.Unit.ID)
 		req := job.buildRequest(pla, job.cal.LastEventID, job.sends, job.mayHaveRun)
+		req.NewConnection = req.NewConnection || again
 		running.Go(func() { done <- job.exchange(ctx, pla, req) })
 	}
-	start(pla)
+	start(pla, false)
 	patience := time.Duration(float64(job.rou.Objective) * attemptObjectives)
 	timer := job.gat.opt.Clock.NewTimer(patience)
 	defer timer.Stop()
@@ -101,7 +102,7 @@
 				continue
 			}
 			job.log.WithFields(logrus.Fields{"unit": pla.Unit.ID, "second_unit": second.Unit.ID}).Info("no response yet, sending the request to a second unit")
-			start(second)
+			start(second, true)
 			pending++
 		case res := <-done:
 			pending--
