--- a/prover/gate_soak_test.go
+++ b/prover/gate_soak_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	recoveryWindow = 3 * time.Second
 	// minRecoveredShare is the share of calls that must succeed after recovery; the requirements ask for a quarter.
 	minRecoveredShare = 0.9
+	// maxSilenceEffect is how long after its connections went silent an entry may still be disturbed.
+	maxSilenceEffect = 3 * time.Second
 	// evacuationLimit is how long a zone may still receive work after it is taken out.
 	evacuationLimit = 5 * time.Second
 )
@@ -138,6 +141,38 @@
 	})
 })
 
+// Guards against entries that rely on connections that have gone silent: a change, a server that leaves and a planned stop come after.
+var _ = Describe("Entries whose open connections go silent", func() {
+	It("apply a configuration, leave a draining server alone and stop without a loss", func() {
+		rng := newRandom()
+		gts := newGates(rng)
+		stop, stopLong := gts.load(rng), gts.longLoad(rng)
+		time.Sleep(2 * time.Second)
+		gts.silence(rng)
+		silent := time.Now().Add(time.Millisecond)
+		time.Sleep(randomDuration(rng, maxSilenceEffect, maxSilenceEffect+2*time.Second))
+		path := gts.addRoute()
+		zone := rng.IntN(gateZones)
+		gts.wor.Drain(workerID(zone, 0))
+		gts.wor.Drain(workerID((zone+1)%gateZones, enginesPerZone))
+		time.Sleep(maxConfigDelay)
+		for num := 1; num <= gateCount; num++ {
+			Expect(gts.probe(rng, num, path)).NotTo(Equal(http.StatusNotFound), "gate-%d, %v after publication", num, maxConfigDelay)
+		}
+		gts.replace(rng, 1+rng.IntN(gateCount))
+		time.Sleep(time.Second)
+		since := time.Now()
+		time.Sleep(recoveryWindow)
+		stopLong()
+		stop()
+		gts.expectGuarantees()
+		// A call that may run once waits on its silent connection until its deadline.
+		interrupted := slices.DeleteFunc(gts.interruptedSends(), func(snd gateSend) bool { return snd.kind == router.Unsafe && snd.StartedAt.Before(silent) })
+		Expect(interrupted).To(BeEmpty(), "connections went silent at %v", silent)
+		Expect(gts.successShareSince(since)).To(BeNumerically(">=", minRecoveredShare))
+	})
+})
+
 // probe sends one call to an entry and returns its HTTP status.
 func (gts *gates) probe(rng *rand.Rand, num int, path string) int {
 	cal := callerfaker.New(callerfaker.Options{Name: newUUID(), FixedEntry: gateIP(num) + ":8000", Host: gateHost, Key: gateKey, Random: rng})
