Send a silent request to the only unit once more on a new connection

Cause: only another unit was asked, though the unit may be sound and only the connection silent.

Change: if no other unit can take a repeatable request, and it was sent on a kept connection that has returned nothing, the same unit gets it once more on a new connection, provided that it has a free slot at once. A unit that has begun to answer, or got the request on a new connection, is waited for as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -430,6 +430,17 @@
 	return pla, err
 }
 
+// placeElsewhere allocates a slot for a request to which a unit is silent. If no other unit can take it and nothing has come on a kept connection, the same unit gets it once more if it has a free slot: only the connection may be silent.
+func (job *job) placeElsewhere(ctx context.Context, opt placeOptions, silent dispatcher.Unit, unproven bool) (*dispatcher.Placement, error) {
+	pla, err := job.place(ctx, opt)
+	if err == nil || !unproven {
+		return pla, err
+	}
+	opt.exclude = slices.DeleteFunc(slices.Clone(opt.exclude), func(unit string) bool { return unit == silent.ID })
+	opt.atOnce = true
+	return job.place(ctx, opt)
+}
+
 func (job *job) allocate(ctx context.Context, opt placeOptions) (*dispatcher.Placement, error) {
 	return job.gat.opt.Dispatcher.Acquire(ctx, job.slotRequest(opt))
 }
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,6 +26,8 @@
 	// after is the ID of the event after which the stream was requested; empty means the whole stream.
 	after string
 	exc   *sender.Exchange
+	// unproven says that the request was sent on a kept connection on which nothing has come since.
+	unproven atomic.Bool
 	// events reads the response; first is its first event if that was read already.
 	events *bufio.Reader
 	first  *event
@@ -154,7 +157,7 @@
 	if job.isQuarantined() || !job.gat.opt.Budget.Allow(job.ser.Name) {
 		return nil
 	}
-	pla, err := job.place(ctx, placeOptions{exclude: hed.tried, resumed: true})
+	pla, err := job.placeElsewhere(ctx, placeOptions{exclude: hed.tried, resumed: true}, hed.first.placement.Unit, hed.first.unproven.Load())
 	if err != nil {
 		job.gat.opt.Budget.Return(job.ser.Name)
 		return nil
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -84,19 +84,35 @@
 
 	// Guards against requests that wait until their deadline since the connections to both units have gone silent.
 	for _, rou := range []router.Route{resumable, {Kind: router.Safe, Timeout: 5 * time.Second, Objective: 200 * time.Millisecond, Attempts: 2}} {
-		It("is sent on a new connection: "+string(rou.Kind), func() {
-			answer, want := events(lastEvent, complete), eventsFrom(1)
-			if rou.Kind == router.Safe {
-				answer, want = whole(200, "text"), "text"
-			}
+		answer, want := events(lastEvent, complete), eventsFrom(1)
+		if rou.Kind == router.Safe {
+			answer, want = whole(200, "text"), "text"
+		}
+		silentIfKept := func() answerFunc {
 			var used sync.Map
-			one, two := newWorker(silent), newWorker(func(con net.Conn, req *http.Request, body []byte) bool {
+			return func(con net.Conn, req *http.Request, body []byte) bool {
 				if _, kept := used.LoadOrStore(con, true); kept {
 					return silent(con, req, body)
 				}
 				_ = answer(con, req, body)
 				return true
-			})
+			}
+		}
+
+		It("is sent to the only unit once more: "+string(rou.Kind), func() {
+			one := newWorker(silentIfKept())
+			wor := newWorld(rou, one)
+			Expect(wor.call(context.Background()).status).To(Equal(200))
+			began := time.Now()
+			res := wor.call(context.Background())
+			Expect(res.status).To(Equal(200))
+			Expect(res.body).To(Equal(want))
+			Expect(one.runs()).To(Equal(3))
+			Expect(time.Since(began)).To(BeNumerically("<", 2800*time.Millisecond))
+		})
+
+		It("is sent on a new connection: "+string(rou.Kind), func() {
+			one, two := newWorker(silent), newWorker(silentIfKept())
 			wor := newWorld(rou, one, two)
 			wor.setReadiness(time.Time{}, []dispatcher.Readiness{dispatcher.Broken, dispatcher.Serving}, one, two)
 			Expect(wor.call(context.Background()).status).To(Equal(200))
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -82,10 +83,12 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
+	// unproven says that the first unit got the request on a kept connection.
+	var unproven atomic.Bool
 	start := func(pla *dispatcher.Placement, again bool) {
 		job.tried = append(job.tried, pla.Unit.ID)
 		req := job.buildRequest(pla, job.cal.LastEventID, job.sends, job.mayHaveRun)
-		req.NewConnection = req.NewConnection || again
+		req.NewConnection, req.Connected = req.NewConnection || again, unproven.Store
 		running.Go(func() { done <- job.exchange(ctx, pla, req) })
 	}
 	start(pla, false)
@@ -96,7 +99,7 @@
 		select {
 		case <-timer.Chan():
 			job.gat.opt.Links.ConfirmLost(job.ser.Name)
-			second := job.placeSecond(ctx, pla)
+			second := job.placeSecond(ctx, pla, unproven.Load())
 			if second == nil {
 				timer.Reset(patience)
 				continue
@@ -115,14 +118,14 @@
 }
 
 // placeSecond allocates a slot for a second send of a call that has no response yet, or returns nil if that is not allowed or none is free. Another entry that has the call sends it a second time itself.
-func (job *job) placeSecond(ctx context.Context, pla *dispatcher.Placement) *dispatcher.Placement {
+func (job *job) placeSecond(ctx context.Context, pla *dispatcher.Placement, unproven bool) *dispatcher.Placement {
 	if pla.Unit.Entry != "" && job.gat.opt.Peers.Usable(job.ser.Name, pla.Unit.Entry) {
 		return nil
 	}
 	if !job.rou.Repeatable() || job.mayHaveRun+1 >= job.rou.Attempts || job.sends+1 >= maxSends || job.isQuarantined() || !job.gat.opt.Budget.Allow(job.ser.Name) {
 		return nil
 	}
-	pla, err := job.place(ctx, placeOptions{exclude: job.tried, atOnce: true})
+	pla, err := job.placeElsewhere(ctx, placeOptions{exclude: job.tried, atOnce: true}, pla.Unit, unproven)
 	if err != nil {
 		job.gat.opt.Budget.Return(job.ser.Name)
 		return nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -125,7 +125,10 @@
 	}
 	rel.placement, rel.sentAt, rel.partsSound, rel.brokeAt = pla, att.sentAt, false, ""
 	if !taken {
-		att.exc, err = rel.sendOnce(att.ctx, pla, rel.buildRequest(pla, att.after, rel.sends, rel.mayHaveRun))
+		req := rel.buildRequest(pla, att.after, rel.sends, rel.mayHaveRun)
+		req.Connected = att.unproven.Store
+		att.exc, err = rel.sendOnce(att.ctx, pla, req)
+		att.unproven.Store(false)
 		if err != nil {
 			out.Result = rel.unitResult(att.ctx, pla.Unit, err)
 			rel.noteBreak(out.Result, err)
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -39,7 +39,7 @@
 	return &Sender{dia: dia, clk: clk, dialTimeout: dialTimeout, poo: pool{idle: map[string][]*conn{}}}
 }
 
-// Request is one HTTP request. PoolKey identifies the run of the backend server at Address, so that connections are not reused after the server was restarted or replaced. NewConnection requests a new connection. Withdrawn, which may be nil, is asked once the connection is open whether the request must not be sent any more.
+// Request is one HTTP request. PoolKey identifies the run of the backend server at Address, so that connections are not reused after the server was restarted or replaced. NewConnection requests a new connection. Withdrawn, which may be nil, is asked once the connection is open whether the request must not be sent any more, and Connected, which may be nil, is told whether the connection was kept from an earlier request.
 type Request struct {
 	Address string
 	PoolKey string
@@ -51,6 +51,7 @@
 	Body          []byte
 	NewConnection bool
 	Withdrawn     func() bool
+	Connected     func(kept bool)
 }
 
 // Send sends a request and returns once the response header is read; it fails with ErrNotSent, ErrWithdrawn, ErrLost or ErrSpoilt. The caller must call End on the exchange.
@@ -63,6 +64,9 @@
 		_ = con.Close()
 		return nil, notSent(ErrWithdrawn, "send")
 	}
+	if req.Connected != nil {
+		req.Connected(kept)
+	}
 	exc := &Exchange{Kept: kept, sen: sen, key: req.PoolKey, con: con, written: make(chan error, 1)}
 	exc.stopWatch = context.AfterFunc(ctx, func() { _ = con.Close() })
 	if err := exc.write(req); err != nil {
