Distrust all idle connections once one of them is silent

Cause: the idle connections to the store, and those to the other entries, were found silent one after the other, each by a time-out of its own.

The soak's callers keep the context of their spec, since the failure was hidden by a panic of a caller that outlived it.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,7 +23,9 @@
 
 // Messenger keeps one connection to each entry that it calls; it is safe for concurrent use.
 type Messenger struct {
-	dial        func(ctx context.Context, network, address string) (net.Conn, error)
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// lastCall is the number of the last call.
+	lastCall    atomic.Int64
 	mtx         sync.Mutex
 	connections map[string]*connection
 }
@@ -38,7 +41,8 @@
 // Call calls a method of the entry at the address IP:PORT; it fails with ErrNotSent, ErrUnreachable or the error that the method returned.
 //
 // If the request cannot be written before the context ends, the connection is closed. If no data at all arrives on the
-// connection before the deadline of the call, the connection is retired: it takes no further calls.
+// connection before the deadline of the call, it is retired with all others on which none has arrived meanwhile, since
+// many may go silent at the same time: they take no further calls.
 func Call[Req, Res any](ctx context.Context, mes *Messenger, address, method string, req Req) (Res, error) {
 	var res Res
 	con, err := mes.acquire(ctx, address)
@@ -46,18 +50,18 @@
 		return res, errors.WithType(errors.Annotate(err, string(ErrNotSent)), ErrNotSent)
 	}
 	defer mes.release(con)
-	readsBefore := con.reads.Load()
+	call := mes.lastCall.Add(1)
 	stop := context.AfterFunc(ctx, func() { mes.drop(address, con) })
 	done := con.cli.Go("Entry."+method, &req, &res, make(chan *rpc.Call, 1)).Done
 	stop()
 	select {
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) && con.reads.Load() == readsBefore {
-			mes.retire(address, con)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && con.lastRead.Load() < call {
+			mes.retireSilent(call)
 		}
 		return *new(Res), errors.WithType(errors.Annotate(ctx.Err(), string(ErrUnreachable)), ErrUnreachable)
-	case call := <-done:
-		return res, mes.classifyError(address, con, call.Error)
+	case end := <-done:
+		return res, mes.classifyError(address, con, end.Error)
 	}
 }
 
@@ -87,7 +91,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "messenger: dial")
 	}
-	con = newConnection(raw)
+	con = newConnection(raw, &mes.lastCall)
 	mes.mtx.Lock()
 	defer mes.mtx.Unlock()
 	if oth, raced := mes.connections[address]; raced {
@@ -110,13 +114,19 @@
 	}
 }
 
-// retire makes the next call to an address dial again, and lets the other calls on the connection finish.
-func (mes *Messenger) retire(address string, con *connection) {
+// retireSilent makes the next calls on all connections dial again on which no data has arrived since a call, and lets the calls on them finish.
+func (mes *Messenger) retireSilent(call int64) {
 	mes.mtx.Lock()
 	defer mes.mtx.Unlock()
-	if mes.connections[address] == con {
+	for address, con := range mes.connections {
+		if con.lastRead.Load() >= call {
+			continue
+		}
 		delete(mes.connections, address)
 		con.retired = true
+		if con.calls == 0 {
+			_ = con.cli.Close()
+		}
 	}
 }
 
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -154,6 +154,35 @@
 		Eventually(waiting).Should(Receive())
 	})
 
+	// Guards against one silent connection after the other when many have gone silent at the same time.
+	It("distrusts all connections without data once one is silent", func() {
+		addresses := map[string]string{}
+		for _, name := range []string{"idle", "used"} {
+			oth, err := Listen("127.0.0.1:0", &callee{}, &counter.Counter{})
+			Expect(err).NotTo(HaveOccurred())
+			defer oth.Close()
+			addresses[name] = oth.Address()
+		}
+		echo := func(name string) {
+			_, err := Call[string, string](context.Background(), mes, addresses[name], "Echo", "one")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		echo("idle")
+		echo("used")
+		ctx, stop := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer stop()
+		done := make(chan error, 1)
+		go func() {
+			_, err := Call[string, string](ctx, mes, lis.Address(), "Hang", "hello")
+			done <- err
+		}()
+		<-cal.started
+		echo("used")
+		Expect(<-done).To(HaveOccurred())
+		Expect(mes.connections).To(HaveLen(1))
+		Expect(mes.connections).To(HaveKey(addresses["used"]))
+	})
+
 	It("ends with its context when the entry does not read the request", func() {
 		nonReader, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/prover/gate_deployment_test.go
+++ b/prover/gate_deployment_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -49,6 +50,8 @@
 
 // gates is a deployment of entries on the platform. The entries are separate processes; the store, the workers, the operator and the callers run inside the test.
 type gates struct {
+	// ctx ends with the spec.
+	ctx context.Context
 	dir string
 	ntw *network
 	sto *storefaker.Faker
@@ -132,7 +135,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(os.RemoveAll(dir)).To(Succeed())
 	Expect(os.MkdirAll(dir, 0o755)).To(Succeed())
-	gts := &gates{dir: dir, ntw: newNetwork(), cfg: gateConfig(), procs: map[int]*process{}, faultSpans: map[int][]span{}, disturbances: map[string]int{}, calmSince: map[string]time.Time{}}
+	gts := &gates{ctx: GinkgoT().Context(), dir: dir, ntw: newNetwork(), cfg: gateConfig(), procs: map[int]*process{}, faultSpans: map[int][]span{}, disturbances: map[string]int{}, calmSince: map[string]time.Time{}}
 	DeferCleanup(gts.close)
 	gts.sto = storefaker.New(storefaker.Options{Address: storeIP + ":" + storePort, Retain: 2000})
 	Expect(gts.sto.Start()).To(Succeed())
@@ -318,7 +321,7 @@
 		default:
 		}
 		one := next()
-		out := cal.Do(GinkgoT().Context(), one)
+		out := cal.Do(gts.ctx, one)
 		gts.mtx.Lock()
 		for _, att := range out {
 			gts.sends = append(gts.sends, gateSend{Attempt: att, kind: one.Kind, untilEnd: untilEnd})
