Log from whom a configuration came and how long entries stay behind others

'configuration in force' has source, era, offset and for how long the entries that passed it on had known it, with a histogram; a topic that is behind others for a second is logged, and again when it has caught up; a request without a route is logged with host and first path segment; the first line names the commit of the build.

Answers between entries have one more field, which earlier builds ignore.

--- a/gateserver/meter.go
+++ b/gateserver/meter.go
@@ -75,6 +75,11 @@
 	mtr.scope.Tagged(map[string]string{"cause": cause}).Counter("zone_bytes").Inc(num)
 }
 
+// RecordConfigAge records how long the entry that told a configuration had known it when it came into force here.
+func (mtr *meter) RecordConfigAge(age time.Duration) {
+	mtr.scope.Histogram("config_age_seconds", latencyBuckets).RecordDuration(age)
+}
+
 // RecordNewEra counts that the store has come back from an older copy.
 func (mtr *meter) RecordNewEra() {
 	mtr.scope.Counter("store_restores").Inc(1)
--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -343,7 +343,9 @@
 	slices.SortStableFunc(others, func(one, two advertiser.Entry) int { return cmp.Compare(rank(one), rank(two)) })
 	for _, ent := range others {
 		if ask.gat.heardRecently(ent.Name) {
-			return ask.gat.requestRecords(ctx, ent.EntryAddress, Question{Topic: topic, Era: era, From: from})
+			pag, err := ask.gat.requestRecords(ctx, ent.EntryAddress, Question{Topic: topic, Era: era, From: from})
+			pag.Source = ent.Name
+			return pag, errors.Annotatef(err, "gateserver: request records from %s", ent.Name)
 		}
 	}
 	return tailer.Page{}, errors.Annotate(ErrNoPeer, "gateserver: request records")
--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -1,6 +1,7 @@
 package gateserver
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"time"
@@ -29,7 +30,7 @@
 			continue
 		}
 		if ope.Config != nil {
-			gat.takeConfig(*ope.Config)
+			gat.takeConfig(*ope.Config, rec, cha.Source)
 		}
 		if ope.Zone != "" {
 			gat.zonesOut.Store(ope.Zone, ope.ZoneOut)
@@ -46,7 +47,8 @@
 	gat.reg.SetZonesOut(out)
 }
 
-func (gat *Server) takeConfig(cfg router.Config) {
+// takeConfig puts a configuration in force that a source has told, the store if it is empty.
+func (gat *Server) takeConfig(cfg router.Config, rec tailer.Record, source string) {
 	if old := gat.tab.Load(); old != nil && old.Version >= cfg.Version {
 		return
 	}
@@ -56,7 +58,16 @@
 		return
 	}
 	gat.tab.Store(tab)
-	gat.log.WithFields(logrus.Fields{"config_version": cfg.Version, "routes": len(cfg.Routes), "workspaces": len(cfg.Workspaces)}).Info("configuration in force")
+	gat.mtr.RecordConfigAge(rec.KnownFor)
+	gat.log.WithFields(logrus.Fields{
+		"config_version": cfg.Version, "routes": len(cfg.Routes), "workspaces": len(cfg.Workspaces),
+		"source": sourceName(source), "era": rec.Era, "offset": rec.Offset, "known_for_ms": rec.KnownFor.Milliseconds(),
+	}).Info("configuration in force")
+}
+
+// sourceName returns the name of the source of a record for log lines.
+func sourceName(entry string) string {
+	return cmp.Or(entry, "store")
 }
 
 // onServers applies changes to the list of backend servers.
--- a/gateserver/run.go
+++ b/gateserver/run.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -71,7 +72,7 @@
 		}()
 	}
 	gat.start(workCtx)
-	gat.log.WithFields(logrus.Fields{"address": gat.set.Listen.Callers, "incarnation": gat.self.Incarnation}).Info("entry started")
+	gat.log.WithFields(logrus.Fields{"address": gat.set.Listen.Callers, "incarnation": gat.self.Incarnation, "build": buildRevision()}).Info("entry started")
 	select {
 	case err := <-failed:
 		return errors.Annotate(err, "gateserver: serve")
@@ -91,6 +92,20 @@
 	}
 }
 
+// buildRevision returns the commit that the program was built from, "unknown" if the build does not say.
+func buildRevision() string {
+	inf, _ := debug.ReadBuildInfo()
+	if inf == nil {
+		return "unknown"
+	}
+	for _, set := range inf.Settings {
+		if set.Key == "vcs.revision" {
+			return set.Value
+		}
+	}
+	return "unknown"
+}
+
 // webServer is an HTTP server with its listener.
 type webServer struct {
 	*http.Server
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,6 +25,16 @@
 	OutcomeQuarantined = "quarantined"
 )
 
+// maxLoggedPrefix bounds what is logged of the path of a request without a route.
+const maxLoggedPrefix = 64
+
+// firstSegment returns the first segment of a path, for log lines: the rest may identify the caller.
+func firstSegment(path string) string {
+	head, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	head, _, _ = strings.Cut(head, "?")
+	return "/" + head[:min(len(head), maxLoggedPrefix)]
+}
+
 // refuse responds with an error of the gateway in place of a response of a backend server.
 func (job *job) refuse(err error) {
 	ref := refuser.FromError(err)
@@ -60,6 +71,9 @@
 	if !job.deadline.IsZero() {
 		log = log.WithField("deadline_in_ms", job.gat.opt.Clock.Until(job.deadline).Milliseconds())
 	}
+	if job.rou.Name == "" {
+		log = log.WithFields(logrus.Fields{"host": job.req.Host, "prefix": firstSegment(job.target)})
+	}
 	log.Info("request refused")
 	job.markRefusal(err, ref)
 	head := job.wtr.Header()
--- a/tailer/era.go
+++ b/tailer/era.go
@@ -69,7 +69,7 @@
 			tai.take(rec, false, now)
 		}
 	}
-	cha := Change{Full: true, Outage: true, NewEra: true}
+	cha := Change{Full: true, Outage: true, NewEra: true, Source: pag.Source}
 	for key, sto := range tai.newest {
 		if sto.Value == nil {
 			continue
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -28,6 +28,8 @@
 	minOutage = 1500 * time.Millisecond
 	// batchDelay is the delay between two reads while records arrive, so that a burst of them costs one call.
 	batchDelay = 120 * time.Millisecond
+	// logBehindAfter is after how long an entry logs that others have newer records.
+	logBehindAfter = time.Second
 	// removalRetention is how long a removal is kept for entries that ask; they ask every retryAfter.
 	removalRetention = time.Minute
 )
@@ -41,6 +43,8 @@
 	Value  []byte
 	Era    int64
 	Offset int64
+	// KnownFor is how long entries have known the record that have passed it on, zero for a record from the store.
+	KnownFor time.Duration
 }
 
 // Page is a batch of records; End is the offset up to which it has the records of the topic, and More says that the store has records behind it. Era rises when the store comes back from an older copy: offsets then begin anew at that of the copy.
@@ -51,6 +55,8 @@
 	Records []Record
 	// Outage says that removals among the records may be leases that expired while the store was unavailable.
 	Outage bool
+	// Source is the name of the entry that told the records, empty for the store.
+	Source string
 }
 
 // Store is the source of the topic. Newest returns the newest record of every key that exists, and Read the records from
@@ -74,6 +80,8 @@
 	Records []Record
 	Full    bool
 	Outage  bool
+	// Source is the name of the entry that told the records, empty for the store.
+	Source string
 	// Returned is when the store came back from an outage in which leases may have expired, zero if that is long past.
 	Returned time.Time
 	// NewEra is set when the store has come back from an older copy. Unwritten lists the keys whose records were lost with it and are kept until they are written again.
@@ -104,11 +112,14 @@
 	// removalsFrom is the offset from which all removals are known; earlier ones may be unknown or forgotten.
 	removalsFrom int64
 	// peerEra and peerEnd are the latest position up to which another entry has read the topic.
-	peerEra   int64
-	peerEnd   int64
-	contact   time.Time
-	outageEnd time.Time
-	failed    bool
+	peerEra int64
+	peerEnd int64
+	// behindSince is since when another entry has read more, zero if none has, and behindLogged whether that was logged.
+	behindSince  time.Time
+	behindLogged bool
+	contact      time.Time
+	outageEnd    time.Time
+	failed       bool
 	// readAt is when the present read of the store began, outageBegan when the first one that failed did, and returned when the store last answered again after minOutage.
 	readAt      time.Time
 	outageBegan time.Time
@@ -134,6 +145,7 @@
 func (tai *Tailer) Run(ctx context.Context) {
 	othersRead := true
 	for ctx.Err() == nil {
+		tai.logBehind()
 		if now := tai.Known() && tai.opt.Peers.OthersRead(); now != othersRead {
 			othersRead = now
 			tai.opt.Logger.WithFields(logrus.Fields{"topic": tai.opt.Topic, "reads": !othersRead}).Info("source of a topic changed")
@@ -184,6 +196,9 @@
 	if isLater(era, end, tai.peerEra, tai.peerEnd) {
 		tai.peerEra, tai.peerEnd = era, end
 	}
+	if tai.behindSince.IsZero() {
+		tai.behindSince = tai.opt.Clock.Now()
+	}
 	tai.mux.Unlock()
 	select {
 	case tai.peerAhead <- struct{}{}:
@@ -205,6 +220,29 @@
 	return isLater(tai.peerEra, tai.peerEnd, tai.era, tai.end)
 }
 
+// logBehind logs once that other entries have known more of the topic for a while, and when this entry knows it, too.
+func (tai *Tailer) logBehind() {
+	tai.mux.Lock()
+	defer tai.mux.Unlock()
+	if tai.behindSince.IsZero() {
+		return
+	}
+	behindFor := tai.opt.Clock.Since(tai.behindSince)
+	log := tai.opt.Logger.WithFields(logrus.Fields{
+		"topic": tai.opt.Topic, "era": tai.era, "end": tai.end, "peer_era": tai.peerEra, "peer_end": tai.peerEnd, "behind_for_ms": behindFor.Milliseconds(),
+	})
+	switch {
+	case !isLater(tai.peerEra, tai.peerEnd, tai.era, tai.end):
+		if tai.behindLogged {
+			log.Info("newer records of other entries received")
+		}
+		tai.behindSince, tai.behindLogged = time.Time{}, false
+	case behindFor >= logBehindAfter && !tai.behindLogged:
+		log.Warn("other entries have newer records")
+		tai.behindLogged = true
+	}
+}
+
 // followPeers waits until another entry has read newer records, and requests them from entries. If none can tell them all, it reads the store: datagrams may arrive from entries that this one cannot call, or that do not know all removals.
 func (tai *Tailer) followPeers(ctx context.Context) {
 	select {
@@ -280,7 +318,9 @@
 	}
 	for _, sto := range tai.newest {
 		if era < tai.era || sto.Era == tai.era && sto.Offset >= from {
-			out.Records = append(out.Records, sto.Record)
+			rec := sto.Record
+			rec.KnownFor += tai.opt.Clock.Since(sto.at)
+			out.Records = append(out.Records, rec)
 		}
 	}
 	return out, nil
@@ -336,7 +376,7 @@
 		tai.opt.OnChange(cha)
 		return
 	}
-	cha := Change{Full: full, Outage: pag.Outage || tai.inOutage()}
+	cha := Change{Full: full, Outage: pag.Outage || tai.inOutage(), Source: pag.Source}
 	cha.Returned = tai.recentReturn(now)
 	if full || !tai.known {
 		tai.removalsFrom = pag.End
