--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -264,6 +265,31 @@
 		Eventually(ready(set), "3s").Should(BeTrue())
 	})
 
+	// Guards against entries that take the heartbeats of readers for news however long these have waited on the way.
+	It("puts a configuration in force within 2 s though the heartbeats of the entries that read the store are old", func() {
+		sto := &store{recs: map[string][]tailer.Record{}}
+		for _, name := range peerNames {
+			data, err := json.Marshal(advertiser.Entry{Name: name, Zone: "z", EntryAddress: "127.0.0.1:9", Incarnation: 1, Cores: 1})
+			Expect(err).NotTo(HaveOccurred())
+			sto.put(topics.Entries, name, data)
+		}
+		sto.put(topics.Operator, "config", []byte("1"))
+		var version atomic.Int64
+		set := settings("edge")
+		startWith(set, sto, func(pla *gateserver.Platform) {
+			pla.DecodeOperatorRecord = func(rec tailer.Record) (gateserver.OperatorRecord, error) {
+				num, err := strconv.ParseInt(string(rec.Value), 10, 64)
+				version.Store(num)
+				return gateserver.OperatorRecord{Config: &router.Config{Version: num}}, err
+			}
+		})
+		sendHeartbeats(set.Listen.Entries, peerNames...)
+		Eventually(version.Load, "3s").Should(Equal(int64(1)))
+		time.Sleep(4 * time.Second)
+		sto.put(topics.Operator, "config", []byte("2"))
+		Eventually(version.Load, "2s").Should(Equal(int64(2)))
+	})
+
 	It("stays registered while it is stopping, so that other entries keep sending it their load", func() {
 		sto := &store{recs: map[string][]tailer.Record{}}
 		set := settings("edge")
