Have entries that follow others confirm what they know by a request

An entry that follows others took each heartbeat for the present state of its sender. The ends in it are of unknown age: heartbeats that wait on the way, or in the socket of an entry that is short of processor time, say that the readers are up to date and name a position that is past, and the follower neither asks nor reads. Package confirmer asks an entry that is up to date for its positions, every 0.4 s with 7 entries and every 3.9 s with 390, so that the readers answer at most 50 requests a second each; after two failures all topics are read from the store. That read no longer waits for further records: two failed requests and a read take at most 1.3 s, not 2.

Entries of an earlier version are asked by the methods that they know.

--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -17,6 +17,7 @@
 	"github.com/lovagelever/lovagelever/budgeter"
 	"github.com/lovagelever/lovagelever/compressor"
 	"github.com/lovagelever/lovagelever/conductor"
+	"github.com/lovagelever/lovagelever/confirmer"
 	"github.com/lovagelever/lovagelever/counter"
 	"github.com/lovagelever/lovagelever/detector"
 	"github.com/lovagelever/lovagelever/dispatcher"
@@ -99,6 +100,7 @@
 	dra *drainer.Drainer
 	frc *forecaster.Forecaster
 	pru *pruner.Pruner
+	cfm *confirmer.Confirmer
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
 
@@ -170,6 +172,7 @@
 		return nil, err
 	}
 	gat.buildControl()
+	gat.buildConfirmer()
 	gat.adv.Put(gat.self)
 	gat.mtr.RecordCapacity(gat.self.Capacity())
 	gat.log.WithField("requests", gat.self.Capacity()).Info("capacity for callers")
--- a/gateserver/meter.go
+++ b/gateserver/meter.go
@@ -80,6 +80,11 @@
 	mtr.scope.Histogram("config_age_seconds", latencyBuckets).RecordDuration(age)
 }
 
+// RecordUnconfirmed counts that no entry confirmed the newest records, so that the store is read.
+func (mtr *meter) RecordUnconfirmed() {
+	mtr.scope.Counter("unconfirmed_checks").Inc(1)
+}
+
 // RecordNewEra counts that the store has come back from an older copy.
 func (mtr *meter) RecordNewEra() {
 	mtr.scope.Counter("store_restores").Inc(1)
--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -1,9 +1,7 @@
 package gateserver
 
 import (
-	"cmp"
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"net/rpc"
 	"slices"
@@ -331,24 +329,15 @@
 
 // Ask requests records from the entry that last said that it knows newer ones, or else from a random entry that was heard recently, preferably one that reads the store; it fails with ErrNoPeer if there is none.
 func (ask asker) Ask(ctx context.Context, topic string, era, from int64) (tailer.Page, error) {
-	others := ask.gat.adv.Others()
-	rand.Shuffle(len(others), func(one, two int) { others[one], others[two] = others[two], others[one] })
-	source, _ := ask.gat.newsFrom.LoadAndDelete(topic)
-	rank := func(ent advertiser.Entry) int {
-		if ent.Name == source {
-			return -1
-		}
-		return ask.gat.rank(ent.Name)
+	list := ask.gat.heardEntries()
+	if len(list) == 0 {
+		return tailer.Page{}, errors.Annotate(ErrNoPeer, "gateserver: request records")
 	}
-	slices.SortStableFunc(others, func(one, two advertiser.Entry) int { return cmp.Compare(rank(one), rank(two)) })
-	for _, ent := range others {
-		if ask.gat.heardRecently(ent.Name) {
-			pag, err := ask.gat.requestRecords(ctx, ent.EntryAddress, Question{Topic: topic, Era: era, From: from})
-			pag.Source = ent.Name
-			return pag, errors.Annotatef(err, "gateserver: request records from %s", ent.Name)
-		}
-	}
-	return tailer.Page{}, errors.Annotate(ErrNoPeer, "gateserver: request records")
+	source, _ := ask.gat.newsFrom.LoadAndDelete(topic)
+	ent := list[max(0, slices.IndexFunc(list, func(ent advertiser.Entry) bool { return ent.Name == source }))]
+	pag, err := ask.gat.requestRecords(ctx, ent.EntryAddress, Question{Topic: topic, Era: era, From: from})
+	pag.Source = ent.Name
+	return pag, errors.Annotatef(err, "gateserver: request records from %s", ent.Name)
 }
 
 // requestRecords requests records from the entry at an address. An entry of an earlier version knows only the method that does not compress them.
--- a/gateserver/run.go
+++ b/gateserver/run.go
@@ -83,7 +83,7 @@
 }
 
 func (gat *Server) start(ctx context.Context) {
-	loops := []func(context.Context){gat.hea.Run, gat.updateUnits, gat.tick, gat.ele.Run, gat.con.Run, gat.register, gat.pullEvidence, gat.lin.Run, gat.pru.Run}
+	loops := []func(context.Context){gat.hea.Run, gat.updateUnits, gat.tick, gat.ele.Run, gat.con.Run, gat.register, gat.pullEvidence, gat.lin.Run, gat.pru.Run, gat.cfm.Run}
 	for _, tai := range gat.tailers {
 		loops = append(loops, tai.Run)
 	}
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -125,6 +125,7 @@
 	outageBegan time.Time
 	returned    time.Time
 	peerAhead   chan struct{}
+	readSoon    chan struct{}
 }
 
 type storedRecord struct {
@@ -138,7 +139,7 @@
 
 // New returns a tailer that has not read anything yet.
 func New(opt Options) *Tailer {
-	return &Tailer{opt: opt, newest: map[string]storedRecord{}, peerAhead: make(chan struct{}, 1)}
+	return &Tailer{opt: opt, newest: map[string]storedRecord{}, peerAhead: make(chan struct{}, 1), readSoon: make(chan struct{}, 1)}
 }
 
 // Run follows the topic until the context ends. It reads the whole topic from the store first, since the links of the few entries that read it for all could not bear to send it to hundreds of others at once.
@@ -206,6 +207,14 @@
 	}
 }
 
+// ReadSoon has the topic read from the store once, although other entries read it.
+func (tai *Tailer) ReadSoon() {
+	select {
+	case tai.readSoon <- struct{}{}:
+	default:
+	}
+}
+
 // End returns the era and the offset up to which the topic is known.
 func (tai *Tailer) End() (era, end int64) {
 	tai.mux.Lock()
@@ -253,28 +262,35 @@
 				return
 			}
 		}
-		if err := tai.Step(ctx); err != nil {
-			tai.opt.Logger.WithError(err).WithField("topic", tai.opt.Topic).Info("neither an entry nor the store could tell the newest records")
-		}
+		tai.catchUp(ctx)
+	case <-tai.readSoon:
+		tai.catchUp(ctx)
 	case <-tai.opt.Clock.After(readersCheckInterval):
 		tai.expireUnwritten()
 	}
 }
 
+// catchUp reads the store without waiting for further records.
+func (tai *Tailer) catchUp(ctx context.Context) {
+	if err := tai.read(ctx, 0); err != nil {
+		tai.opt.Logger.WithError(err).WithField("topic", tai.opt.Topic).Info("neither an entry nor the store could tell the newest records")
+	}
+}
+
 // Step reads the store once; it reads the whole topic if nothing is known yet or the next records have expired.
 func (tai *Tailer) Step(ctx context.Context) error {
-	if err := tai.read(ctx); err != nil {
+	if err := tai.read(ctx, readWait); err != nil {
 		return err
 	}
 	tai.expireUnwritten()
 	return nil
 }
 
-func (tai *Tailer) read(ctx context.Context) error {
+func (tai *Tailer) read(ctx context.Context, wait time.Duration) error {
 	tai.noteRead()
 	for tai.Known() {
 		era, from := tai.End()
-		pag, err := tai.opt.Store.Read(ctx, tai.opt.Topic, from, readWait)
+		pag, err := tai.opt.Store.Read(ctx, tai.opt.Topic, from, wait)
 		if err != nil && !errors.Is(err, ErrExpired) {
 			return err
 		}
