Log heartbeats that were long on the way

Lines of the record can't tell late heartbeats from ones that name no news. An entry that asks another one for its positions names the last heartbeat that it has of it, and learns how long ago that was sent: a histogram, and a log line for more than half a second. Heartbeats themselves are unchanged; positions are asked for by new messages only.

--- a/gateserver/confirm.go
+++ b/gateserver/confirm.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/rpc"
 	"slices"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
@@ -23,17 +24,25 @@
 	})
 }
 
-// PositionsQuestion requests the positions of an entry in all topics.
-type PositionsQuestion struct{}
+// PositionsQuestion requests the positions of an entry in all topics. Heard is the number of the last heartbeat that the asking entry has received from the process with an incarnation.
+type PositionsQuestion struct {
+	Incarnation uint64
+	Heard       uint64
+}
 
-// PositionsAnswer has the positions of an entry by topic, and whether it has recent state of all topics from the store.
+// PositionsAnswer has the positions of an entry by topic, and whether it has recent state of all topics from the store. SentAgo is how long ago it sent the heartbeat of the question, if SentKnown.
 type PositionsAnswer struct {
 	UpToDate  bool
 	Positions map[string]confirmer.Position
+	SentAgo   time.Duration
+	SentKnown bool
 }
 
 // Positions returns the positions of this entry.
-func (rec *receiver) Positions(_ *PositionsQuestion, ans *PositionsAnswer) error {
+func (rec *receiver) Positions(que *PositionsQuestion, ans *PositionsAnswer) error {
+	if que.Incarnation == rec.gat.self.Incarnation {
+		ans.SentAgo, ans.SentKnown = rec.gat.stm.Age(que.Heard)
+	}
 	ans.UpToDate = rec.gat.upToDate()
 	ans.Positions = map[string]confirmer.Position{}
 	for topic, tai := range rec.gat.tailers {
@@ -68,19 +77,46 @@
 		return nil, errors.Annotate(ErrNoPeer, "gateserver: request positions")
 	}
 	address := list[idx].EntryAddress
-	ans, err := messenger.Call[PositionsQuestion, PositionsAnswer](ctx, gat.mes, address, "Positions", PositionsQuestion{})
+	var que PositionsQuestion
+	var heardAgo time.Duration
+	que.Incarnation, que.Heard, heardAgo, _ = gat.hea.Last(entry)
+	asked := gat.clk.Now()
+	ans, err := messenger.Call[PositionsQuestion, PositionsAnswer](ctx, gat.mes, address, "Positions", que)
 	if _, remote := errors.AsType[rpc.ServerError](err); remote {
 		return gat.askEnds(ctx, address)
 	}
 	if err != nil {
 		return nil, err
 	}
+	if ans.SentKnown {
+		gat.noteHeartbeatDelay(entry, ans.SentAgo-heardAgo-gat.clk.Since(asked))
+	}
 	if !ans.UpToDate {
 		return nil, errors.Annotatef(confirmer.ErrOutdated, "gateserver: positions of %s", entry)
 	}
 	return ans.Positions, nil
 }
 
+const (
+	// lateHeartbeat is how long a heartbeat may be on the way before it is logged, and lateHeartbeatPause the time between two such lines on one entry.
+	lateHeartbeat      = 500 * time.Millisecond
+	lateHeartbeatPause = 10 * time.Second
+)
+
+// noteHeartbeatDelay records how long the last heartbeat of an entry was on the way at least.
+func (gat *Server) noteHeartbeatDelay(entry string, delay time.Duration) {
+	gat.mtr.RecordHeartbeatDelay(max(0, delay))
+	if delay < lateHeartbeat {
+		return
+	}
+	now := gat.clk.Now()
+	if last, logged := gat.lateHeartbeats.Load(entry); logged && now.Sub(last.(time.Time)) < lateHeartbeatPause {
+		return
+	}
+	gat.lateHeartbeats.Store(entry, now)
+	gat.log.WithFields(logrus.Fields{"source": entry, "delay_ms": delay.Milliseconds()}).Warn("heartbeats of an entry arrive late")
+}
+
 // askEnds requests the records that this entry lacks, only to see where they end.
 func (gat *Server) askEnds(ctx context.Context, address string) (map[string]confirmer.Position, error) {
 	out := map[string]confirmer.Position{}
@@ -102,9 +138,6 @@
 		if !known || !tai.IsBehind(pos.Era, pos.End) {
 			continue
 		}
-		if topic == gat.pla.Topics.Operator {
-			gat.log.WithFields(logrus.Fields{"topic": topic, "source": entry, "era": pos.Era, "end": pos.End}).Info("newer records learned by request before a heartbeat named them")
-		}
 		gat.newsFrom.Store(topic, entry)
 		tai.NotifyEnd(pos.Era, pos.End)
 	}
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -42,6 +42,7 @@
 	"github.com/lovagelever/lovagelever/router"
 	"github.com/lovagelever/lovagelever/sender"
 	"github.com/lovagelever/lovagelever/sharer"
+	"github.com/lovagelever/lovagelever/stamper"
 	"github.com/lovagelever/lovagelever/tailer"
 )
 
@@ -101,6 +102,7 @@
 	frc *forecaster.Forecaster
 	pru *pruner.Pruner
 	cfm *confirmer.Confirmer
+	stm *stamper.Stamper
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
 
@@ -136,6 +138,8 @@
 	// unusable maps the keys of records of backend servers that cannot be used to why.
 	unusable      sync.Map
 	upToDatePeers sync.Map
+	// lateHeartbeats maps entries to when it was last logged that their heartbeats are late.
+	lateHeartbeats sync.Map
 	// newsFrom maps each topic to the entry that last said that it knows newer records.
 	newsFrom sync.Map
 	// otherLeader is the other entry that last said that it is the leader.
@@ -161,6 +165,7 @@
 	gat.mes = messenger.New(source, &gat.rpcBytes)
 	gat.reg = registrar.New(clk)
 	gat.frc = forecaster.New(clk)
+	gat.stm = stamper.New(clk)
 	gat.units.Store(&unitTable{})
 	gat.bounds.Store(&set.Bounds)
 	gat.pla.OnLeaving(gat.onLeaving)
--- a/gateserver/meter.go
+++ b/gateserver/meter.go
@@ -80,6 +80,11 @@
 	mtr.scope.Histogram("config_age_seconds", latencyBuckets).RecordDuration(age)
 }
 
+// RecordHeartbeatDelay records how long a heartbeat of another entry was on the way.
+func (mtr *meter) RecordHeartbeatDelay(delay time.Duration) {
+	mtr.scope.Histogram("heartbeat_delay_seconds", latencyBuckets).RecordDuration(delay)
+}
+
 // RecordUnconfirmed counts that no entry confirmed the newest records, so that the store is read.
 func (mtr *meter) RecordUnconfirmed() {
 	mtr.scope.Counter("unconfirmed_checks").Inc(1)
--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -41,6 +41,7 @@
 		Stopping: gat.stopping.Load(), Running: map[uint64]estimator.Work{}, Alive: map[uint64]bool{},
 		ExchangesWork: true, Demand: gat.ownDemand(), Uses: gat.sha.Own(),
 	}
+	gat.stm.Stamp(bea.Seq)
 	alive := gat.det.ActiveUnits()
 	bea.Fresh = gat.upToDate() && gat.nom.Reads()
 	bea.Leads = gat.ele.IsLeader()
