Forget a failed read once an entry follows others

A follower does not read the store, so its last failed read, be it a 429 at its start, stayed: each removal that it learned of counted as one of an outage, and the server got requests for 1.5 s more; with the first read of its own it took the store for returned from an outage, which kept servers for 2.3 s (drain_ms is 2 s). What was removed during an outage is said by the entries that it follows. The spec failed before.

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -149,6 +149,9 @@
 		tai.logBehind()
 		if now := tai.Known() && tai.opt.Peers.OthersRead(); now != othersRead {
 			othersRead = now
+			if othersRead {
+				tai.forgetFailure()
+			}
 			tai.opt.Logger.WithFields(logrus.Fields{"topic": tai.opt.Topic, "reads": !othersRead}).Info("source of a topic changed")
 		}
 		if othersRead {
@@ -453,6 +456,13 @@
 	}
 }
 
+// forgetFailure forgets that the last read failed: an entry that follows others does not notice the end of an outage, and learns from them what was removed during one.
+func (tai *Tailer) forgetFailure() {
+	tai.mux.Lock()
+	defer tai.mux.Unlock()
+	tai.failed = false
+}
+
 func (tai *Tailer) noteFailure(err error) {
 	tai.mux.Lock()
 	defer tai.mux.Unlock()
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -328,6 +328,21 @@
 		Eventually(behind.current).Should(Equal(map[string]string{"a": "2"}))
 	})
 
+	// Guards against removals that are taken for those of an outage for good, since the only read of an entry failed long ago.
+	It("takes a removal for that of no outage once it follows others, though its last read failed", func() {
+		behind := newRecordingTailer(&fakeStore{down: true}, &fakePeers{other: tai.Tailer, reads: true}, clk)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go behind.Run(ctx)
+		Eventually(func() map[string]string { clk.Advance(50 * time.Millisecond); return behind.current() }).Should(HaveKey("b"))
+		clk.Advance(time.Minute)
+		sto.put("b", "")
+		step()
+		behind.NotifyEnd(tai.End())
+		Eventually(func() map[string]string { clk.Advance(50 * time.Millisecond); return behind.current() }).ShouldNot(HaveKey("b"))
+		Expect(behind.outage("b")).To(BeFalse())
+	})
+
 	// Guards against backend servers that stay on the list for good because the entry that was asked does not know of their removal.
 	for _, cas := range []struct {
 		name string
