Let only entries that read the store confirm positions

An entry that has read the store once for itself counts as up to date for 1.1 s, in which its positions stand still, so that an answer could be older than the request. Found by review.

--- a/gateserver/confirm.go
+++ b/gateserver/confirm.go
@@ -30,7 +30,7 @@
 	Heard       uint64
 }
 
-// PositionsAnswer has the positions of an entry by topic, and whether it has recent state of all topics from the store. SentAgo is how long ago it sent the heartbeat of the question, if SentKnown.
+// PositionsAnswer has the positions of an entry by topic, and whether it reads the store and is up to date with it. SentAgo is how long ago it sent the heartbeat of the question, if SentKnown.
 type PositionsAnswer struct {
 	UpToDate  bool
 	Positions map[string]confirmer.Position
@@ -43,7 +43,8 @@
 	if que.Incarnation == rec.gat.self.Incarnation {
 		ans.SentAgo, ans.SentKnown = rec.gat.stm.Age(que.Heard)
 	}
-	ans.UpToDate = rec.gat.upToDate()
+	// One that has read the store once for itself may be up to date as well, but learns of no more.
+	ans.UpToDate = rec.gat.upToDate() && rec.gat.readsStore()
 	ans.Positions = map[string]confirmer.Position{}
 	for topic, tai := range rec.gat.tailers {
 		era, end := tai.End()
--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -288,6 +288,12 @@
 		time.Sleep(4 * time.Second)
 		sto.put(topics.Operator, "config", []byte("2"))
 		Eventually(version.Load, "2s").Should(Equal(int64(2)))
+		mes := messenger.New(net.ParseIP(set.Address), &counter.Counter{})
+		DeferCleanup(mes.Close)
+		ans, err := messenger.Call[gateserver.PositionsQuestion, gateserver.PositionsAnswer](context.Background(), mes, set.Listen.Entries, "Positions", gateserver.PositionsQuestion{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ans.Positions[topics.Operator].End).To(Equal(int64(2)))
+		Expect(ans.UpToDate).To(BeFalse(), "it has read the store once, and follows others")
 	})
 
 	It("stays registered while it is stopping, so that other entries keep sending it their load", func() {
