Test what an entry that follows others may lack for good (fails)

An entry that knew an empty topic and then asks another one passes an end on without the removals before it. After the store came back from a copy, a removal is forgotten before the record that the store has instead is in force; and an entry that learned of the copy from another one lacks such records altogether.

--- a/tailer/era_test.go
+++ b/tailer/era_test.go
@@ -107,6 +107,38 @@
 		Eventually(func() map[string]string { clk.Advance(time.Second); return tai.current() }).ShouldNot(HaveKey("c"))
 	})
 
+	// Guards against entries that know less than the store up to the end that they name, for good: a removal that the store has lost is forgotten before the record that the store has instead is in force.
+	It("ends with what the store has if nothing is written again", func() {
+		clk.Advance(time.Second)
+		sto.restore(2)
+		step()
+		clk.Advance(unwrittenTTL)
+		step()
+		step()
+		Expect(tai.current()).To(Equal(map[string]string{"a": "1", "b": "1"}))
+	})
+
+	// Guards against the same at entries that learn of the copy from another one, which does not tell them the records that it has not taken.
+	It("ends with what the store has at an entry that learned of the copy from another one, if nothing is written again", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		behind := newRecordingTailer(&fakeStore{recs: sto.recs}, &fakePeers{other: tai.Tailer, reads: true}, clk)
+		Expect(behind.Step(ctx)).To(Succeed())
+		go behind.Run(ctx)
+		sto.restore(2)
+		step()
+		behind.NotifyEnd(tai.End())
+		Eventually(func() int64 { era, _ := behind.End(); return era }).Should(Equal(int64(1)))
+		clk.Advance(unwrittenTTL)
+		step()
+		Expect(tai.current()).To(HaveKeyWithValue("a", "1"))
+		Eventually(func() map[string]string {
+			clk.Advance(time.Second)
+			behind.NotifyEnd(tai.End())
+			return behind.current()
+		}).Should(HaveKeyWithValue("a", "1"))
+	})
+
 	It("ends with what was written, however many copies, entries and orders of writing again there are", func() {
 		for seed := range eraSeeds() {
 			rng := rand.New(rand.NewPCG(seed, 25))
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -114,7 +114,9 @@
 type fakePeers struct {
 	other *tailer.Tailer
 	reads bool
-	fails atomic.Int64
+	// follows says that others read from now on.
+	follows atomic.Bool
+	fails   atomic.Int64
 }
 
 func (pee *fakePeers) Ask(_ context.Context, _ string, era, from int64) (tailer.Page, error) {
@@ -124,7 +126,7 @@
 	return pee.other.Since(era, from)
 }
 
-func (pee *fakePeers) OthersRead() bool { return pee.reads }
+func (pee *fakePeers) OthersRead() bool { return pee.reads || pee.follows.Load() }
 
 // recordingTailer is a tailer that records its changes.
 type recordingTailer struct {
@@ -381,4 +383,48 @@
 		}
 		Expect(idle.reads).To(BeZero())
 	})
+
+	// Guards against servers that stay on the list beyond their time because an entry that has failed to read once, and follows others since, takes its next read for the end of an outage.
+	It("does not take the time for which it followed others for an outage", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		pee := &fakePeers{other: tai.Tailer}
+		behind := newRecordingTailer(sto, pee, clk)
+		Expect(behind.Step(ctx)).To(Succeed())
+		sto.setDown(true)
+		go behind.Run(ctx)
+		Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+		sto.setDown(false)
+		pee.follows.Store(true)
+		for range 40 {
+			clk.Advance(300 * time.Millisecond)
+			Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+		}
+		sto.put("a", "")
+		behind.ReadSoon()
+		Eventually(behind.current).ShouldNot(HaveKey("a"))
+		Expect(behind.returnedAt()).To(BeZero())
+		Expect(behind.outage("a")).To(BeFalse())
+	})
+
+	// Guards against records that stay for good at entries that ask one which knew an empty topic before it asked another one.
+	It("learns of a removal if the entry that it asks began with an empty topic", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		asked := &fakePeers{reads: true}
+		behind := newRecordingTailer(sto, asked, clk)
+		Expect(behind.Step(ctx)).To(Succeed())
+		sto.put("b", "")
+		late := newRecordingTailer(sto, &fakePeers{}, clk)
+		Expect(late.Step(ctx)).To(Succeed())
+		began := newRecordingTailer(&fakeStore{}, &fakePeers{other: late.Tailer, reads: true}, clk)
+		Expect(began.Step(ctx)).To(Succeed())
+		go began.Run(ctx)
+		began.NotifyEnd(late.End())
+		Eventually(began.current).Should(Equal(map[string]string{"a": "1"}))
+		asked.other = began.Tailer
+		go behind.Run(ctx)
+		behind.NotifyEnd(began.End())
+		Eventually(behind.current).Should(Equal(map[string]string{"a": "1"}))
+	})
 })
