--- a/confirmer/confirmer_test.go
+++ b/confirmer/confirmer_test.go
@@ -25,6 +25,10 @@
 	fails int
 	asked int
 	reads int
+	// starts says that entries do not know of each other at first.
+	starts bool
+	// askedAt is when each request came.
+	askedAt []time.Time
 	// learned is when each other entry learned of the present end.
 	learned map[int]time.Time
 }
@@ -37,6 +41,7 @@
 	clu.mux.Lock()
 	defer clu.mux.Unlock()
 	clu.asked++
+	clu.askedAt = append(clu.askedAt, clu.clk.Now())
 	if clu.fails > 0 {
 		clu.fails--
 		return nil, errors.Annotate(confirmer.ErrOutdated, "test")
@@ -58,10 +63,21 @@
 			}
 		},
 		ReadStore: func() { clu.reads++ },
-		Others:    func() int { return entries - 1 }, Clock: clu.clk, Logger: log.WithField("test", true),
+		Others:    clu.others(entries), Clock: clu.clk, Logger: log.WithField("test", true),
 	})
 }
 
+// others returns the number of other entries, none until the first check is over if the cluster has just started.
+func (clu *cluster) others(entries int) func() int {
+	calls := 0
+	return func() int {
+		if calls++; clu.starts && calls == 1 {
+			return 0
+		}
+		return entries - 1
+	}
+}
+
 // play advances the clock while a number of entries wait for it.
 func (clu *cluster) play(entries int, dur time.Duration) {
 	const step = 20 * time.Millisecond
@@ -103,6 +119,33 @@
 		Entry("390 entries", 390, 16*time.Second),
 	)
 
+	// Guards against entries that start together and check together ever after, and read the store together if nobody answers.
+	DescribeTable("distributes the checks though no entry knew of the others at its start",
+		func(entries int) {
+			clu := newCluster()
+			clu.starts = true
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			for num := range entries {
+				go clu.entry(num, entries, true).Run(ctx)
+			}
+			clu.play(entries, 30*time.Second)
+			const readsPerSecond, topics = 2000, 3
+			most := 0
+			for num, at := range clu.askedAt {
+				within := 0
+				for within < len(clu.askedAt)-num && clu.askedAt[num+within].Sub(at) < 100*time.Millisecond {
+					within++
+				}
+				most = max(most, within)
+			}
+			Expect(most).To(BeNumerically("<=", readsPerSecond/topics/10))
+		},
+		Entry("7 entries", 7),
+		Entry("195 entries", 195),
+		Entry("390 entries", 390),
+	)
+
 	DescribeTable("asks a second entry, and then has the store read",
 		func(follows bool, fails, asked, reads int) {
 			clu := newCluster()
