Know no removals from before a page of another entry to an empty topic

An entry that had read an empty topic and then got all newest records from another one passed their end on as if it knew all removals before it, so that an entry that asked it kept a server that was gone, for good.

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -397,7 +397,8 @@
 	}
 	cha := Change{Full: full, Outage: pag.Outage || tai.inOutage(), Source: pag.Source}
 	cha.Returned = tai.recentReturn(now)
-	if full || !tai.known {
+	// Another entry tells the newest records only to one that has none.
+	if full || !tai.known || tai.end == 0 {
 		tai.removalsFrom = pag.End
 	}
 	if full {
