Keep removals that the store has lost until its own record is in force

After the store has come back from a copy, a removal that it has lost was forgotten after a minute, as others are, before the record that the store has instead was put in force: entries went on without it for good.

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -411,11 +411,10 @@
 	}
 	tai.era, tai.end, tai.known = pag.Era, max(tai.end, pag.End), true
 	for key, sto := range tai.newest {
-		if sto.Value == nil && now.Sub(sto.at) > removalRetention {
+		// The store may have a record instead of a removal of an earlier era.
+		if sto.Value == nil && sto.Era == tai.era && now.Sub(sto.at) > removalRetention {
 			delete(tai.newest, key)
-			if sto.Era == tai.era {
-				tai.removalsFrom = max(tai.removalsFrom, sto.Offset+1)
-			}
+			tai.removalsFrom = max(tai.removalsFrom, sto.Offset+1)
 		}
 	}
 	tai.mux.Unlock()
