Tell other entries what the store has instead of lost records

An entry that learned from another one that the store has come back from an older copy did not get the store's records for keys whose newer records were lost, so that it removed them after a minute, for good. Such records are told beside the newest ones, in a field that earlier builds ignore.

--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -265,6 +265,8 @@
 	End     int64
 	Outage  bool
 	Records []AnswerRecord
+	// Older holds what the store has instead of records that it has lost with an older copy.
+	Older []AnswerRecord
 }
 
 // AnswerRecord is a record in the form in which it is sent; Compressed says that its value is compressed.
@@ -303,6 +305,9 @@
 		}
 		ans.Records = append(ans.Records, out)
 	}
+	for _, one := range pag.Older {
+		ans.Older = append(ans.Older, AnswerRecord{Record: one})
+	}
 	return nil
 }
 
@@ -320,6 +325,9 @@
 		}
 		out.Records = append(out.Records, rec)
 	}
+	for _, one := range ans.Older {
+		out.Older = append(out.Older, one.Record)
+	}
 	return out, nil
 }
 
--- a/tailer/era.go
+++ b/tailer/era.go
@@ -69,6 +69,12 @@
 			tai.take(rec, false, now)
 		}
 	}
+	for _, rec := range pag.Older {
+		if sto, have := tai.newest[rec.Key]; have && sto.Era < rec.Era {
+			sto.older = &rec
+			tai.newest[rec.Key] = sto
+		}
+	}
 	cha := Change{Full: true, Outage: true, NewEra: true, Source: pag.Source}
 	for key, sto := range tai.newest {
 		if sto.Value == nil {
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -55,6 +55,8 @@
 	Records []Record
 	// Outage says that removals among the records may be leases that expired while the store was unavailable.
 	Outage bool
+	// Older holds what the store has instead of records that it has lost with an older copy, and that are kept until they are written again.
+	Older []Record
 	// Source is the name of the entry that told the records, empty for the store.
 	Source string
 }
@@ -341,6 +343,9 @@
 			rec.KnownFor += tai.opt.Clock.Since(sto.at)
 			out.Records = append(out.Records, rec)
 		}
+		if era < tai.era && sto.older != nil {
+			out.Older = append(out.Older, *sto.older)
+		}
 	}
 	return out, nil
 }
