Compress a record again when its value has changed at the same offset

The cache of compressed values compared offsets. A store that comes back from an older copy gives its offsets out again, so an entry that was asked sent the lost value of the former era at the same offset; those that asked kept it, with the end of the one that answered.

--- a/compressor/compressor.go
+++ b/compressor/compressor.go
@@ -22,10 +22,10 @@
 	cache map[string]result
 }
 
-// result is the outcome of the compression of one record; data is nil if the value did not become smaller.
+// result is the outcome of the compression of a value; data is nil if the value did not become smaller.
 type result struct {
-	offset int64
-	data   []byte
+	value []byte
+	data  []byte
 }
 
 // New returns a compressor with an empty cache.
@@ -33,16 +33,17 @@
 	return &Compressor{cache: map[string]result{}}
 }
 
-// Compress returns the compressed value of the record with the given key and offset; ok is false if the value should be sent as it is.
-func (com *Compressor) Compress(key string, offset int64, value []byte) (data []byte, ok bool) {
+// Compress returns the compressed value of the record with the given key; ok is false if the value should be sent as it is. The value must not be changed later.
+func (com *Compressor) Compress(key string, value []byte) (data []byte, ok bool) {
 	if len(value) < minBytes {
 		return nil, false
 	}
 	com.mux.Lock()
 	defer com.mux.Unlock()
 	res, cached := com.cache[key]
-	if !cached || res.offset != offset {
-		res = result{offset: offset, data: compress(value)}
+	// Values are compared since a store that came back from an older copy gives its offsets out again. That of the same record is the same slice.
+	if !cached || !bytes.Equal(res.value, value) {
+		res = result{value: value, data: compress(value)}
 		com.cache[key] = res
 	}
 	return res.data, res.data != nil
--- a/compressor/compressor_test.go
+++ b/compressor/compressor_test.go
@@ -34,7 +34,7 @@
 	}
 	for _, cas := range cases {
 		It("sends "+cas.name+" in the smaller form", func() {
-			data, ok := compressor.New().Compress("k", 1, cas.value)
+			data, ok := compressor.New().Compress("k", cas.value)
 			Expect(ok).To(Equal(cas.ok))
 			if !ok {
 				return
@@ -44,12 +44,12 @@
 		})
 	}
 
-	It("compresses each record of a key", func() {
+	It("compresses each value of a key", func() {
 		com := compressor.New()
-		for offset := range int64(3) {
-			value := append(bytes.Clone(text), byte(offset))
+		for last := range byte(3) {
+			value := append(bytes.Clone(text), last)
 			for range 2 {
-				data, ok := com.Compress("k", offset, value)
+				data, ok := com.Compress("k", value)
 				Expect(ok).To(BeTrue())
 				Expect(compressor.Decompress(data)).To(Equal(value))
 			}
@@ -57,7 +57,7 @@
 	})
 
 	It("rejects data that is damaged or too large", func() {
-		large, ok := compressor.New().Compress("k", 1, make([]byte, 17<<20))
+		large, ok := compressor.New().Compress("k", make([]byte, 17<<20))
 		Expect(ok).To(BeTrue())
 		for _, data := range [][]byte{{1, 2, 3}, large[:100], large} {
 			_, err := compressor.Decompress(data)
--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -299,7 +299,7 @@
 	ans.Era, ans.End, ans.Outage = pag.Era, pag.End, pag.Outage
 	for _, one := range pag.Records {
 		out := AnswerRecord{Record: one}
-		if data, ok := rec.gat.com.Compress(que.Topic+"/"+one.Key, one.Offset, one.Value); ok {
+		if data, ok := rec.gat.com.Compress(que.Topic+"/"+one.Key, one.Value); ok {
 			out.Value, out.Compressed = data, true
 		}
 		ans.Records = append(ans.Records, out)
--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -21,6 +21,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lovagelever/lovagelever/advertiser"
+	"github.com/lovagelever/lovagelever/compressor"
 	"github.com/lovagelever/lovagelever/conductor"
 	"github.com/lovagelever/lovagelever/counter"
 	"github.com/lovagelever/lovagelever/elector"
@@ -318,6 +319,31 @@
 		Expect(pag.Records[0].Value).To(Equal(value))
 	})
 
+	// Guards against followers that get the value that an offset had before the store came back from an older copy.
+	It("sends the value that an offset has in the present era of the store", func() {
+		sto := &store{recs: map[string][]tailer.Record{}}
+		set := settings("edge")
+		lost, value := manyRoutes(100), manyRoutes(200)
+		sto.put(topics.Operator, "config", lost)
+		start(set, sto)
+		Eventually(ready(set), "3s").Should(BeTrue())
+		mes := messenger.New(net.ParseIP(set.Address), &counter.Counter{})
+		DeferCleanup(mes.Close)
+		received := func() []byte {
+			ans, err := messenger.Call[gateserver.Question, gateserver.Answer](context.Background(), mes, set.Listen.Entries, "CompressedRecords", gateserver.Question{Topic: topics.Operator})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(ans.Records).To(HaveLen(1))
+			out, err := compressor.Decompress(ans.Records[0].Value)
+			Expect(err).NotTo(HaveOccurred())
+			return out
+		}
+		Expect(received()).To(Equal(lost))
+		sto.mux.Lock()
+		sto.era, sto.recs[topics.Operator][0].Value = 1, value
+		sto.mux.Unlock()
+		Eventually(received, "3s").Should(Equal(value))
+	})
+
 	It("gets the configuration from an entry of an earlier version", func() {
 		set := settings("edge")
 		old := settings("old")
