Notice across eras that the own registration is gone

An entry compared the place of a record under its name with that of its registration by offset alone. A store that comes back from an older copy gives offsets out again: the registration of the process before it, which the copy has and this process has not read before, stands at a lower offset and was left; and a registration that was lost before the entry had read it was never written again, so that the entry heard nobody.

Register returns the era, too, places are compared by era and offset, and what the topic has is checked again once a registration is accepted.

--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -111,7 +111,9 @@
 	bounds     atomic.Pointer[gateconfigurer.Bounds]
 	stopping   atomic.Bool
 	// registered is the last registration of this entry that the store has accepted, registering says that it is being written again.
-	registered   atomic.Pointer[registration]
+	registered atomic.Pointer[registration]
+	// listed is what the topic of the entries has under the name of this entry.
+	listed       atomic.Pointer[listing]
 	registering  atomic.Bool
 	stop         atomic.Pointer[gateway.Stop]
 	sawRequest   atomic.Bool
--- a/gateserver/platform.go
+++ b/gateserver/platform.go
@@ -44,8 +44,8 @@
 	// DecodeOperatorRecord and DecodeServer decode one record of the operator and server topics.
 	DecodeOperatorRecord func(rec tailer.Record) (OperatorRecord, error)
 	DecodeServer         func(rec tailer.Record, now time.Time) (registrar.Server, error)
-	// Register writes the registration of this entry and returns its offset, Withdraw removes it.
-	Register func(ctx context.Context, ent advertiser.Entry) (offset int64, err error)
+	// Register writes the registration of this entry and returns its offset and the era of the store, Withdraw removes it.
+	Register func(ctx context.Context, ent advertiser.Entry) (offset, era int64, err error)
 	Withdraw func(ctx context.Context, name string) error
 	// WithdrawOther removes that of another entry, unless the registrations no longer end at an offset.
 	WithdrawOther func(ctx context.Context, name string, end int64) error
--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -220,14 +220,26 @@
 // listDelay is how long after a registration a complete list may still lack it.
 const listDelay = 5 * time.Second
 
-// registration is where and when the store has accepted a registration of this entry.
+// registration is where in the topic and when the store has accepted a registration of this entry.
 type registration struct {
-	offset int64
-	at     time.Time
+	era, offset int64
+	at          time.Time
+}
+
+// listing is where the topic has the newest record under the name of this entry, or from which era on it has none, and whether it should have another one.
+type listing struct {
+	era, offset int64
+	wrong       bool
+}
+
+// isAfter reports whether a listing follows a registration.
+func (lis listing) isAfter(reg registration) bool {
+	return lis.era > reg.era || lis.era == reg.era && lis.offset > reg.offset
 }
 
 // lostRegistration reports whether a change says that the registration of this entry is gone, be it lost with an older copy of the store, deleted late by the process before it, or replaced by that process's.
 func (gat *Server) lostRegistration(cha tailer.Change) bool {
+	listed := gat.noteListing(cha)
 	if gat.stopping.Load() {
 		return false
 	}
@@ -238,16 +250,36 @@
 	if reg == nil {
 		return false
 	}
-	listed, lost := false, false
+	return gat.isReplaced(*reg) || cha.Full && !listed && gat.clk.Since(reg.at) > listDelay
+}
+
+// noteListing records what a change says about the registration of this entry, and reports whether it has one.
+func (gat *Server) noteListing(cha tailer.Change) bool {
+	listed := false
 	for _, rec := range cha.Records {
-		if rec.Key != gat.set.Name {
-			continue
+		if rec.Key == gat.set.Name {
+			listed = true
+			gat.listed.Store(&listing{era: rec.Era, offset: rec.Offset, wrong: gat.isWrong(rec)})
 		}
-		ent, err := decodeEntry(rec)
-		listed = true
-		lost = rec.Offset > reg.offset && (err != nil || ent.Incarnation < gat.self.Incarnation)
 	}
-	return lost || cha.Full && !listed && gat.clk.Since(reg.at) > listDelay
+	// A complete list of the same era may be older than the registration.
+	if cha.Full && !listed {
+		era, _ := gat.tailers[gat.pla.Topics.Entries].End()
+		gat.listed.Store(&listing{era: era, wrong: true})
+	}
+	return listed
+}
+
+// isWrong reports whether a record under the name of this entry is not its registration, nor that of a process that has started later.
+func (gat *Server) isWrong(rec tailer.Record) bool {
+	ent, err := decodeEntry(rec)
+	return err != nil || ent.Incarnation < gat.self.Incarnation
+}
+
+// isReplaced reports whether the topic has something else than a registration of this entry, which is not stopping.
+func (gat *Server) isReplaced(reg registration) bool {
+	lis := gat.listed.Load()
+	return lis != nil && lis.wrong && lis.isAfter(reg) && !gat.stopping.Load()
 }
 
 // removeUnlisted removes the entries that a complete list lacks.
--- a/gateserver/run.go
+++ b/gateserver/run.go
@@ -157,13 +157,20 @@
 	return set == gat.set
 }
 
+// errReplaced means that a registration has been replaced or lost since the store accepted it.
+const errReplaced = errors.ConstError("registration replaced")
+
 // register registers this entry, and retries until the store accepts it.
 func (gat *Server) register(ctx context.Context) {
 	for ctx.Err() == nil {
-		offset, err := gat.pla.Register(ctx, gat.self)
+		offset, era, err := gat.pla.Register(ctx, gat.self)
 		if err == nil {
-			gat.registered.Store(&registration{offset: offset, at: gat.clk.Now()})
-			return
+			reg := registration{era: era, offset: offset, at: gat.clk.Now()}
+			gat.registered.Store(&reg)
+			if !gat.isReplaced(reg) {
+				return
+			}
+			err = errReplaced
 		}
 		gat.log.WithError(err).Info("registration failed, trying again")
 		select {
