Write a registration again after one of a process whose clock was ahead

A registration of the process before, carried out late, replaces that of the running one. It was written again only if its incarnation is lower, which it is not if the clock was set back in between: entries then knew the running process under the former incarnation and did not mark it as stopping.

No other process runs at the addresses of a running one, so a registration with these is written again whatever its incarnation, three times at most. One with other addresses is left as before. The two new specs failed before and pass.

--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -112,8 +112,9 @@
 	stopping   atomic.Bool
 	// registered is the last registration of this entry that the store has accepted, registering says that it is being written again.
 	registered atomic.Pointer[registration]
-	// listed is what the topic of the entries has under the name of this entry.
+	// listed is what the topic of the entries has under the name of this entry, contests how often that was of a higher incarnation at the same addresses; only OnChange of the topic uses contests.
 	listed       atomic.Pointer[listing]
+	contests     int
 	registering  atomic.Bool
 	stop         atomic.Pointer[gateway.Stop]
 	sawRequest   atomic.Bool
--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -220,6 +220,9 @@
 // listDelay is how long after a registration a complete list may still lack it.
 const listDelay = 5 * time.Second
 
+// maxContests is how often an entry replaces registrations of a higher incarnation with its own addresses: the process before it has only a few writes outstanding, any more are of a process that runs.
+const maxContests = 3
+
 // registration is where in the topic and when the store has accepted a registration of this entry.
 type registration struct {
 	era, offset int64
@@ -270,10 +273,17 @@
 	return listed
 }
 
-// isWrong reports whether a record under the name of this entry is not its registration, nor that of a process that has started later.
+// isWrong reports whether a record under the name of this entry is not its registration, nor that of another process which may run. At the addresses of this entry no other process runs, whatever the clocks of the two were.
 func (gat *Server) isWrong(rec tailer.Record) bool {
 	ent, err := decodeEntry(rec)
-	return err != nil || ent.Incarnation < gat.self.Incarnation
+	if err != nil || ent.Incarnation < gat.self.Incarnation {
+		return true
+	}
+	if ent.Incarnation == gat.self.Incarnation || ent.EntryAddress != gat.self.EntryAddress || ent.CallerAddress != gat.self.CallerAddress {
+		return false
+	}
+	gat.contests++
+	return gat.contests <= maxContests
 }
 
 // isReplaced reports whether the topic has something else than a registration of this entry, which is not stopping.
--- a/gateserver/registration_test.go
+++ b/gateserver/registration_test.go
@@ -18,21 +18,35 @@
 	var sto *store
 	var registered atomic.Int64
 	var self atomic.Pointer[advertiser.Entry]
+	// rewrite is what another process writes after each registration, nil for nothing.
+	var rewrite atomic.Pointer[advertiser.Entry]
 	encode := func(ent advertiser.Entry) []byte {
 		data, err := json.Marshal(ent)
 		Expect(err).NotTo(HaveOccurred())
 		return data
 	}
 	write := func(ent advertiser.Entry) int64 { return sto.put(topics.Entries, ent.Name, encode(ent)) }
+	// ahead returns the registration of a process at the same addresses whose clock was ahead.
+	ahead := func() advertiser.Entry {
+		ent := *self.Load()
+		ent.Incarnation++
+		return ent
+	}
 	BeforeEach(func() {
 		sto = &store{recs: map[string][]tailer.Record{}}
 		registered.Store(0)
+		rewrite.Store(nil)
 		set := settings("edge")
 		write(advertiser.Entry{Name: "edge", Incarnation: 1})
 		startWith(set, sto, func(pla *gateserver.Platform) {
 			pla.Register = func(_ context.Context, ent advertiser.Entry) (int64, int64, error) {
 				self.Store(&ent)
 				registered.Add(1)
+				defer func() {
+					if other := rewrite.Load(); other != nil {
+						write(*other)
+					}
+				}()
 				return write(ent), sto.currentEra(), nil
 			}
 		})
@@ -48,9 +62,15 @@
 	}{
 		{"is written again when it is deleted", func() { sto.put(topics.Entries, "edge", nil) }, 2},
 		{"is written again when that of the process before replaces it", func() { write(advertiser.Entry{Name: "edge", Incarnation: 1}) }, 2},
+		{"is written again when that of the process before, whose clock was ahead, replaces it", func() { write(ahead()) }, 2},
 		{"is written again when the store comes back from a copy that has that of the process before", func() {
 			sto.restore(topics.Entries, "edge", encode(advertiser.Entry{Name: "edge", Zone: "z", Incarnation: 1}))
 		}, 2},
+		{"is left to another process at the same addresses that goes on writing its own", func() {
+			other := ahead()
+			rewrite.Store(&other)
+			write(other)
+		}, 4},
 		{"is left to a process that has started later", func() { write(advertiser.Entry{Name: "edge", Incarnation: self.Load().Incarnation + 1}) }, 1},
 		{"is not written again when another entry leaves", func() { sto.put(topics.Entries, "other", nil) }, 1},
 	} {
