--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -50,6 +50,11 @@
 // takeConfig puts a configuration in force that a source has told, the store if it is empty.
 func (gat *Server) takeConfig(cfg router.Config, rec tailer.Record, source string) {
 	if old := gat.tab.Load(); old != nil && old.Version >= cfg.Version {
+		if old.Version > cfg.Version {
+			gat.log.WithFields(logrus.Fields{
+				"config_version": old.Version, "ignored_version": cfg.Version, "source": sourceName(source), "era": rec.Era, "offset": rec.Offset,
+			}).Warn("configuration of a lower version ignored")
+		}
 		return
 	}
 	tab, err := router.New(cfg)
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -28,6 +28,8 @@
 	minOutage = 1500 * time.Millisecond
 	// batchDelay is the delay between two reads while records arrive, so that a burst of them costs one call.
 	batchDelay = 120 * time.Millisecond
+	// pollGrace is how long a read of the store goes on once another entry has told of newer records; two entries that read it get these within a fraction of it.
+	pollGrace = 200 * time.Millisecond
 	// logBehindAfter is after how long an entry logs that others have newer records.
 	logBehindAfter = time.Second
 	// removalRetention is how long a removal is kept for entries that ask; they ask every retryAfter.
@@ -147,6 +149,7 @@
 // Run follows the topic until the context ends. It reads the whole topic from the store first, since the links of the few entries that read it for all could not bear to send it to hundreds of others at once.
 func (tai *Tailer) Run(ctx context.Context) {
 	othersRead := true
+	wait := readWait
 	for ctx.Err() == nil {
 		tai.logBehind()
 		if now := tai.Known() && tai.opt.Peers.OthersRead(); now != othersRead {
@@ -154,18 +157,23 @@
 			if othersRead {
 				tai.forgetFailure()
 			}
+			// The connection to the store may have gone silent while it was not in use.
+			wait = 0
 			tai.opt.Logger.WithFields(logrus.Fields{"topic": tai.opt.Topic, "reads": !othersRead}).Info("source of a topic changed")
 		}
 		if othersRead {
 			tai.followPeers(ctx)
 			continue
 		}
-		err := tai.Step(ctx)
+		err := tai.poll(ctx, wait)
+		wait = readWait
 		pause := batchDelay
 		if err != nil {
 			tai.noteFailure(err)
 			tai.askPeer(ctx)
-			pause = retryAfter
+			if !tai.isBehindPeer() {
+				pause = retryAfter
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -174,6 +182,27 @@
 	}
 }
 
+// poll reads the store as Step does, and gives up when another entry has told of newer records for a while: the connection to the store may be silent.
+func (tai *Tailer) poll(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tai.peerAhead:
+		}
+		select {
+		case <-ctx.Done():
+		case <-tai.opt.Clock.After(pollGrace):
+			if tai.isBehindPeer() {
+				cancel()
+			}
+		}
+	}()
+	return tai.step(ctx, wait)
+}
+
 // Known reports whether the topic has been read once.
 func (tai *Tailer) Known() bool {
 	tai.mux.Lock()
@@ -284,7 +313,11 @@
 
 // Step reads the store once; it reads the whole topic if nothing is known yet or the next records have expired.
 func (tai *Tailer) Step(ctx context.Context) error {
-	if err := tai.read(ctx, readWait); err != nil {
+	return tai.step(ctx, readWait)
+}
+
+func (tai *Tailer) step(ctx context.Context, wait time.Duration) error {
+	if err := tai.read(ctx, wait); err != nil {
 		return err
 	}
 	tai.expireUnwritten()
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -34,6 +34,9 @@
 	first int64
 	down  bool
 	reads int
+	// silent says that reads get no answer, waits are those of the reads so far.
+	silent atomic.Bool
+	waits  []time.Duration
 	// pageRecords is the number of records after which a read is cut, 0 for none.
 	pageRecords int
 }
@@ -80,10 +83,15 @@
 	return out, nil
 }
 
-func (sto *fakeStore) Read(_ context.Context, _ string, from int64, _ time.Duration) (tailer.Page, error) {
+func (sto *fakeStore) Read(ctx context.Context, _ string, from int64, wait time.Duration) (tailer.Page, error) {
+	if sto.silent.Load() {
+		<-ctx.Done()
+		return tailer.Page{}, ctx.Err()
+	}
 	sto.mux.Lock()
 	defer sto.mux.Unlock()
 	sto.reads++
+	sto.waits = append(sto.waits, wait)
 	switch {
 	case sto.down:
 		return tailer.Page{}, errDown
@@ -330,6 +338,42 @@
 		Eventually(behind.current).Should(Equal(map[string]string{"a": "2"}))
 	})
 
+	// Guards against readers that lack what another one has said for as long as a read of a silent connection lasts.
+	It("gives up a read of the store that gets no answer while another entry has newer records", func() {
+		silent := &fakeStore{recs: slices.Clone(sto.recs)}
+		behind := newRecordingTailer(silent, &fakePeers{other: tai.Tailer}, clk)
+		Expect(behind.Step(context.Background())).To(Succeed())
+		silent.silent.Store(true)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go behind.Run(ctx)
+		sto.put("a", "2")
+		step()
+		behind.NotifyEnd(tai.End())
+		Eventually(func() map[string]string { clk.Advance(50 * time.Millisecond); return behind.current() }).Should(HaveKeyWithValue("a", "2"))
+	})
+
+	It("does not wait for records with its first read when it begins to read for others", func() {
+		pee := &fakePeers{other: tai.Tailer}
+		pee.follows.Store(true)
+		own := &fakeStore{recs: slices.Clone(sto.recs)}
+		reader := newRecordingTailer(own, pee, clk)
+		Expect(reader.Step(context.Background())).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go reader.Run(ctx)
+		Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+		pee.follows.Store(false)
+		Eventually(func() []time.Duration {
+			clk.Advance(100 * time.Millisecond)
+			own.mux.Lock()
+			defer own.mux.Unlock()
+			return slices.Clone(own.waits)
+		}).Should(HaveLen(3))
+		Expect(own.waits[0]).To(BeZero())
+		Expect(own.waits[1]).NotTo(BeZero())
+	})
+
 	// Guards against removals that are taken for those of an outage for good, since the only read of an entry failed long ago.
 	It("takes a removal for that of no outage once it follows others, though its last read failed", func() {
 		behind := newRecordingTailer(&fakeStore{down: true}, &fakePeers{other: tai.Tailer, reads: true}, clk)
