Test what counts as a confirmation (fails)

A follower that has just read the store, for want of an answer, says for 1.1 s that it is up to date, with a position that does not move: another follower takes that for a confirmation. The page of an entry of an earlier version that does not know all removals ends where it was asked from, and counts as a confirmation although it has newer records.

--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -242,6 +242,18 @@
 	return nil
 }
 
+// forgetfulEntry answers as an entry of an earlier version that knows the second configuration, but not all removals before it.
+type forgetfulEntry struct{}
+
+// Records returns the second configuration, and names the offset that it was asked from as the end.
+func (*forgetfulEntry) Records(que *gateserver.Question, ans *tailer.Page) error {
+	ans.End = que.From
+	if que.Topic == topics.Operator {
+		ans.Records = []tailer.Record{{Key: "config", Value: []byte("2"), Offset: 1}}
+	}
+	return nil
+}
+
 // manyRoutes returns a configuration record with names as random as those of the platform.
 func manyRoutes(num int) []byte {
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -311,6 +323,58 @@
 		Expect(ans.UpToDate).To(BeFalse(), "it has read the store once, and follows others")
 	})
 
+	// Guards against entries that follow others and confirm each other's past: one that has read the store once, for want of an answer, knows nothing of what was written since.
+	It("does not say that it is up to date with the store while it follows others", func() {
+		sto := &store{recs: map[string][]tailer.Record{}}
+		for _, name := range peerNames {
+			data, err := json.Marshal(advertiser.Entry{Name: name, Zone: "z", EntryAddress: "127.0.0.1:9", Incarnation: 1, Cores: 1})
+			Expect(err).NotTo(HaveOccurred())
+			sto.put(topics.Entries, name, data)
+		}
+		set := settings("edge")
+		start(set, sto)
+		sendHeartbeats(set.Listen.Entries, peerNames...)
+		mes := messenger.New(net.ParseIP(set.Address), &counter.Counter{})
+		DeferCleanup(mes.Close)
+		time.Sleep(4 * time.Second)
+		for written := int64(1); written <= 10; written++ {
+			time.Sleep(time.Duration(rand.IntN(400)) * time.Millisecond)
+			sto.put(topics.Operator, "config", []byte("{}"))
+			ans, err := messenger.Call[gateserver.PositionsQuestion, gateserver.PositionsAnswer](context.Background(), mes, set.Listen.Entries, "Positions", gateserver.PositionsQuestion{})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(ans.UpToDate && ans.Positions[topics.Operator].End < written).To(BeFalse(), "%+v after %d records", ans, written)
+		}
+	})
+
+	// Guards against entries that take the answer of one of an earlier version for the end of a topic: one that does not know all removals names the end that it was asked from.
+	It("puts a configuration in force within 2 s though the entries that read the store are of an earlier version and forget removals", func() {
+		sto := &store{recs: map[string][]tailer.Record{}}
+		old := settings("old")
+		lis, err := messenger.Listen(old.Listen.Entries, &forgetfulEntry{}, &counter.Counter{})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(lis.Close)
+		for _, name := range peerNames {
+			data, err := json.Marshal(advertiser.Entry{Name: name, Zone: "z", EntryAddress: old.Listen.Entries, Incarnation: 1, Cores: 1})
+			Expect(err).NotTo(HaveOccurred())
+			sto.put(topics.Entries, name, data)
+		}
+		sto.put(topics.Operator, "config", []byte("1"))
+		var version atomic.Int64
+		set := settings("edge")
+		startWith(set, sto, func(pla *gateserver.Platform) {
+			pla.DecodeOperatorRecord = func(rec tailer.Record) (gateserver.OperatorRecord, error) {
+				num, err := strconv.ParseInt(string(rec.Value), 10, 64)
+				version.Store(num)
+				return gateserver.OperatorRecord{Config: &router.Config{Version: num}}, err
+			}
+		})
+		sendHeartbeats(set.Listen.Entries, peerNames...)
+		Eventually(version.Load, "3s").Should(Equal(int64(1)))
+		time.Sleep(4 * time.Second)
+		sto.put(topics.Operator, "config", []byte("2"))
+		Eventually(version.Load, "2s").Should(Equal(int64(2)))
+	})
+
 	It("stays registered while it is stopping, so that other entries keep sending it their load", func() {
 		sto := &store{recs: map[string][]tailer.Record{}}
 		set := settings("edge")
