--- a/tailer/era_test.go
+++ b/tailer/era_test.go
@@ -139,6 +139,61 @@
 		}).Should(HaveKeyWithValue("a", "1"))
 	})
 
+	// Guards against records that the store has lost and that stay for good at an entry that starts then.
+	It("removes what is not written again in time at an entry that got it from another one at its start", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		sto.restore(2)
+		step()
+		began := newRecordingTailer(&fakeStore{down: true}, &fakePeers{other: tai.Tailer, reads: true}, clk)
+		go began.Run(ctx)
+		Eventually(began.current).Should(Equal(map[string]string{"a": "2", "c": "1"}))
+		clk.Advance(unwrittenTTL)
+		step()
+		Expect(tai.current()).To(Equal(map[string]string{"a": "1", "b": "1"}))
+		Eventually(func() map[string]string {
+			clk.Advance(time.Second)
+			began.NotifyEnd(tai.End())
+			return began.current()
+		}).Should(Equal(tai.current()))
+	})
+
+	It("ends with what the store has at all entries, however many copies there are, if nothing is written again", func() {
+		for seed := range eraSeeds() / 10 {
+			rng := rand.New(rand.NewPCG(seed, 57))
+			fle := newEraFleet(rng)
+			for range 40 {
+				fle.act()
+			}
+			fle.sto.restore(len(fle.sto.recs) - rng.IntN(min(8, len(fle.sto.recs))))
+			fle.read(0)
+			ctx, cancel := context.WithCancel(context.Background())
+			for num, one := range fle.tailers[1:] {
+				fle.peers[num+1].other, fle.peers[num+1].reads = fle.tailers[0].Tailer, true
+				go one.Run(ctx)
+				one.NotifyEnd(fle.tailers[0].End())
+			}
+			for _, one := range fle.tailers[1:] {
+				Eventually(func() bool { return one.IsBehind(fle.tailers[0].End()) }).Should(BeFalse())
+			}
+			fle.clk.Advance(unwrittenTTL)
+			pag, _ := fle.sto.Newest(ctx, topic)
+			want := map[string]string{}
+			for _, rec := range pag.Records {
+				want[rec.Key] = string(rec.Value)
+			}
+			for num, one := range fle.tailers {
+				Eventually(func() map[string]string {
+					fle.clk.Advance(time.Second)
+					Expect(fle.tailers[0].Step(ctx)).To(Succeed())
+					one.NotifyEnd(fle.tailers[0].End())
+					return one.current()
+				}).Should(Equal(want), fmt.Sprintf("seed %d, entry %d", seed, num))
+			}
+			cancel()
+		}
+	})
+
 	It("ends with what was written, however many copies, entries and orders of writing again there are", func() {
 		for seed := range eraSeeds() {
 			rng := rand.New(rand.NewPCG(seed, 25))
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -466,6 +466,34 @@
 		Expect(behind.outage("a")).To(BeFalse())
 	})
 
+	// Guards against servers that are dropped before they can be listed again by entries that follow others when the store returns, and have not read it since.
+	It("says with removals when the store returned though another entry read it first", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		pee := &fakePeers{other: tai.Tailer}
+		behind := newRecordingTailer(sto, pee, clk)
+		Expect(behind.Step(ctx)).To(Succeed())
+		sto.setDown(true)
+		go tai.Run(ctx)
+		go behind.Run(ctx)
+		for range 8 {
+			Expect(clk.BlockUntilContext(ctx, 2)).To(Succeed())
+			clk.Advance(300 * time.Millisecond)
+		}
+		Expect(clk.BlockUntilContext(ctx, 2)).To(Succeed())
+		pee.follows.Store(true)
+		sto.put("a", "")
+		sto.setDown(false)
+		clk.Advance(300 * time.Millisecond)
+		back := clk.Now()
+		Eventually(tai.current).ShouldNot(HaveKey("a"))
+		Expect(tai.returnedAt()).To(Equal(back))
+		behind.NotifyEnd(tai.End())
+		Eventually(behind.current).ShouldNot(HaveKey("a"))
+		Expect(behind.outage("a")).To(BeTrue())
+		Expect(behind.returnedAt()).To(Equal(back))
+	})
+
 	// Guards against records that stay for good at entries that ask one which knew an empty topic before it asked another one.
 	It("learns of a removal if the entry that it asks began with an empty topic", func() {
 		ctx, cancel := context.WithCancel(context.Background())
