--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -110,6 +110,24 @@
 	return out, nil
 }
 
+// silentStore is a store whose answers do not arrive while it is silent: a read ends with its time limit.
+type silentStore struct {
+	*fakeStore
+	clk    clockwork.Clock
+	silent atomic.Bool
+}
+
+func (sto *silentStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (tailer.Page, error) {
+	if !sto.silent.Load() {
+		return sto.fakeStore.Read(ctx, topic, from, wait)
+	}
+	select {
+	case <-ctx.Done():
+	case <-sto.clk.After(wait + 700*time.Millisecond):
+	}
+	return tailer.Page{}, errDown
+}
+
 // restore brings the store back from a copy with the first records only.
 func (sto *fakeStore) restore(records int) {
 	sto.mux.Lock()
@@ -466,6 +484,36 @@
 		Expect(behind.outage("a")).To(BeFalse())
 	})
 
+	// Guards against an entry that reads the store, hears that another one knows more, and waits for its silent connection twice.
+	for _, cas := range []struct {
+		name  string
+		fails int64
+	}{
+		{"the first entry that it asks", 0},
+		{"the second entry that it asks", 1},
+	} {
+		It("learns within 2 s what another entry has read while its connection to the store is silent, from "+cas.name, func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			own := &silentStore{fakeStore: &fakeStore{recs: slices.Clone(sto.recs)}, clk: clk}
+			pee := &fakePeers{other: tai.Tailer}
+			behind := newRecordingTailer(own, pee, clk)
+			Expect(behind.Step(ctx)).To(Succeed())
+			pee.fails.Store(cas.fails)
+			own.silent.Store(true)
+			go behind.Run(ctx)
+			Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+			sto.put("a", "2")
+			step()
+			behind.NotifyEnd(tai.End())
+			for range 40 {
+				clk.Advance(50 * time.Millisecond)
+				Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+			}
+			Expect(behind.current()).To(HaveKeyWithValue("a", "2"))
+		})
+	}
+
 	// Guards against servers that are dropped before they can be listed again by entries that follow others when the store returns, and have not read it since.
 	It("says with removals when the store returned though another entry read it first", func() {
 		ctx, cancel := context.WithCancel(context.Background())
