Take no page of an earlier build that lacks removals for a confirmation

An entry of an earlier version is asked for records, since it does not know the request for positions. One that does not know all removals ends its page where it begins, which counted as a confirmation though the page has newer records.

--- a/gateserver/confirm.go
+++ b/gateserver/confirm.go
@@ -14,6 +14,7 @@
 	"github.com/lovagelever/lovagelever/advertiser"
 	"github.com/lovagelever/lovagelever/confirmer"
 	"github.com/lovagelever/lovagelever/messenger"
+	"github.com/lovagelever/lovagelever/tailer"
 )
 
 // buildConfirmer creates the component that checks whether this entry knows what the entries know that read the store.
@@ -127,6 +128,11 @@
 		if err != nil {
 			return nil, err
 		}
+		// It does not name its end if it does not know all removals.
+		newer := func(rec tailer.Record) bool { return rec.Era >= era && rec.Offset >= end }
+		if pag.Era == era && pag.End <= end && slices.ContainsFunc(pag.Records, newer) {
+			return nil, errors.Annotatef(confirmer.ErrOutdated, "gateserver: end of %s", topic)
+		}
 		out[topic] = confirmer.Position{Era: pag.Era, End: pag.End}
 	}
 	return out, nil
