Ask a second entry when a reader that is behind gets no answer

A reader whose connection to the store is silent asked one entry after its read, and read again if that one did not answer either.

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -170,7 +170,11 @@
 		pause := batchDelay
 		if err != nil {
 			tai.noteFailure(err)
-			tai.askPeer(ctx)
+			for range asksBeforeRead {
+				if tai.askPeer(ctx) || !tai.isBehindPeer() {
+					break
+				}
+			}
 			if !tai.isBehindPeer() {
 				pause = retryAfter
 			}
