End what is not written again at entries that got it from another one at their start

An entry whose first page after a copy of the store came from another entry kept the records that the store had lost for good.

--- a/tailer/era.go
+++ b/tailer/era.go
@@ -69,12 +69,7 @@
 			tai.take(rec, false, now)
 		}
 	}
-	for _, rec := range pag.Older {
-		if sto, have := tai.newest[rec.Key]; have && sto.Era < rec.Era {
-			sto.older = &rec
-			tai.newest[rec.Key] = sto
-		}
-	}
+	tai.takeOlder(pag)
 	cha := Change{Full: true, Outage: true, NewEra: true, Source: pag.Source}
 	for key, sto := range tai.newest {
 		if sto.Value == nil {
@@ -92,6 +87,26 @@
 	return cha
 }
 
+// takeOlder stores what the store has instead of records of earlier eras.
+func (tai *Tailer) takeOlder(pag Page) {
+	for _, rec := range pag.Older {
+		if sto, have := tai.newest[rec.Key]; have && sto.Era < rec.Era {
+			sto.older = &rec
+			tai.newest[rec.Key] = sto
+		}
+	}
+}
+
+// hasUnwritten reports whether records were lost with an older copy of the store and have not been written again.
+func (tai *Tailer) hasUnwritten() bool {
+	for _, sto := range tai.newest {
+		if sto.Era < tai.era {
+			return true
+		}
+	}
+	return false
+}
+
 // expireUnwritten replaces the records that have not been written again in time since the era began by what the store has.
 func (tai *Tailer) expireUnwritten() {
 	tai.mux.Lock()
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -462,6 +462,9 @@
 	tai.mux.Unlock()
 	if full || len(cha.Records) > 0 {
 		tai.opt.OnChange(cha)
+	if tai.takeOlder(pag); first && tai.hasUnwritten() {
+		tai.eraBegan = now
+	}
 	}
 }
 
