Tell other entries when the store has returned from an outage

A follower that got the removals of an outage from another entry kept the servers 1.5 s from the removal, not until 2.3 s after the return of the store, within which servers are listed again.

--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -261,10 +261,13 @@
 
 // Answer is the response to a Question.
 type Answer struct {
-	Era     int64
-	End     int64
-	Outage  bool
-	Records []AnswerRecord
+	Era    int64
+	End    int64
+	Outage bool
+	// Returned says that the store came back ReturnedAgo before from an outage in which leases may have expired.
+	Returned    bool
+	ReturnedAgo time.Duration
+	Records     []AnswerRecord
 	// Older holds what the store has instead of records that it has lost with an older copy.
 	Older []AnswerRecord
 }
@@ -298,6 +301,7 @@
 		return err
 	}
 	ans.Era, ans.End, ans.Outage = pag.Era, pag.End, pag.Outage
+	ans.Returned, ans.ReturnedAgo = pag.Returned, pag.ReturnedAgo
 	for _, one := range pag.Records {
 		out := AnswerRecord{Record: one}
 		if data, ok := rec.gat.com.Compress(que.Topic+"/"+one.Key, one.Value); ok {
@@ -313,7 +317,7 @@
 
 // page returns the records of an answer with their values decompressed; it fails with errors.NotValid.
 func (ans Answer) page() (tailer.Page, error) {
-	out := tailer.Page{Era: ans.Era, End: ans.End, Outage: ans.Outage}
+	out := tailer.Page{Era: ans.Era, End: ans.End, Outage: ans.Outage, Returned: ans.Returned, ReturnedAgo: ans.ReturnedAgo}
 	for _, one := range ans.Records {
 		rec := one.Record
 		if one.Compressed {
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -59,6 +59,9 @@
 	Outage bool
 	// Older holds what the store has instead of records that it has lost with an older copy, and that are kept until they are written again.
 	Older []Record
+	// Returned says that the store came back ReturnedAgo before from an outage in which leases may have expired.
+	Returned    bool
+	ReturnedAgo time.Duration
 	// Source is the name of the entry that told the records, empty for the store.
 	Source string
 }
@@ -371,6 +374,9 @@
 		return Page{}, errors.NotFoundf("tailer: topic %s of era %d", tai.opt.Topic, era)
 	}
 	out := Page{Era: tai.era, End: tai.end, Outage: tai.inOutage()}
+	if now := tai.opt.Clock.Now(); !tai.recentReturn(now).IsZero() {
+		out.Returned, out.ReturnedAgo = true, now.Sub(tai.returned)
+	}
 	if knowsNothing := from == 0; era == tai.era && from < tai.removalsFrom && !knowsNothing {
 		out.End = from
 	}
@@ -430,6 +436,9 @@
 		tai.mux.Unlock()
 		return
 	}
+	if back := now.Add(-pag.ReturnedAgo); pag.Returned && back.After(tai.returned) {
+		tai.returned = back
+	}
 	if tai.known && pag.Era > tai.era {
 		cha := tai.beginEra(pag, now)
 		cha.Returned = tai.recentReturn(now)
@@ -451,7 +460,11 @@
 			cha.Records = append(cha.Records, rec)
 		}
 	}
+	first := !tai.known
 	tai.era, tai.end, tai.known = pag.Era, max(tai.end, pag.End), true
+	if tai.takeOlder(pag); first && tai.hasUnwritten() {
+		tai.eraBegan = now
+	}
 	for key, sto := range tai.newest {
 		// The store may have a record instead of a removal of an earlier era.
 		if sto.Value == nil && sto.Era == tai.era && now.Sub(sto.at) > removalRetention {
@@ -462,9 +475,6 @@
 	tai.mux.Unlock()
 	if full || len(cha.Records) > 0 {
 		tai.opt.OnChange(cha)
-	if tai.takeOlder(pag); first && tai.hasUnwritten() {
-		tai.eraBegan = now
-	}
 	}
 }
 
