Count the wait for a server that disappeared from its first removal

Requests could reach a backend server more than 2 s after it was off the list.

Cause: a removal that may be due to an outage of the store keeps the server for 1.5 s from when this entry learns of it. A single failed read of the store makes a removal one of an outage, so that this happens while the store is stable.

Change: the records that entries pass on say for how long they have been known. The server is kept until 1.5 s after the first entry read its removal. Beside entries that do not say so it is kept as before. What follows a return of the store is unchanged.

--- a/gateserver/list_test.go
+++ b/gateserver/list_test.go
@@ -66,6 +66,23 @@
 		Expect(serving()).To(ConsistOf("w0", "w1"))
 	})
 
+	// Guards against requests to servers that are gone, at entries that hear late of a removal that looks like one of an outage.
+	for _, known := range []time.Duration{0, 600 * time.Millisecond, time.Minute} {
+		It(fmt.Sprintf("keeps a server that disappeared around an outage no longer if other entries knew that %s earlier", known), func() {
+			gat.ApplyServers(tailer.Change{Records: []tailer.Record{{Key: "w1", KnownFor: known}}, Outage: true})
+			if left := registrar.RelistTimeout - known; left > 0 {
+				clk.Advance(left - time.Millisecond)
+				gat.Expire()
+				gat.ApplyServers(tailer.Change{Records: []tailer.Record{listed("w0", "")}})
+				Expect(serving()).To(ConsistOf("w0", "w1"))
+				clk.Advance(time.Millisecond)
+			}
+			gat.Expire()
+			gat.ApplyServers(tailer.Change{Records: []tailer.Record{listed("w0", "")}})
+			Expect(serving()).To(ConsistOf("w0"))
+		})
+	}
+
 	It("removes a server that is listed and removed in one batch", func() {
 		gat.ApplyRecords(nil, []tailer.Record{listed("w1", ""), {Key: "w1"}})
 		Expect(serving()).To(ConsistOf("w0"))
--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -77,11 +77,13 @@
 		gat.reg.StoreReturned(cha.Returned)
 	}
 	list := map[string]registrar.Server{}
-	var upd, unusable registrar.Change
+	var unusable registrar.Change
+	upd := registrar.Change{KnownFor: map[string]time.Duration{}}
 	for _, rec := range newestOfEach(cha.Records) {
 		if len(rec.Value) == 0 {
 			gat.unusable.Delete(rec.Key)
 			upd.Remove = append(upd.Remove, rec.Key)
+			upd.KnownFor[rec.Key] = rec.KnownFor
 			continue
 		}
 		ser, err := gat.pla.DecodeServer(rec, now)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -83,11 +83,12 @@
 	reg.Apply(Change{Remove: []string{id}, Outage: outage})
 }
 
-// Change is a set of changes to the list. Outage means that the leases of the removed servers may have expired during a store outage.
+// Change is a set of changes to the list. Outage means that the leases of the removed servers may have expired during a store outage; KnownFor says by server how long other entries have known that it is off the list.
 type Change struct {
-	Put    []Server
-	Remove []string
-	Outage bool
+	Put      []Server
+	Remove   []string
+	Outage   bool
+	KnownFor map[string]time.Duration
 }
 
 // Apply applies a change as by Put and Remove, and publishes one new view for all of it.
@@ -99,7 +100,7 @@
 		}
 		for _, id := range cha.Remove {
 			if cha.Outage {
-				reg.removeAt[id] = reg.relistBy()
+				reg.removeAt[id] = reg.relistBy(cha.KnownFor[id])
 				continue
 			}
 			reg.deleteServer(id)
@@ -117,7 +118,7 @@
 			if !outage {
 				reg.deleteServer(id)
 			} else if _, pending := reg.removeAt[id]; !pending {
-				reg.removeAt[id] = reg.relistBy()
+				reg.removeAt[id] = reg.relistBy(0)
 			}
 		}
 		for id, ser := range list {
@@ -127,9 +128,9 @@
 	})
 }
 
-// relistBy returns until when a server is kept that disappears from the list now; the caller holds the lock.
-func (reg *Registrar) relistBy() time.Time {
-	until := reg.clk.Now().Add(RelistTimeout)
+// relistBy returns until when a server is kept whose removal entries have known for a duration; the caller holds the lock. At an entry that learns of it late it must not be kept longer than at the first one.
+func (reg *Registrar) relistBy(knownFor time.Duration) time.Time {
+	until := reg.clk.Now().Add(RelistTimeout - knownFor)
 	if back := reg.storeReturned.Add(ReturnTimeout); back.After(until) {
 		return back
 	}
@@ -145,7 +146,7 @@
 	}
 	reg.storeReturned = at
 	for id, until := range reg.removeAt {
-		if by := reg.relistBy(); by.After(until) {
+		if by := reg.relistBy(0); by.After(until) {
 			reg.removeAt[id] = by
 		}
 	}
