--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -17,6 +17,7 @@
 	"github.com/lovagelever/lovagelever/budgeter"
 	"github.com/lovagelever/lovagelever/compressor"
 	"github.com/lovagelever/lovagelever/conductor"
+	"github.com/lovagelever/lovagelever/confirmer"
 	"github.com/lovagelever/lovagelever/counter"
 	"github.com/lovagelever/lovagelever/detector"
 	"github.com/lovagelever/lovagelever/dispatcher"
@@ -41,6 +42,7 @@
 	"github.com/lovagelever/lovagelever/router"
 	"github.com/lovagelever/lovagelever/sender"
 	"github.com/lovagelever/lovagelever/sharer"
+	"github.com/lovagelever/lovagelever/stamper"
 	"github.com/lovagelever/lovagelever/tailer"
 )
 
@@ -99,6 +101,8 @@
 	dra *drainer.Drainer
 	frc *forecaster.Forecaster
 	pru *pruner.Pruner
+	cfm *confirmer.Confirmer
+	stm *stamper.Stamper
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
 
@@ -111,7 +115,10 @@
 	bounds     atomic.Pointer[gateconfigurer.Bounds]
 	stopping   atomic.Bool
 	// registered is the last registration of this entry that the store has accepted, registering says that it is being written again.
-	registered   atomic.Pointer[registration]
+	registered atomic.Pointer[registration]
+	// listed is what the topic of the entries has under the name of this entry, contests how often that was of a higher incarnation at the same addresses; only OnChange of the topic uses contests.
+	listed       atomic.Pointer[listing]
+	contests     int
 	registering  atomic.Bool
 	stop         atomic.Pointer[gateway.Stop]
 	sawRequest   atomic.Bool
@@ -134,6 +141,8 @@
 	// unusable maps the keys of records of backend servers that cannot be used to why.
 	unusable      sync.Map
 	upToDatePeers sync.Map
+	// lateHeartbeats maps entries to when it was last logged that their heartbeats are late.
+	lateHeartbeats sync.Map
 	// newsFrom maps each topic to the entry that last said that it knows newer records.
 	newsFrom sync.Map
 	// otherLeader is the other entry that last said that it is the leader.
@@ -159,6 +168,7 @@
 	gat.mes = messenger.New(source, &gat.rpcBytes)
 	gat.reg = registrar.New(clk)
 	gat.frc = forecaster.New(clk)
+	gat.stm = stamper.New(clk)
 	gat.units.Store(&unitTable{})
 	gat.bounds.Store(&set.Bounds)
 	gat.pla.OnLeaving(gat.onLeaving)
@@ -170,6 +180,7 @@
 		return nil, err
 	}
 	gat.buildControl()
+	gat.buildConfirmer()
 	gat.adv.Put(gat.self)
 	gat.mtr.RecordCapacity(gat.self.Capacity())
 	gat.log.WithField("requests", gat.self.Capacity()).Info("capacity for callers")
--- a/gateserver/peers.go
+++ b/gateserver/peers.go
@@ -1,9 +1,7 @@
 package gateserver
 
 import (
-	"cmp"
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"net/rpc"
 	"slices"
@@ -43,6 +41,7 @@
 		Stopping: gat.stopping.Load(), Running: map[uint64]estimator.Work{}, Alive: map[uint64]bool{},
 		ExchangesWork: true, Demand: gat.ownDemand(), Uses: gat.sha.Own(),
 	}
+	gat.stm.Stamp(bea.Seq)
 	alive := gat.det.ActiveUnits()
 	bea.Fresh = gat.upToDate() && gat.nom.Reads()
 	bea.Leads = gat.ele.IsLeader()
@@ -266,6 +265,8 @@
 	End     int64
 	Outage  bool
 	Records []AnswerRecord
+	// Older holds what the store has instead of records that it has lost with an older copy.
+	Older []AnswerRecord
 }
 
 // AnswerRecord is a record in the form in which it is sent; Compressed says that its value is compressed.
@@ -299,11 +300,14 @@
 	ans.Era, ans.End, ans.Outage = pag.Era, pag.End, pag.Outage
 	for _, one := range pag.Records {
 		out := AnswerRecord{Record: one}
-		if data, ok := rec.gat.com.Compress(que.Topic+"/"+one.Key, one.Offset, one.Value); ok {
+		if data, ok := rec.gat.com.Compress(que.Topic+"/"+one.Key, one.Value); ok {
 			out.Value, out.Compressed = data, true
 		}
 		ans.Records = append(ans.Records, out)
 	}
+	for _, one := range pag.Older {
+		ans.Older = append(ans.Older, AnswerRecord{Record: one})
+	}
 	return nil
 }
 
@@ -321,6 +325,9 @@
 		}
 		out.Records = append(out.Records, rec)
 	}
+	for _, one := range ans.Older {
+		out.Older = append(out.Older, one.Record)
+	}
 	return out, nil
 }
 
@@ -331,24 +338,15 @@
 
 // Ask requests records from the entry that last said that it knows newer ones, or else from a random entry that was heard recently, preferably one that reads the store; it fails with ErrNoPeer if there is none.
 func (ask asker) Ask(ctx context.Context, topic string, era, from int64) (tailer.Page, error) {
-	others := ask.gat.adv.Others()
-	rand.Shuffle(len(others), func(one, two int) { others[one], others[two] = others[two], others[one] })
-	source, _ := ask.gat.newsFrom.LoadAndDelete(topic)
-	rank := func(ent advertiser.Entry) int {
-		if ent.Name == source {
-			return -1
-		}
-		return ask.gat.rank(ent.Name)
+	list := ask.gat.heardEntries()
+	if len(list) == 0 {
+		return tailer.Page{}, errors.Annotate(ErrNoPeer, "gateserver: request records")
 	}
-	slices.SortStableFunc(others, func(one, two advertiser.Entry) int { return cmp.Compare(rank(one), rank(two)) })
-	for _, ent := range others {
-		if ask.gat.heardRecently(ent.Name) {
-			pag, err := ask.gat.requestRecords(ctx, ent.EntryAddress, Question{Topic: topic, Era: era, From: from})
-			pag.Source = ent.Name
-			return pag, errors.Annotatef(err, "gateserver: request records from %s", ent.Name)
-		}
-	}
-	return tailer.Page{}, errors.Annotate(ErrNoPeer, "gateserver: request records")
+	source, _ := ask.gat.newsFrom.LoadAndDelete(topic)
+	ent := list[max(0, slices.IndexFunc(list, func(ent advertiser.Entry) bool { return ent.Name == source }))]
+	pag, err := ask.gat.requestRecords(ctx, ent.EntryAddress, Question{Topic: topic, Era: era, From: from})
+	pag.Source = ent.Name
+	return pag, errors.Annotatef(err, "gateserver: request records from %s", ent.Name)
 }
 
 // requestRecords requests records from the entry at an address. An entry of an earlier version knows only the method that does not compress them.
--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lovagelever/lovagelever/advertiser"
+	"github.com/lovagelever/lovagelever/compressor"
 	"github.com/lovagelever/lovagelever/conductor"
 	"github.com/lovagelever/lovagelever/counter"
 	"github.com/lovagelever/lovagelever/elector"
@@ -72,11 +74,25 @@
 func (sto *store) Read(ctx context.Context, topic string, from int64, _ time.Duration) (tailer.Page, error) {
 	pag, err := sto.Newest(ctx, topic)
 	if err == nil {
-		pag.Records = pag.Records[from:]
+		pag.Records = pag.Records[min(from, pag.End):]
 	}
 	return pag, err
 }
 
+// restore begins an era of the store that has one record of a topic.
+func (sto *store) restore(topic, key string, value []byte) {
+	sto.mux.Lock()
+	sto.era, sto.recs[topic] = sto.era+1, nil
+	sto.mux.Unlock()
+	sto.put(topic, key, value)
+}
+
+func (sto *store) currentEra() int64 {
+	sto.mux.Lock()
+	defer sto.mux.Unlock()
+	return sto.era
+}
+
 // stubs implements the parts of the platform that the tests do not use.
 type stubs struct{}
 
@@ -120,7 +136,7 @@
 			return gateserver.OperatorRecord{Config: &router.Config{Version: 1}}, nil
 		},
 		DecodeServer: func(tailer.Record, time.Time) (registrar.Server, error) { return registrar.Server{}, nil },
-		Register:     func(context.Context, advertiser.Entry) (int64, error) { return 0, nil },
+		Register:     func(context.Context, advertiser.Entry) (int64, int64, error) { return 0, 0, nil },
 		Withdraw: func(context.Context, string) error {
 			sto.mux.Lock()
 			defer sto.mux.Unlock()
@@ -264,6 +280,37 @@
 		Eventually(ready(set), "3s").Should(BeTrue())
 	})
 
+	// Guards against entries that take the heartbeats of readers for news however long these have waited on the way.
+	It("puts a configuration in force within 2 s though the heartbeats of the entries that read the store are old", func() {
+		sto := &store{recs: map[string][]tailer.Record{}}
+		for _, name := range peerNames {
+			data, err := json.Marshal(advertiser.Entry{Name: name, Zone: "z", EntryAddress: "127.0.0.1:9", Incarnation: 1, Cores: 1})
+			Expect(err).NotTo(HaveOccurred())
+			sto.put(topics.Entries, name, data)
+		}
+		sto.put(topics.Operator, "config", []byte("1"))
+		var version atomic.Int64
+		set := settings("edge")
+		startWith(set, sto, func(pla *gateserver.Platform) {
+			pla.DecodeOperatorRecord = func(rec tailer.Record) (gateserver.OperatorRecord, error) {
+				num, err := strconv.ParseInt(string(rec.Value), 10, 64)
+				version.Store(num)
+				return gateserver.OperatorRecord{Config: &router.Config{Version: num}}, err
+			}
+		})
+		sendHeartbeats(set.Listen.Entries, peerNames...)
+		Eventually(version.Load, "3s").Should(Equal(int64(1)))
+		time.Sleep(4 * time.Second)
+		sto.put(topics.Operator, "config", []byte("2"))
+		Eventually(version.Load, "2s").Should(Equal(int64(2)))
+		mes := messenger.New(net.ParseIP(set.Address), &counter.Counter{})
+		DeferCleanup(mes.Close)
+		ans, err := messenger.Call[gateserver.PositionsQuestion, gateserver.PositionsAnswer](context.Background(), mes, set.Listen.Entries, "Positions", gateserver.PositionsQuestion{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ans.Positions[topics.Operator].End).To(Equal(int64(2)))
+		Expect(ans.UpToDate).To(BeFalse(), "it has read the store once, and follows others")
+	})
+
 	It("stays registered while it is stopping, so that other entries keep sending it their load", func() {
 		sto := &store{recs: map[string][]tailer.Record{}}
 		set := settings("edge")
@@ -318,6 +365,31 @@
 		Expect(pag.Records[0].Value).To(Equal(value))
 	})
 
+	// Guards against followers that get the value that an offset had before the store came back from an older copy.
+	It("sends the value that an offset has in the present era of the store", func() {
+		sto := &store{recs: map[string][]tailer.Record{}}
+		set := settings("edge")
+		lost, value := manyRoutes(100), manyRoutes(200)
+		sto.put(topics.Operator, "config", lost)
+		start(set, sto)
+		Eventually(ready(set), "3s").Should(BeTrue())
+		mes := messenger.New(net.ParseIP(set.Address), &counter.Counter{})
+		DeferCleanup(mes.Close)
+		received := func() []byte {
+			ans, err := messenger.Call[gateserver.Question, gateserver.Answer](context.Background(), mes, set.Listen.Entries, "CompressedRecords", gateserver.Question{Topic: topics.Operator})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(ans.Records).To(HaveLen(1))
+			out, err := compressor.Decompress(ans.Records[0].Value)
+			Expect(err).NotTo(HaveOccurred())
+			return out
+		}
+		Expect(received()).To(Equal(lost))
+		sto.mux.Lock()
+		sto.era, sto.recs[topics.Operator][0].Value = 1, value
+		sto.mux.Unlock()
+		Eventually(received, "3s").Should(Equal(value))
+	})
+
 	It("gets the configuration from an entry of an earlier version", func() {
 		set := settings("edge")
 		old := settings("old")
--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -222,14 +222,29 @@
 // listDelay is how long after a registration a complete list may still lack it.
 const listDelay = 5 * time.Second
 
-// registration is where and when the store has accepted a registration of this entry.
+// maxContests is how often an entry replaces registrations of a higher incarnation with its own addresses: the process before it has only a few writes outstanding, any more are of a process that runs.
+const maxContests = 3
+
+// registration is where in the topic and when the store has accepted a registration of this entry.
 type registration struct {
-	offset int64
-	at     time.Time
+	era, offset int64
+	at          time.Time
+}
+
+// listing is where the topic has the newest record under the name of this entry, or from which era on it has none, and whether it should have another one.
+type listing struct {
+	era, offset int64
+	wrong       bool
+}
+
+// isAfter reports whether a listing follows a registration.
+func (lis listing) isAfter(reg registration) bool {
+	return lis.era > reg.era || lis.era == reg.era && lis.offset > reg.offset
 }
 
 // lostRegistration reports whether a change says that the registration of this entry is gone, be it lost with an older copy of the store, deleted late by the process before it, or replaced by that process's.
 func (gat *Server) lostRegistration(cha tailer.Change) bool {
+	listed := gat.noteListing(cha)
 	if gat.stopping.Load() {
 		return false
 	}
@@ -240,16 +255,43 @@
 	if reg == nil {
 		return false
 	}
-	listed, lost := false, false
+	return gat.isReplaced(*reg) || cha.Full && !listed && gat.clk.Since(reg.at) > listDelay
+}
+
+// noteListing records what a change says about the registration of this entry, and reports whether it has one.
+func (gat *Server) noteListing(cha tailer.Change) bool {
+	listed := false
 	for _, rec := range cha.Records {
-		if rec.Key != gat.set.Name {
-			continue
+		if rec.Key == gat.set.Name {
+			listed = true
+			gat.listed.Store(&listing{era: rec.Era, offset: rec.Offset, wrong: gat.isWrong(rec)})
 		}
-		ent, err := decodeEntry(rec)
-		listed = true
-		lost = rec.Offset > reg.offset && (err != nil || ent.Incarnation < gat.self.Incarnation)
 	}
-	return lost || cha.Full && !listed && gat.clk.Since(reg.at) > listDelay
+	// A complete list of the same era may be older than the registration.
+	if cha.Full && !listed {
+		era, _ := gat.tailers[gat.pla.Topics.Entries].End()
+		gat.listed.Store(&listing{era: era, wrong: true})
+	}
+	return listed
+}
+
+// isWrong reports whether a record under the name of this entry is not its registration, nor that of another process which may run. At the addresses of this entry no other process runs, whatever the clocks of the two were.
+func (gat *Server) isWrong(rec tailer.Record) bool {
+	ent, err := decodeEntry(rec)
+	if err != nil || ent.Incarnation < gat.self.Incarnation {
+		return true
+	}
+	if ent.Incarnation == gat.self.Incarnation || ent.EntryAddress != gat.self.EntryAddress || ent.CallerAddress != gat.self.CallerAddress {
+		return false
+	}
+	gat.contests++
+	return gat.contests <= maxContests
+}
+
+// isReplaced reports whether the topic has something else than a registration of this entry, which is not stopping.
+func (gat *Server) isReplaced(reg registration) bool {
+	lis := gat.listed.Load()
+	return lis != nil && lis.wrong && lis.isAfter(reg) && !gat.stopping.Load()
 }
 
 // removeUnlisted removes the entries that a complete list lacks.
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -55,6 +55,8 @@
 	Records []Record
 	// Outage says that removals among the records may be leases that expired while the store was unavailable.
 	Outage bool
+	// Older holds what the store has instead of records that it has lost with an older copy, and that are kept until they are written again.
+	Older []Record
 	// Source is the name of the entry that told the records, empty for the store.
 	Source string
 }
@@ -125,6 +127,7 @@
 	outageBegan time.Time
 	returned    time.Time
 	peerAhead   chan struct{}
+	readSoon    chan struct{}
 }
 
 type storedRecord struct {
@@ -138,7 +141,7 @@
 
 // New returns a tailer that has not read anything yet.
 func New(opt Options) *Tailer {
-	return &Tailer{opt: opt, newest: map[string]storedRecord{}, peerAhead: make(chan struct{}, 1)}
+	return &Tailer{opt: opt, newest: map[string]storedRecord{}, peerAhead: make(chan struct{}, 1), readSoon: make(chan struct{}, 1)}
 }
 
 // Run follows the topic until the context ends. It reads the whole topic from the store first, since the links of the few entries that read it for all could not bear to send it to hundreds of others at once.
@@ -148,6 +151,9 @@
 		tai.logBehind()
 		if now := tai.Known() && tai.opt.Peers.OthersRead(); now != othersRead {
 			othersRead = now
+			if othersRead {
+				tai.forgetFailure()
+			}
 			tai.opt.Logger.WithFields(logrus.Fields{"topic": tai.opt.Topic, "reads": !othersRead}).Info("source of a topic changed")
 		}
 		if othersRead {
@@ -206,6 +212,14 @@
 	}
 }
 
+// ReadSoon has the topic read from the store once, although other entries read it.
+func (tai *Tailer) ReadSoon() {
+	select {
+	case tai.readSoon <- struct{}{}:
+	default:
+	}
+}
+
 // End returns the era and the offset up to which the topic is known.
 func (tai *Tailer) End() (era, end int64) {
 	tai.mux.Lock()
@@ -253,28 +267,35 @@
 				return
 			}
 		}
-		if err := tai.Step(ctx); err != nil {
-			tai.opt.Logger.WithError(err).WithField("topic", tai.opt.Topic).Info("neither an entry nor the store could tell the newest records")
-		}
+		tai.catchUp(ctx)
+	case <-tai.readSoon:
+		tai.catchUp(ctx)
 	case <-tai.opt.Clock.After(readersCheckInterval):
 		tai.expireUnwritten()
 	}
 }
 
+// catchUp reads the store without waiting for further records.
+func (tai *Tailer) catchUp(ctx context.Context) {
+	if err := tai.read(ctx, 0); err != nil {
+		tai.opt.Logger.WithError(err).WithField("topic", tai.opt.Topic).Info("neither an entry nor the store could tell the newest records")
+	}
+}
+
 // Step reads the store once; it reads the whole topic if nothing is known yet or the next records have expired.
 func (tai *Tailer) Step(ctx context.Context) error {
-	if err := tai.read(ctx); err != nil {
+	if err := tai.read(ctx, readWait); err != nil {
 		return err
 	}
 	tai.expireUnwritten()
 	return nil
 }
 
-func (tai *Tailer) read(ctx context.Context) error {
+func (tai *Tailer) read(ctx context.Context, wait time.Duration) error {
 	tai.noteRead()
 	for tai.Known() {
 		era, from := tai.End()
-		pag, err := tai.opt.Store.Read(ctx, tai.opt.Topic, from, readWait)
+		pag, err := tai.opt.Store.Read(ctx, tai.opt.Topic, from, wait)
 		if err != nil && !errors.Is(err, ErrExpired) {
 			return err
 		}
@@ -322,6 +343,9 @@
 			rec.KnownFor += tai.opt.Clock.Since(sto.at)
 			out.Records = append(out.Records, rec)
 		}
+		if era < tai.era && sto.older != nil {
+			out.Older = append(out.Older, *sto.older)
+		}
 	}
 	return out, nil
 }
@@ -378,7 +402,8 @@
 	}
 	cha := Change{Full: full, Outage: pag.Outage || tai.inOutage(), Source: pag.Source}
 	cha.Returned = tai.recentReturn(now)
-	if full || !tai.known {
+	// Another entry tells the newest records only to one that has none.
+	if full || !tai.known || tai.end == 0 {
 		tai.removalsFrom = pag.End
 	}
 	if full {
@@ -391,11 +416,10 @@
 	}
 	tai.era, tai.end, tai.known = pag.Era, max(tai.end, pag.End), true
 	for key, sto := range tai.newest {
-		if sto.Value == nil && now.Sub(sto.at) > removalRetention {
+		// The store may have a record instead of a removal of an earlier era.
+		if sto.Value == nil && sto.Era == tai.era && now.Sub(sto.at) > removalRetention {
 			delete(tai.newest, key)
-			if sto.Era == tai.era {
-				tai.removalsFrom = max(tai.removalsFrom, sto.Offset+1)
-			}
+			tai.removalsFrom = max(tai.removalsFrom, sto.Offset+1)
 		}
 	}
 	tai.mux.Unlock()
@@ -437,6 +461,13 @@
 	}
 }
 
+// forgetFailure forgets that the last read failed: an entry that follows others does not notice the end of an outage, and learns from them what was removed during one.
+func (tai *Tailer) forgetFailure() {
+	tai.mux.Lock()
+	defer tai.mux.Unlock()
+	tai.failed = false
+}
+
 func (tai *Tailer) noteFailure(err error) {
 	tai.mux.Lock()
 	defer tai.mux.Unlock()
