Take the messages of the registered incarnation, whatever its number

An incarnation is the time of a start.

Unregistered ones are compared as before, since a process may be heard before its registration is known.

--- a/advertiser/advertiser.go
+++ b/advertiser/advertiser.go
@@ -60,6 +60,13 @@
 	delete(adv.entries, name)
 }
 
+// Incarnation returns the incarnation that is registered under a name, 0 if none is.
+func (adv *Advertiser) Incarnation(name string) uint64 {
+	adv.mux.Lock()
+	defer adv.mux.Unlock()
+	return adv.entries[name].Incarnation
+}
+
 // Others returns the registered entries except this one, sorted by name.
 func (adv *Advertiser) Others() []Entry {
 	adv.mux.Lock()
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -62,7 +62,8 @@
 // MinInterval, Rate how often this entry sends heartbeats to all, Heartbeat the heartbeat to send to a collector or to another peer,
 // Totals the totals to send every MinInterval, by peer, OnHeartbeat and OnTotals handle what is received, and OnSilent an entry that
 // has become silent. Evidence returns the evidence about crashes to send to all peers now, and OnEvidence handles that of others; both
-// may be nil. OnLimits handles what other entries tell about the rate limits of backend servers.
+// may be nil. OnLimits handles what other entries tell about the rate limits of backend servers. Registered returns the incarnation
+// that is registered under a name, 0 for none; it may be nil.
 type Options struct {
 	Address     netip.AddrPort
 	Peers       func() []Peer
@@ -76,6 +77,7 @@
 	Evidence    func() quarantiner.Evidence
 	OnEvidence  func(evi quarantiner.Evidence)
 	OnLimits    func(msg ratelimiter.Message)
+	Registered  func(name string) uint64
 	Clock       clockwork.Clock
 	Logger      *logrus.Entry
 }
@@ -99,9 +101,20 @@
 	seq         uint64
 }
 
-// isBefore reports whether a message was sent later than this one.
-func (las lastHeartbeat) isBefore(incarnation, seq uint64) bool {
-	return las.incarnation < incarnation || las.incarnation == incarnation && las.seq < seq
+// isBefore reports whether a message was sent later than this one. An incarnation is the time of a start, and lower than that of the process before if the clock was set back in between; the registered one is the present one all the same.
+func (las lastHeartbeat) isBefore(incarnation, seq, registered uint64) bool {
+	if las.incarnation == incarnation {
+		return las.seq < seq
+	}
+	return las.incarnation < incarnation || incarnation == registered
+}
+
+// registered returns the incarnation that is registered under a name, 0 if none is known.
+func (hea *Heartbeater) registered(name string) uint64 {
+	if hea.opt.Registered == nil {
+		return 0
+	}
+	return hea.opt.Registered(name)
 }
 
 // New returns a heartbeater that listens on its address.
@@ -262,7 +275,7 @@
 	}
 }
 
-// receiveTotals handles totals unless they are older than recent ones of the same entry. An entry whose clock was set back has a lower incarnation after its next start.
+// receiveTotals handles totals unless they are older than recent ones of the same entry.
 func (hea *Heartbeater) receiveTotals(data []byte) {
 	tot, err := DecodeTotals(data)
 	if err != nil {
@@ -271,7 +284,7 @@
 	}
 	now := hea.opt.Clock.Now()
 	last, known := hea.totals[tot.Name]
-	if known && now.Sub(last.at) < hea.silenceLimit() && !last.isBefore(tot.Incarnation, tot.Seq) {
+	if known && now.Sub(last.at) < hea.silenceLimit() && !last.isBefore(tot.Incarnation, tot.Seq, hea.registered(tot.Name)) {
 		return
 	}
 	hea.totals[tot.Name] = lastHeartbeat{at: now, incarnation: tot.Incarnation, seq: tot.Seq}
@@ -311,10 +324,11 @@
 
 // accept records a heartbeat, and reports false if it is no newer than the last one of the same entry.
 func (hea *Heartbeater) accept(bea Heartbeat) bool {
+	registered := hea.registered(bea.Name)
 	hea.mux.Lock()
 	defer hea.mux.Unlock()
 	old, known := hea.heard[bea.Name]
-	if known && !old.isBefore(bea.Incarnation, bea.Seq) {
+	if known && !old.isBefore(bea.Incarnation, bea.Seq, registered) {
 		return false
 	}
 	if !known {
