Soak a large configuration at the offset of a lost one

The configurations of the soak are below the 4 KB from which entries compress records for each other, so its restored stores never met the cache of compressed values, which knows offsets and no eras.

--- a/prover/gate_config_test.go
+++ b/prover/gate_config_test.go
@@ -3,6 +3,7 @@
 package prover
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -11,7 +12,11 @@
 	. "github.com/onsi/gomega"
 )
 
-const maxDatagramDelay = 4 * time.Second
+const (
+	maxDatagramDelay = 4 * time.Second
+	// largeConfigKeys is how many keys make a configuration so large that entries compress it for each other.
+	largeConfigKeys = 1000
+)
 
 var _ = Describe("Entries that get configurations from others", func() {
 	It("apply every configuration in time though datagrams between entries are late", func() {
@@ -23,6 +28,21 @@
 			gts.expectInForce(rng, gts.addRoute())
 		}
 	})
+
+	It("apply a configuration that has the offset of one that the store lost", func() {
+		rng := newRandom()
+		gts := newGates(rng)
+		for num := range largeConfigKeys {
+			gts.cfg.Workspaces[0].Keys = append(gts.cfg.Workspaces[0].Keys, fmt.Sprintf("further-%d", num))
+		}
+		for range 3 {
+			published := time.Now()
+			gts.expectInForce(rng, gts.addRoute())
+			gts.sto.Restore(time.Since(published))
+			time.Sleep(randomDuration(rng, 0, time.Second))
+			gts.expectInForce(rng, gts.addRoute())
+		}
+	})
 })
 
 // expectInForce expects that a route just published is known to every entry in time, and stays so.
