Ask entries for positions that this one hears, whatever a collector says

A collector that is short of processor time may list the readers as silent, and all others then asked entries that cannot confirm, and read the store. Found by review.

--- a/gateserver/confirm.go
+++ b/gateserver/confirm.go
@@ -63,9 +63,9 @@
 	return out
 }
 
-// heardEntries returns the entries that were heard recently, in random order, those first that read the store.
+// heardEntries returns the entries that were heard recently, in random order, those first that read the store. That a collector has not heard one does not matter.
 func (gat *Server) heardEntries() []advertiser.Entry {
-	list := slices.DeleteFunc(gat.adv.Others(), func(ent advertiser.Entry) bool { return !gat.heardRecently(ent.Name) })
+	list := slices.DeleteFunc(gat.adv.Others(), func(ent advertiser.Entry) bool { return !gat.hea.Heard(ent.Name) })
 	rand.Shuffle(len(list), func(one, two int) { list[one], list[two] = list[two], list[one] })
 	slices.SortStableFunc(list, func(one, two advertiser.Entry) int { return cmp.Compare(gat.rank(one.Name), gat.rank(two.Name)) })
 	return list
--- a/heartbeater/doc.go
+++ b/heartbeater/doc.go
@@ -2,6 +2,6 @@
 // the number of requests that this entry runs on each unit and the backend
 // servers that do not answer it.
 //
-// Each heartbeat carries the current state, so the next one makes up for a lost
+// Each heartbeat carries the state at its sending, so the next one makes up for a lost
 // one; an entry from which none arrive counts as gone.
 package heartbeater
