Say how an entry survives SIGHUP before it handles signals

SIGHUP ends a process until it handles it. A spec sends the signal from the first moment and has the entry reload its settings.

--- a/main_test.go
+++ b/main_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -49,8 +50,14 @@
 	return out.buf.String()
 }
 
-// startEntry starts an entry whose store is out of reach, and waits until it has started.
-func startEntry(ip string) (*exec.Cmd, *output) {
+// uniqueIP returns a loopback address that ends in a number and that no other test process uses.
+func uniqueIP(last int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 100+pid>>8%100, pid%256, last)
+}
+
+// startEntry starts an entry whose store is out of reach, by a command line that takes the program as $0 and its settings as $1.
+func startEntry(ip, line string) (*exec.Cmd, *output) {
 	file := filepath.Join(GinkgoT().TempDir(), "entry.yaml")
 	Expect(os.WriteFile(file, fmt.Appendf(nil, `name: edge
 availability_zone: z
@@ -61,19 +68,18 @@
 memory_mb: 184
 bounds: {stop_grace: 8s, longest_directory_validity: 5s, retry_ratio: 0.2, retry_slack: 105, retry_window: 10s, load_window: 5s}
 `, ip), 0o600)).To(Succeed())
-	cmd, out := exec.Command(os.Args[0], "gate", "--settings", file), &output{}
+	cmd, out := exec.Command("sh", "-c", line, os.Args[0], file), &output{}
 	cmd.Env, cmd.Stdout, cmd.Stderr = append(os.Environ(), runVariable+"=1"), out, out
 	Expect(cmd.Start()).To(Succeed())
 	DeferCleanup(func() { _ = cmd.Process.Kill() })
-	Eventually(out.String, "5s").Should(ContainSubstring("entry started"))
 	return cmd, out
 }
 
 var _ = Describe("An entry as a process", func() {
 	// Guards against requests that are cut off because a supervisor repeats SIGTERM during the grace period.
 	It("lets running requests end although it is told to stop several times", func() {
-		pid := os.Getpid()
-		cmd, out := startEntry(fmt.Sprintf("127.%d.%d.77", 100+pid>>8%100, pid%256))
+		cmd, out := startEntry(uniqueIP(77), `exec "$0" gate --settings "$1"`)
+		Eventually(out.String, "5s").Should(ContainSubstring("entry started"))
 		for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGINT, syscall.SIGINT, syscall.SIGHUP} {
 			Expect(cmd.Process.Signal(sig)).To(Succeed())
 			time.Sleep(200 * time.Millisecond)
@@ -81,4 +87,19 @@
 		Expect(cmd.Wait()).To(Succeed())
 		Expect(out.String()).To(ContainSubstring("entry stopped"))
 	})
+
+	// Guards against entries that are ended by a SIGHUP before they listen to it, or that go on ignoring it.
+	It("reads its settings again, and survives SIGHUP at its start, if its parent ignores that signal", func() {
+		cmd, out := startEntry(uniqueIP(78), `trap "" HUP; echo ignored; exec "$0" gate --settings "$1"`)
+		Eventually(out.String, "5s").Should(ContainSubstring("ignored"))
+		for !strings.Contains(out.String(), "entry started") {
+			Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+			time.Sleep(100 * time.Microsecond)
+		}
+		reloads := strings.Count(out.String(), "settings reloaded")
+		Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+		Eventually(func() int { return strings.Count(out.String(), "settings reloaded") }, "5s").Should(BeNumerically(">", reloads))
+		Expect(cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Expect(cmd.Wait()).To(Succeed())
+	})
 })
