Register again until the store accepts it, and not while stopping

An entry whose registration was lost tried for 30 s to write it again and then gave up, and dropped the news of another loss meanwhile: if the store refused it for so long, it was not registered, and heard nobody, until its next start. And an entry that stopped before the store had accepted its registration went on trying, also after it had withdrawn it.

One goroutine registers the entry now, again after each loss, until the store accepts it or the entry stops. The two new specs failed before and pass.

--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -110,12 +110,13 @@
 	units      atomic.Pointer[unitTable]
 	bounds     atomic.Pointer[gateconfigurer.Bounds]
 	stopping   atomic.Bool
-	// registered is the last registration of this entry that the store has accepted, registering says that it is being written again.
+	// registered is the last registration of this entry that the store has accepted.
 	registered atomic.Pointer[registration]
 	// listed is what the topic of the entries has under the name of this entry, contests how often that was of a higher incarnation at the same addresses; only OnChange of the topic uses contests.
-	listed       atomic.Pointer[listing]
-	contests     int
-	registering  atomic.Bool
+	listed   atomic.Pointer[listing]
+	contests int
+	// unregistered receives an element when the registration of this entry is lost.
+	unregistered chan struct{}
 	stop         atomic.Pointer[gateway.Stop]
 	sawRequest   atomic.Bool
 	rpcBytes     counter.Counter
@@ -152,7 +153,7 @@
 	if source == nil {
 		return nil, errors.NotValidf("gateserver: address %q", set.Address)
 	}
-	gat := &Server{set: set, pla: pla, clk: clk, log: log, mtr: newMeter(), com: compressor.New(), dra: drainer.New(), unitsKnown: make(chan struct{}), tailers: map[string]*tailer.Tailer{}}
+	gat := &Server{set: set, pla: pla, clk: clk, log: log, mtr: newMeter(), com: compressor.New(), dra: drainer.New(), unitsKnown: make(chan struct{}), unregistered: make(chan struct{}, 1), tailers: map[string]*tailer.Tailer{}}
 	gat.self = advertiser.Entry{
 		Name: set.Name, Zone: set.Zone, CallerAddress: set.Listen.Callers, EntryAddress: set.Listen.Entries,
 		Region: set.Region, ForwardingAddress: set.Listen.Forwarding, Incarnation: uint64(clk.Now().UnixMicro()), Cores: set.CPUCores,
--- a/gateserver/records.go
+++ b/gateserver/records.go
@@ -182,7 +182,10 @@
 // onEntries applies the registrations of entries.
 func (gat *Server) onEntries(cha tailer.Change) {
 	if gat.lostRegistration(cha) {
-		go gat.registerAgain()
+		select {
+		case gat.unregistered <- struct{}{}:
+		default:
+		}
 	}
 	if cha.Full {
 		gat.removeUnlisted(cha.Records)
--- a/gateserver/registration_test.go
+++ b/gateserver/registration_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -81,6 +82,45 @@
 		})
 	}
 
+	// Guards against entries that hear nobody until their next start, because the store refused them for long after their registration was lost.
+	It("is written again however long the store refuses it", func() {
+		refused, limited := make(chan struct{}, 9), make(chan bool, 9)
+		sto := &store{recs: map[string][]tailer.Record{}}
+		startWith(settings("other"), sto, func(pla *gateserver.Platform) {
+			writes := 0
+			pla.Register = func(ctx context.Context, ent advertiser.Entry) (int64, int64, error) {
+				writes++
+				if writes == 2 {
+					refused <- struct{}{}
+					return 0, 0, errors.New("store is down")
+				}
+				_, has := ctx.Deadline()
+				limited <- has
+				return sto.put(topics.Entries, "other", encode(ent)), 0, nil
+			}
+		})
+		Eventually(limited, "3s").Should(Receive())
+		time.Sleep(time.Second)
+		sto.put(topics.Entries, "other", nil)
+		Eventually(refused, "5s").Should(Receive())
+		Eventually(limited, "3s").Should(Receive(BeFalse()))
+	})
+
+	// Guards against registrations of entries that have stopped.
+	It("is not written by an entry that stops", func() {
+		var writes atomic.Int64
+		stop := startWith(settings("other"), &store{recs: map[string][]tailer.Record{}}, func(pla *gateserver.Platform) {
+			pla.Register = func(context.Context, advertiser.Entry) (int64, int64, error) {
+				writes.Add(1)
+				return 0, 0, errors.New("store is down")
+			}
+		})
+		Eventually(writes.Load, "3s").Should(BeNumerically(">", 1))
+		stop()
+		time.Sleep(100 * time.Millisecond)
+		Consistently(writes.Load, "1s").Should(Equal(writes.Load()))
+	})
+
 	// Guards against entries that hear nobody because the store accepted their registration and lost it before they had read it.
 	It("is written again when the store has lost it before it was read", func() {
 		var writes atomic.Int64
--- a/gateserver/run.go
+++ b/gateserver/run.go
@@ -83,7 +83,7 @@
 }
 
 func (gat *Server) start(ctx context.Context) {
-	loops := []func(context.Context){gat.hea.Run, gat.updateUnits, gat.tick, gat.ele.Run, gat.con.Run, gat.register, gat.pullEvidence, gat.lin.Run, gat.pru.Run}
+	loops := []func(context.Context){gat.hea.Run, gat.updateUnits, gat.tick, gat.ele.Run, gat.con.Run, gat.keepRegistered, gat.pullEvidence, gat.lin.Run, gat.pru.Run}
 	for _, tai := range gat.tailers {
 		loops = append(loops, tai.Run)
 	}
@@ -160,9 +160,27 @@
 // errReplaced means that a registration has been replaced or lost since the store accepted it.
 const errReplaced = errors.ConstError("registration replaced")
 
-// register registers this entry, and retries until the store accepts it.
+// keepRegistered registers this entry, and does so again whenever the registration is lost or replaced by an earlier one, at a random time, so that not all entries write at once.
+func (gat *Server) keepRegistered(ctx context.Context) {
+	gat.register(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-gat.unregistered:
+		}
+		gat.clk.Sleep(rand.N(registerSpread))
+		if gat.stopping.Load() {
+			return
+		}
+		gat.log.Info("registering again, the registration is lost")
+		gat.register(ctx)
+	}
+}
+
+// register registers this entry, and retries until the store accepts it or the entry stops: a registration that is written then may outlast it.
 func (gat *Server) register(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !gat.stopping.Load() {
 		offset, era, err := gat.pla.Register(ctx, gat.self)
 		if err == nil {
 			reg := registration{era: era, offset: offset, at: gat.clk.Now()}
@@ -180,21 +198,6 @@
 	}
 }
 
-// registerAgain registers this entry after its registration was lost or replaced by an earlier one, at a random time, so that not all entries write at once.
-func (gat *Server) registerAgain() {
-	if !gat.registering.CompareAndSwap(false, true) {
-		return
-	}
-	defer gat.registering.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), unwrittenEntryTTL)
-	defer cancel()
-	gat.clk.Sleep(rand.N(registerSpread))
-	if !gat.stopping.Load() {
-		gat.log.Info("registering again, the registration is lost")
-		gat.register(ctx)
-	}
-}
-
 // drain makes the entry not ready, waits for running requests until the grace period ends, withdraws the registration, and finishes the requests that arrived in the meantime.
 func (gat *Server) drain(ctx context.Context, web []*webServer) {
 	began := gat.clk.Now()
