Test that a slow store is heard while another entry knows more

An entry that reads the store gives a read up 0.2 s after another one was heard to be ahead. The next heartbeat ends the next read, too: a store that needs longer for an answer is never heard while that entry cannot be called, and two entries that read can cut each other off.

--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -128,6 +128,24 @@
 	return tailer.Page{}, errDown
 }
 
+// slowStore is a store whose answers to reads arrive late while it is slow.
+type slowStore struct {
+	*fakeStore
+	clk  clockwork.Clock
+	slow atomic.Bool
+}
+
+func (sto *slowStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (tailer.Page, error) {
+	if sto.slow.Load() {
+		select {
+		case <-ctx.Done():
+			return tailer.Page{}, ctx.Err()
+		case <-sto.clk.After(600 * time.Millisecond):
+		}
+	}
+	return sto.fakeStore.Read(ctx, topic, from, wait)
+}
+
 // restore brings the store back from a copy with the first records only.
 func (sto *fakeStore) restore(records int) {
 	sto.mux.Lock()
@@ -514,6 +532,27 @@
 		})
 	}
 
+	// Guards against an entry that gives up each read of a slow store, since another one that it cannot call knows more.
+	It("learns within 2 s from a slow store what no other entry can tell", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		own := &slowStore{fakeStore: sto, clk: clk}
+		behind := newRecordingTailer(own, &fakePeers{}, clk)
+		Expect(behind.Step(ctx)).To(Succeed())
+		own.slow.Store(true)
+		go behind.Run(ctx)
+		Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+		sto.put("a", "2")
+		step()
+		for range 40 {
+			behind.NotifyEnd(tai.End())
+			clk.Advance(50 * time.Millisecond)
+			Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+			time.Sleep(time.Millisecond)
+		}
+		Expect(behind.current()).To(HaveKeyWithValue("a", "2"))
+	})
+
 	// Guards against servers that are dropped before they can be listed again by entries that follow others when the store returns, and have not read it since.
 	It("says with removals when the store returned though another entry read it first", func() {
 		ctx, cancel := context.WithCancel(context.Background())
