Read the store a second time instead of giving a read up

Now it asks entries and, if these do not answer, reads a second time on a new connection beside the first read.

--- a/gateserver/platform.go
+++ b/gateserver/platform.go
@@ -31,11 +31,13 @@
 
 // Platform has the interfaces to the environment: the store, the backend servers and the HTTP headers of callers.
 type Platform struct {
-	Topics  Topics
-	Store   tailer.Store
-	Records conductor.Records
-	Lease   elector.Lease
-	Engines conductor.EngineClient
+	Topics Topics
+	Store  tailer.Store
+	// DropIdle closes the connections to the store that are not in use; it may be nil.
+	DropIdle func()
+	Records  conductor.Records
+	Lease    elector.Lease
+	Engines  conductor.EngineClient
 	// OnLeaving sets the function that receives the backend servers whose responses to Engines say that they leave.
 	OnLeaving func(receive func(ins registrar.Instance))
 	// OnPause sets the function that receives those that want no requests for a while.
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -28,7 +28,7 @@
 	minOutage = 1500 * time.Millisecond
 	// batchDelay is the delay between two reads while records arrive, so that a burst of them costs one call.
 	batchDelay = 120 * time.Millisecond
-	// pollGrace is how long a read of the store goes on once another entry has told of newer records; two entries that read it get these within a fraction of it.
+	// pollGrace is how long a read of the store goes on alone once another entry has told of newer records; two entries that read it get these within a fraction of it.
 	pollGrace = 200 * time.Millisecond
 	// logBehindAfter is after how long an entry logs that others have newer records.
 	logBehindAfter = time.Second
@@ -96,7 +96,7 @@
 	Unwritten []string
 }
 
-// Options configures a Tailer; OnChange is called by one goroutine at a time. UnwrittenTTL is how long a record that was lost with an older copy of the store is kept unless it is written again.
+// Options configures a Tailer; OnChange is called by one goroutine at a time. DropIdle closes the connections to the store that are not in use, since they may be silent; it may be nil. UnwrittenTTL is how long a record that was lost with an older copy of the store is kept unless it is written again.
 type Options struct {
 	Topic        string
 	UnwrittenTTL time.Duration
@@ -105,6 +105,7 @@
 	Clock        clockwork.Clock
 	Logger       *logrus.Entry
 	OnChange     func(cha Change)
+	DropIdle     func()
 }
 
 // Tailer follows one topic; it is safe for concurrent use.
@@ -168,7 +169,7 @@
 			tai.followPeers(ctx)
 			continue
 		}
-		err := tai.poll(ctx, wait)
+		err := tai.step(ctx, wait)
 		wait = readWait
 		pause := batchDelay
 		if err != nil {
@@ -189,27 +190,6 @@
 	}
 }
 
-// poll reads the store as Step does, and gives up when another entry has told of newer records for a while: the connection to the store may be silent.
-func (tai *Tailer) poll(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tai.peerAhead:
-		}
-		select {
-		case <-ctx.Done():
-		case <-tai.opt.Clock.After(pollGrace):
-			if tai.isBehindPeer() {
-				cancel()
-			}
-		}
-	}()
-	return tai.step(ctx, wait)
-}
-
 // Known reports whether the topic has been read once.
 func (tai *Tailer) Known() bool {
 	tai.mux.Lock()
@@ -335,7 +315,7 @@
 	tai.noteRead()
 	for tai.Known() {
 		era, from := tai.End()
-		pag, err := tai.opt.Store.Read(ctx, tai.opt.Topic, from, wait)
+		pag, err := tai.readPage(ctx, from, wait)
 		if err != nil && !errors.Is(err, ErrExpired) {
 			return err
 		}
@@ -364,6 +344,51 @@
 	return nil
 }
 
+// answer is the outcome of one read of the store.
+type answer struct {
+	Page
+	err error
+}
+
+// readPage reads records from the store. If another entry has told of newer ones for a while meanwhile, the connection to the store may be silent: it asks entries for them, and reads a second time on another connection.
+func (tai *Tailer) readPage(ctx context.Context, from int64, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, 2)
+	read := func(wait time.Duration) {
+		pag, err := tai.opt.Store.Read(ctx, tai.opt.Topic, from, wait)
+		answers <- answer{pag, err}
+	}
+	running := 1
+	go read(wait)
+	ahead := tai.peerAhead
+	var behind <-chan time.Time
+	for {
+		select {
+		case <-ahead:
+			ahead, behind = nil, tai.opt.Clock.After(pollGrace)
+		case <-behind:
+			if tai.isBehindPeer() && !tai.askPeer(ctx) {
+				tai.dropIdle()
+				running++
+				go read(0)
+			}
+		case ans := <-answers:
+			running--
+			if ans.err == nil || running == 0 {
+				return ans.Page, ans.err
+			}
+		}
+	}
+}
+
+// dropIdle closes the connections to the store that are not in use.
+func (tai *Tailer) dropIdle() {
+	if tai.opt.DropIdle != nil {
+		tai.opt.DropIdle()
+	}
+}
+
 // Since returns the newest records from an offset of an era on, including removals, or all of them if the era is over; it
 // fails with errors.NotFound before the topic has been read and for an era that this entry does not know. The page ends
 // where it begins if this entry does not know all removals since.
