Give a follower's read of a slow store its full time

A read without a wait ends after 0.7 s, so that a store that takes longer was never heard by entries that follow others, which cannot confirm what they know then: with the store 1 s slow and TCP to the readers silent 593 late answers, none before the confirmations (that state is excused, since nobody can be asked; the reads failed one after the other all the same).

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -291,9 +291,9 @@
 	}
 }
 
-// catchUp reads the store without waiting for further records.
+// catchUp reads the store, with as much time for an answer as an entry has that reads it for others.
 func (tai *Tailer) catchUp(ctx context.Context) {
-	if err := tai.read(ctx, 0); err != nil {
+	if err := tai.read(ctx, readWait); err != nil {
 		tai.opt.Logger.WithError(err).WithField("topic", tai.opt.Topic).Info("neither an entry nor the store could tell the newest records")
 	}
 }
@@ -371,7 +371,7 @@
 			if tai.isBehindPeer() && !tai.askPeer(ctx) {
 				tai.dropIdle()
 				running++
-				go read(0)
+				go read(wait)
 			}
 		case ans := <-answers:
 			running--
