Withdraw requests to units that begin to stop while a connection is opened

A request could reach a backend server 0.7 s after its entry knew that the server leaves: a slot was allocated before, and opening the connection takes up to the dial timeout. Added to the time in which an entry learns of a removal that may be one of an outage, 1.5 s, that is more than the 2 s that a leaving server allows.

Change: when the connection is open, the request is withdrawn if the unit has begun to stop since, as it is if the unit has asked for a pause, and goes to another unit.

Both cases of the new spec fail without the change: the server that had left ran the request.

--- a/dispatcher/pause.go
+++ b/dispatcher/pause.go
@@ -31,9 +31,15 @@
 	return dis.pauses[ins].After(dis.opt.Clock.Now())
 }
 
-// Paused reports whether the unit has asked for a pause since the slot was allocated.
-func (pla *Placement) Paused() bool {
-	return pla.dis != nil && pla.dis.Paused(pla.Unit.Instance())
+// Withdrawn reports whether the unit has asked for a pause or has begun to stop since the slot was allocated.
+func (pla *Placement) Withdrawn() bool {
+	return pla.dis != nil && (pla.dis.Paused(pla.Unit.Instance()) || pla.dis.stops(pla.sta))
+}
+
+func (dis *Dispatcher) stops(sta *unitState) bool {
+	dis.mux.Lock()
+	defer dis.mux.Unlock()
+	return sta.Readiness == Stopping
 }
 
 func (dis *Dispatcher) expirePauses() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -553,7 +553,7 @@
 	}
 	return sender.Request{
 		Address: pla.Unit.Address, PoolKey: pla.Unit.Address + "/" + pla.Unit.ServerID, Method: job.req.Method, Target: job.target,
-		Host: job.req.Host, Header: head, Body: job.body, NewConnection: !job.rou.Repeatable() || pla.Unit.Entry != "" || pla.Unit.ID == job.reconnect || runs > 0, Withdrawn: pla.Paused,
+		Host: job.req.Host, Header: head, Body: job.body, NewConnection: !job.rou.Repeatable() || pla.Unit.Entry != "" || pla.Unit.ID == job.reconnect || runs > 0, Withdrawn: pla.Withdrawn,
 	}
 }
 
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lovagelever/lovagelever/dispatcher"
 	"github.com/lovagelever/lovagelever/registrar"
 	"github.com/lovagelever/lovagelever/router"
 )
@@ -61,6 +62,33 @@
 		})
 	}
 
+	// Guards against requests that reach a server long after it has left, because their connections take long to open.
+	for _, cas := range []struct {
+		name   string
+		route  router.Route
+		answer answerFunc
+	}{
+		{"a request", unsafe, whole(200, "")},
+		{"a stream", notResumable, pausing(0, 0)},
+	} {
+		It("sends it no request whose connection opens when it has begun to leave: "+cas.name, func() {
+			one, two := newWorker(cas.answer), newWorker(cas.answer)
+			wor := newWorld(cas.route, one, two)
+			wor.dialer.delay.Store(int64(500 * time.Millisecond))
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				wor.call(context.Background())
+			}()
+			time.Sleep(100 * time.Millisecond)
+			wor.dialer.delay.Store(0)
+			wor.setUnits(dispatcher.Stopping, one, two)
+			Eventually(ended, "5s").Should(BeClosed())
+			Expect(one.runs()).To(BeZero())
+			Expect(two.runs()).To(Equal(1))
+		})
+	}
+
 	It("learns it from the header of a stream, before its first event", func() {
 		wor := newWorld(resumable, newWorker(func(con net.Conn, req *http.Request, _ []byte) bool {
 			head(con, req, http.StatusOK, "X-Leaving: 1\r\nTransfer-Encoding: chunked\r\n")
