--- a/gateserver/suite_test.go
+++ b/gateserver/suite_test.go
@@ -7,7 +7,10 @@
 	. "github.com/onsi/gomega"
 )
 
+var suite *testing.T
+
 func TestGateServer(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "gateserver")
 }
