--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -17,6 +17,7 @@
 	"github.com/lovagelever/lovagelever/budgeter"
 	"github.com/lovagelever/lovagelever/compressor"
 	"github.com/lovagelever/lovagelever/conductor"
+	"github.com/lovagelever/lovagelever/confirmer"
 	"github.com/lovagelever/lovagelever/counter"
 	"github.com/lovagelever/lovagelever/detector"
 	"github.com/lovagelever/lovagelever/dispatcher"
@@ -41,6 +42,7 @@
 	"github.com/lovagelever/lovagelever/router"
 	"github.com/lovagelever/lovagelever/sender"
 	"github.com/lovagelever/lovagelever/sharer"
+	"github.com/lovagelever/lovagelever/stamper"
 	"github.com/lovagelever/lovagelever/tailer"
 )
 
@@ -99,6 +101,8 @@
 	dra *drainer.Drainer
 	frc *forecaster.Forecaster
 	pru *pruner.Pruner
+	cfm *confirmer.Confirmer
+	stm *stamper.Stamper
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
 
@@ -110,9 +114,13 @@
 	units      atomic.Pointer[unitTable]
 	bounds     atomic.Pointer[gateconfigurer.Bounds]
 	stopping   atomic.Bool
-	// registered is the last registration of this entry that the store has accepted, registering says that it is being written again.
-	registered   atomic.Pointer[registration]
-	registering  atomic.Bool
+	// registered is the last registration of this entry that the store has accepted.
+	registered atomic.Pointer[registration]
+	// listed is what the topic of the entries has under the name of this entry, contests how often that was of a higher incarnation at the same addresses; only OnChange of the topic uses contests.
+	listed   atomic.Pointer[listing]
+	contests int
+	// unregistered receives an element when the registration of this entry is lost.
+	unregistered chan struct{}
 	stop         atomic.Pointer[gateway.Stop]
 	sawRequest   atomic.Bool
 	rpcBytes     counter.Counter
@@ -134,6 +142,8 @@
 	// unusable maps the keys of records of backend servers that cannot be used to why.
 	unusable      sync.Map
 	upToDatePeers sync.Map
+	// lateHeartbeats maps entries to when it was last logged that their heartbeats are late.
+	lateHeartbeats sync.Map
 	// newsFrom maps each topic to the entry that last said that it knows newer records.
 	newsFrom sync.Map
 	// otherLeader is the other entry that last said that it is the leader.
@@ -149,7 +159,7 @@
 	if source == nil {
 		return nil, errors.NotValidf("gateserver: address %q", set.Address)
 	}
-	gat := &Server{set: set, pla: pla, clk: clk, log: log, mtr: newMeter(), com: compressor.New(), dra: drainer.New(), unitsKnown: make(chan struct{}), tailers: map[string]*tailer.Tailer{}}
+	gat := &Server{set: set, pla: pla, clk: clk, log: log, mtr: newMeter(), com: compressor.New(), dra: drainer.New(), unitsKnown: make(chan struct{}), unregistered: make(chan struct{}, 1), tailers: map[string]*tailer.Tailer{}}
 	gat.self = advertiser.Entry{
 		Name: set.Name, Zone: set.Zone, CallerAddress: set.Listen.Callers, EntryAddress: set.Listen.Entries,
 		Region: set.Region, ForwardingAddress: set.Listen.Forwarding, Incarnation: uint64(clk.Now().UnixMicro()), Cores: set.CPUCores,
@@ -159,6 +169,7 @@
 	gat.mes = messenger.New(source, &gat.rpcBytes)
 	gat.reg = registrar.New(clk)
 	gat.frc = forecaster.New(clk)
+	gat.stm = stamper.New(clk)
 	gat.units.Store(&unitTable{})
 	gat.bounds.Store(&set.Bounds)
 	gat.pla.OnLeaving(gat.onLeaving)
@@ -170,6 +181,7 @@
 		return nil, err
 	}
 	gat.buildControl()
+	gat.buildConfirmer()
 	gat.adv.Put(gat.self)
 	gat.mtr.RecordCapacity(gat.self.Capacity())
 	gat.log.WithField("requests", gat.self.Capacity()).Info("capacity for callers")
@@ -209,7 +221,7 @@
 	})
 	gat.hea, err = heartbeater.New(heartbeater.Options{
 		Address: address, Peers: gat.peers, Collectors: gat.collectorPeers, Rate: gat.heartbeatRate, Heartbeat: gat.heartbeat, Totals: gat.totalsFor, OnHeartbeat: gat.onHeartbeat, OnTotals: gat.onTotals, OnSilent: gat.onPeerSilent,
-		Evidence: gat.inv.Due, OnEvidence: gat.inv.Receive, OnLimits: gat.onLimits,
+		Evidence: gat.inv.Due, OnEvidence: gat.inv.Receive, OnLimits: gat.onLimits, Registered: gat.adv.Incarnation,
 		Clock: gat.clk, Logger: gat.log,
 	})
 	return errors.Annotate(err, "gateserver: listen for heartbeats")
@@ -228,7 +240,7 @@
 	}
 	for _, top := range topics {
 		gat.tailers[top.name] = tailer.New(tailer.Options{
-			Topic: top.name, UnwrittenTTL: top.unwrittenTTL, Store: gat.pla.Store, Peers: asker{gat: gat}, Clock: gat.clk, Logger: gat.log, OnChange: top.onChange,
+			Topic: top.name, UnwrittenTTL: top.unwrittenTTL, Store: gat.pla.Store, Peers: asker{gat: gat}, Clock: gat.clk, Logger: gat.log, OnChange: top.onChange, DropIdle: gat.pla.DropIdle,
 		})
 	}
 	gat.ele = elector.New(elector.Options{
--- a/gateserver/platform.go
+++ b/gateserver/platform.go
@@ -31,11 +31,13 @@
 
 // Platform has the interfaces to the environment: the store, the backend servers and the HTTP headers of callers.
 type Platform struct {
-	Topics  Topics
-	Store   tailer.Store
-	Records conductor.Records
-	Lease   elector.Lease
-	Engines conductor.EngineClient
+	Topics Topics
+	Store  tailer.Store
+	// DropIdle closes the connections to the store that are not in use; it may be nil.
+	DropIdle func()
+	Records  conductor.Records
+	Lease    elector.Lease
+	Engines  conductor.EngineClient
 	// OnLeaving sets the function that receives the backend servers whose responses to Engines say that they leave.
 	OnLeaving func(receive func(ins registrar.Instance))
 	// OnPause sets the function that receives those that want no requests for a while.
@@ -44,8 +46,8 @@
 	// DecodeOperatorRecord and DecodeServer decode one record of the operator and server topics.
 	DecodeOperatorRecord func(rec tailer.Record) (OperatorRecord, error)
 	DecodeServer         func(rec tailer.Record, now time.Time) (registrar.Server, error)
-	// Register writes the registration of this entry and returns its offset, Withdraw removes it.
-	Register func(ctx context.Context, ent advertiser.Entry) (offset int64, err error)
+	// Register writes the registration of this entry and returns its offset and the era of the store, Withdraw removes it.
+	Register func(ctx context.Context, ent advertiser.Entry) (offset, era int64, err error)
 	Withdraw func(ctx context.Context, name string) error
 	// WithdrawOther removes that of another entry, unless the registrations no longer end at an offset.
 	WithdrawOther func(ctx context.Context, name string, end int64) error
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -28,6 +28,8 @@
 	minOutage = 1500 * time.Millisecond
 	// batchDelay is the delay between two reads while records arrive, so that a burst of them costs one call.
 	batchDelay = 120 * time.Millisecond
+	// pollGrace is how long a read of the store goes on alone once another entry has told of newer records; two entries that read it get these within a fraction of it.
+	pollGrace = 200 * time.Millisecond
 	// logBehindAfter is after how long an entry logs that others have newer records.
 	logBehindAfter = time.Second
 	// removalRetention is how long a removal is kept for entries that ask; they ask every retryAfter.
@@ -55,6 +57,11 @@
 	Records []Record
 	// Outage says that removals among the records may be leases that expired while the store was unavailable.
 	Outage bool
+	// Older holds what the store has instead of records that it has lost with an older copy, and that are kept until they are written again.
+	Older []Record
+	// Returned says that the store came back ReturnedAgo before from an outage in which leases may have expired.
+	Returned    bool
+	ReturnedAgo time.Duration
 	// Source is the name of the entry that told the records, empty for the store.
 	Source string
 }
@@ -89,7 +96,7 @@
 	Unwritten []string
 }
 
-// Options configures a Tailer; OnChange is called by one goroutine at a time. UnwrittenTTL is how long a record that was lost with an older copy of the store is kept unless it is written again.
+// Options configures a Tailer; OnChange is called by one goroutine at a time. DropIdle closes the connections to the store that are not in use, since they may be silent; it may be nil. UnwrittenTTL is how long a record that was lost with an older copy of the store is kept unless it is written again.
 type Options struct {
 	Topic        string
 	UnwrittenTTL time.Duration
@@ -98,6 +105,7 @@
 	Clock        clockwork.Clock
 	Logger       *logrus.Entry
 	OnChange     func(cha Change)
+	DropIdle     func()
 }
 
 // Tailer follows one topic; it is safe for concurrent use.
@@ -125,6 +133,7 @@
 	outageBegan time.Time
 	returned    time.Time
 	peerAhead   chan struct{}
+	readSoon    chan struct{}
 }
 
 type storedRecord struct {
@@ -138,28 +147,41 @@
 
 // New returns a tailer that has not read anything yet.
 func New(opt Options) *Tailer {
-	return &Tailer{opt: opt, newest: map[string]storedRecord{}, peerAhead: make(chan struct{}, 1)}
+	return &Tailer{opt: opt, newest: map[string]storedRecord{}, peerAhead: make(chan struct{}, 1), readSoon: make(chan struct{}, 1)}
 }
 
 // Run follows the topic until the context ends. It reads the whole topic from the store first, since the links of the few entries that read it for all could not bear to send it to hundreds of others at once.
 func (tai *Tailer) Run(ctx context.Context) {
 	othersRead := true
+	wait := readWait
 	for ctx.Err() == nil {
 		tai.logBehind()
 		if now := tai.Known() && tai.opt.Peers.OthersRead(); now != othersRead {
 			othersRead = now
+			if othersRead {
+				tai.forgetFailure()
+			}
+			// The connection to the store may have gone silent while it was not in use.
+			wait = 0
 			tai.opt.Logger.WithFields(logrus.Fields{"topic": tai.opt.Topic, "reads": !othersRead}).Info("source of a topic changed")
 		}
 		if othersRead {
 			tai.followPeers(ctx)
 			continue
 		}
-		err := tai.Step(ctx)
+		err := tai.step(ctx, wait)
+		wait = readWait
 		pause := batchDelay
 		if err != nil {
 			tai.noteFailure(err)
-			tai.askPeer(ctx)
-			pause = retryAfter
+			for range asksBeforeRead {
+				if tai.askPeer(ctx) || !tai.isBehindPeer() {
+					break
+				}
+			}
+			if !tai.isBehindPeer() {
+				pause = retryAfter
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -206,6 +228,14 @@
 	}
 }
 
+// ReadSoon has the topic read from the store once, although other entries read it.
+func (tai *Tailer) ReadSoon() {
+	select {
+	case tai.readSoon <- struct{}{}:
+	default:
+	}
+}
+
 // End returns the era and the offset up to which the topic is known.
 func (tai *Tailer) End() (era, end int64) {
 	tai.mux.Lock()
@@ -253,28 +283,39 @@
 				return
 			}
 		}
-		if err := tai.Step(ctx); err != nil {
-			tai.opt.Logger.WithError(err).WithField("topic", tai.opt.Topic).Info("neither an entry nor the store could tell the newest records")
-		}
+		tai.catchUp(ctx)
+	case <-tai.readSoon:
+		tai.catchUp(ctx)
 	case <-tai.opt.Clock.After(readersCheckInterval):
 		tai.expireUnwritten()
 	}
 }
 
+// catchUp reads the store, with as much time for an answer as an entry has that reads it for others.
+func (tai *Tailer) catchUp(ctx context.Context) {
+	if err := tai.read(ctx, readWait); err != nil {
+		tai.opt.Logger.WithError(err).WithField("topic", tai.opt.Topic).Info("neither an entry nor the store could tell the newest records")
+	}
+}
+
 // Step reads the store once; it reads the whole topic if nothing is known yet or the next records have expired.
 func (tai *Tailer) Step(ctx context.Context) error {
-	if err := tai.read(ctx); err != nil {
+	return tai.step(ctx, readWait)
+}
+
+func (tai *Tailer) step(ctx context.Context, wait time.Duration) error {
+	if err := tai.read(ctx, wait); err != nil {
 		return err
 	}
 	tai.expireUnwritten()
 	return nil
 }
 
-func (tai *Tailer) read(ctx context.Context) error {
+func (tai *Tailer) read(ctx context.Context, wait time.Duration) error {
 	tai.noteRead()
 	for tai.Known() {
 		era, from := tai.End()
-		pag, err := tai.opt.Store.Read(ctx, tai.opt.Topic, from, readWait)
+		pag, err := tai.readPage(ctx, from, wait)
 		if err != nil && !errors.Is(err, ErrExpired) {
 			return err
 		}
@@ -303,6 +344,51 @@
 	return nil
 }
 
+// answer is the outcome of one read of the store.
+type answer struct {
+	Page
+	err error
+}
+
+// readPage reads records from the store. If another entry has told of newer ones for a while meanwhile, the connection to the store may be silent: it asks entries for them, and reads a second time on another connection.
+func (tai *Tailer) readPage(ctx context.Context, from int64, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, 2)
+	read := func(wait time.Duration) {
+		pag, err := tai.opt.Store.Read(ctx, tai.opt.Topic, from, wait)
+		answers <- answer{pag, err}
+	}
+	running := 1
+	go read(wait)
+	ahead := tai.peerAhead
+	var behind <-chan time.Time
+	for {
+		select {
+		case <-ahead:
+			ahead, behind = nil, tai.opt.Clock.After(pollGrace)
+		case <-behind:
+			if tai.isBehindPeer() && !tai.askPeer(ctx) {
+				tai.dropIdle()
+				running++
+				go read(wait)
+			}
+		case ans := <-answers:
+			running--
+			if ans.err == nil || running == 0 {
+				return ans.Page, ans.err
+			}
+		}
+	}
+}
+
+// dropIdle closes the connections to the store that are not in use.
+func (tai *Tailer) dropIdle() {
+	if tai.opt.DropIdle != nil {
+		tai.opt.DropIdle()
+	}
+}
+
 // Since returns the newest records from an offset of an era on, including removals, or all of them if the era is over; it
 // fails with errors.NotFound before the topic has been read and for an era that this entry does not know. The page ends
 // where it begins if this entry does not know all removals since.
@@ -313,6 +399,9 @@
 		return Page{}, errors.NotFoundf("tailer: topic %s of era %d", tai.opt.Topic, era)
 	}
 	out := Page{Era: tai.era, End: tai.end, Outage: tai.inOutage()}
+	if now := tai.opt.Clock.Now(); !tai.recentReturn(now).IsZero() {
+		out.Returned, out.ReturnedAgo = true, now.Sub(tai.returned)
+	}
 	if knowsNothing := from == 0; era == tai.era && from < tai.removalsFrom && !knowsNothing {
 		out.End = from
 	}
@@ -322,6 +411,9 @@
 			rec.KnownFor += tai.opt.Clock.Since(sto.at)
 			out.Records = append(out.Records, rec)
 		}
+		if era < tai.era && sto.older != nil {
+			out.Older = append(out.Older, *sto.older)
+		}
 	}
 	return out, nil
 }
@@ -369,6 +461,9 @@
 		tai.mux.Unlock()
 		return
 	}
+	if back := now.Add(-pag.ReturnedAgo); pag.Returned && back.After(tai.returned) {
+		tai.returned = back
+	}
 	if tai.known && pag.Era > tai.era {
 		cha := tai.beginEra(pag, now)
 		cha.Returned = tai.recentReturn(now)
@@ -378,7 +473,8 @@
 	}
 	cha := Change{Full: full, Outage: pag.Outage || tai.inOutage(), Source: pag.Source}
 	cha.Returned = tai.recentReturn(now)
-	if full || !tai.known {
+	// Another entry tells the newest records only to one that has none.
+	if full || !tai.known || tai.end == 0 {
 		tai.removalsFrom = pag.End
 	}
 	if full {
@@ -389,13 +485,16 @@
 			cha.Records = append(cha.Records, rec)
 		}
 	}
+	first := !tai.known
 	tai.era, tai.end, tai.known = pag.Era, max(tai.end, pag.End), true
+	if tai.takeOlder(pag); first && tai.hasUnwritten() {
+		tai.eraBegan = now
+	}
 	for key, sto := range tai.newest {
-		if sto.Value == nil && now.Sub(sto.at) > removalRetention {
+		// The store may have a record instead of a removal of an earlier era.
+		if sto.Value == nil && sto.Era == tai.era && now.Sub(sto.at) > removalRetention {
 			delete(tai.newest, key)
-			if sto.Era == tai.era {
-				tai.removalsFrom = max(tai.removalsFrom, sto.Offset+1)
-			}
+			tai.removalsFrom = max(tai.removalsFrom, sto.Offset+1)
 		}
 	}
 	tai.mux.Unlock()
@@ -437,6 +536,13 @@
 	}
 }
 
+// forgetFailure forgets that the last read failed: an entry that follows others does not notice the end of an outage, and learns from them what was removed during one.
+func (tai *Tailer) forgetFailure() {
+	tai.mux.Lock()
+	defer tai.mux.Unlock()
+	tai.failed = false
+}
+
 func (tai *Tailer) noteFailure(err error) {
 	tai.mux.Lock()
 	defer tai.mux.Unlock()
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -34,6 +34,9 @@
 	first int64
 	down  bool
 	reads int
+	// silent says that reads get no answer, waits are those of the reads so far.
+	silent atomic.Bool
+	waits  []time.Duration
 	// pageRecords is the number of records after which a read is cut, 0 for none.
 	pageRecords int
 }
@@ -80,10 +83,15 @@
 	return out, nil
 }
 
-func (sto *fakeStore) Read(_ context.Context, _ string, from int64, _ time.Duration) (tailer.Page, error) {
+func (sto *fakeStore) Read(ctx context.Context, _ string, from int64, wait time.Duration) (tailer.Page, error) {
+	if sto.silent.Load() {
+		<-ctx.Done()
+		return tailer.Page{}, ctx.Err()
+	}
 	sto.mux.Lock()
 	defer sto.mux.Unlock()
 	sto.reads++
+	sto.waits = append(sto.waits, wait)
 	switch {
 	case sto.down:
 		return tailer.Page{}, errDown
@@ -102,6 +110,42 @@
 	return out, nil
 }
 
+// silentStore is a store whose answers do not arrive while it is silent: a read ends with its time limit.
+type silentStore struct {
+	*fakeStore
+	clk    clockwork.Clock
+	silent atomic.Bool
+}
+
+func (sto *silentStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (tailer.Page, error) {
+	if !sto.silent.Load() {
+		return sto.fakeStore.Read(ctx, topic, from, wait)
+	}
+	select {
+	case <-ctx.Done():
+	case <-sto.clk.After(wait + 700*time.Millisecond):
+	}
+	return tailer.Page{}, errDown
+}
+
+// slowStore is a store whose answers to reads arrive late while it is slow.
+type slowStore struct {
+	*fakeStore
+	clk  clockwork.Clock
+	slow atomic.Bool
+}
+
+func (sto *slowStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (tailer.Page, error) {
+	if sto.slow.Load() {
+		select {
+		case <-ctx.Done():
+			return tailer.Page{}, ctx.Err()
+		case <-sto.clk.After(600 * time.Millisecond):
+		}
+	}
+	return sto.fakeStore.Read(ctx, topic, from, wait)
+}
+
 // restore brings the store back from a copy with the first records only.
 func (sto *fakeStore) restore(records int) {
 	sto.mux.Lock()
@@ -114,7 +158,9 @@
 type fakePeers struct {
 	other *tailer.Tailer
 	reads bool
-	fails atomic.Int64
+	// follows says that others read from now on.
+	follows atomic.Bool
+	fails   atomic.Int64
 }
 
 func (pee *fakePeers) Ask(_ context.Context, _ string, era, from int64) (tailer.Page, error) {
@@ -124,7 +170,7 @@
 	return pee.other.Since(era, from)
 }
 
-func (pee *fakePeers) OthersRead() bool { return pee.reads }
+func (pee *fakePeers) OthersRead() bool { return pee.reads || pee.follows.Load() }
 
 // recordingTailer is a tailer that records its changes.
 type recordingTailer struct {
@@ -328,6 +374,57 @@
 		Eventually(behind.current).Should(Equal(map[string]string{"a": "2"}))
 	})
 
+	// Guards against readers that lack what another one has said for as long as a read of a silent connection lasts.
+	It("gives up a read of the store that gets no answer while another entry has newer records", func() {
+		silent := &fakeStore{recs: slices.Clone(sto.recs)}
+		behind := newRecordingTailer(silent, &fakePeers{other: tai.Tailer}, clk)
+		Expect(behind.Step(context.Background())).To(Succeed())
+		silent.silent.Store(true)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go behind.Run(ctx)
+		sto.put("a", "2")
+		step()
+		behind.NotifyEnd(tai.End())
+		Eventually(func() map[string]string { clk.Advance(50 * time.Millisecond); return behind.current() }).Should(HaveKeyWithValue("a", "2"))
+	})
+
+	It("does not wait for records with its first read when it begins to read for others", func() {
+		pee := &fakePeers{other: tai.Tailer}
+		pee.follows.Store(true)
+		own := &fakeStore{recs: slices.Clone(sto.recs)}
+		reader := newRecordingTailer(own, pee, clk)
+		Expect(reader.Step(context.Background())).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go reader.Run(ctx)
+		Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+		pee.follows.Store(false)
+		Eventually(func() []time.Duration {
+			clk.Advance(100 * time.Millisecond)
+			own.mux.Lock()
+			defer own.mux.Unlock()
+			return slices.Clone(own.waits)
+		}).Should(HaveLen(3))
+		Expect(own.waits[0]).To(BeZero())
+		Expect(own.waits[1]).NotTo(BeZero())
+	})
+
+	// Guards against removals that are taken for those of an outage for good, since the only read of an entry failed long ago.
+	It("takes a removal for that of no outage once it follows others, though its last read failed", func() {
+		behind := newRecordingTailer(&fakeStore{down: true}, &fakePeers{other: tai.Tailer, reads: true}, clk)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go behind.Run(ctx)
+		Eventually(func() map[string]string { clk.Advance(50 * time.Millisecond); return behind.current() }).Should(HaveKey("b"))
+		clk.Advance(time.Minute)
+		sto.put("b", "")
+		step()
+		behind.NotifyEnd(tai.End())
+		Eventually(func() map[string]string { clk.Advance(50 * time.Millisecond); return behind.current() }).ShouldNot(HaveKey("b"))
+		Expect(behind.outage("b")).To(BeFalse())
+	})
+
 	// Guards against backend servers that stay on the list for good because the entry that was asked does not know of their removal.
 	for _, cas := range []struct {
 		name string
@@ -381,4 +478,127 @@
 		}
 		Expect(idle.reads).To(BeZero())
 	})
+
+	// Guards against servers that stay on the list beyond their time because an entry that has failed to read once, and follows others since, takes its next read for the end of an outage.
+	It("does not take the time for which it followed others for an outage", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		pee := &fakePeers{other: tai.Tailer}
+		behind := newRecordingTailer(sto, pee, clk)
+		Expect(behind.Step(ctx)).To(Succeed())
+		sto.setDown(true)
+		go behind.Run(ctx)
+		Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+		sto.setDown(false)
+		pee.follows.Store(true)
+		for range 40 {
+			clk.Advance(300 * time.Millisecond)
+			Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+		}
+		sto.put("a", "")
+		behind.ReadSoon()
+		Eventually(behind.current).ShouldNot(HaveKey("a"))
+		Expect(behind.returnedAt()).To(BeZero())
+		Expect(behind.outage("a")).To(BeFalse())
+	})
+
+	// Guards against an entry that reads the store, hears that another one knows more, and waits for its silent connection twice.
+	for _, cas := range []struct {
+		name  string
+		fails int64
+	}{
+		{"the first entry that it asks", 0},
+		{"the second entry that it asks", 1},
+	} {
+		It("learns within 2 s what another entry has read while its connection to the store is silent, from "+cas.name, func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			own := &silentStore{fakeStore: &fakeStore{recs: slices.Clone(sto.recs)}, clk: clk}
+			pee := &fakePeers{other: tai.Tailer}
+			behind := newRecordingTailer(own, pee, clk)
+			Expect(behind.Step(ctx)).To(Succeed())
+			pee.fails.Store(cas.fails)
+			own.silent.Store(true)
+			go behind.Run(ctx)
+			Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+			sto.put("a", "2")
+			step()
+			behind.NotifyEnd(tai.End())
+			for range 40 {
+				clk.Advance(50 * time.Millisecond)
+				Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+			}
+			Expect(behind.current()).To(HaveKeyWithValue("a", "2"))
+		})
+	}
+
+	// Guards against an entry that gives up each read of a slow store, since another one that it cannot call knows more.
+	It("learns within 2 s from a slow store what no other entry can tell", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		own := &slowStore{fakeStore: sto, clk: clk}
+		behind := newRecordingTailer(own, &fakePeers{}, clk)
+		Expect(behind.Step(ctx)).To(Succeed())
+		own.slow.Store(true)
+		go behind.Run(ctx)
+		Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+		sto.put("a", "2")
+		step()
+		for range 40 {
+			behind.NotifyEnd(tai.End())
+			clk.Advance(50 * time.Millisecond)
+			Expect(clk.BlockUntilContext(ctx, 1)).To(Succeed())
+			time.Sleep(time.Millisecond)
+		}
+		Expect(behind.current()).To(HaveKeyWithValue("a", "2"))
+	})
+
+	// Guards against servers that are dropped before they can be listed again by entries that follow others when the store returns, and have not read it since.
+	It("says with removals when the store returned though another entry read it first", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		pee := &fakePeers{other: tai.Tailer}
+		behind := newRecordingTailer(sto, pee, clk)
+		Expect(behind.Step(ctx)).To(Succeed())
+		sto.setDown(true)
+		go tai.Run(ctx)
+		go behind.Run(ctx)
+		for range 8 {
+			Expect(clk.BlockUntilContext(ctx, 2)).To(Succeed())
+			clk.Advance(300 * time.Millisecond)
+		}
+		Expect(clk.BlockUntilContext(ctx, 2)).To(Succeed())
+		pee.follows.Store(true)
+		sto.put("a", "")
+		sto.setDown(false)
+		clk.Advance(300 * time.Millisecond)
+		back := clk.Now()
+		Eventually(tai.current).ShouldNot(HaveKey("a"))
+		Expect(tai.returnedAt()).To(Equal(back))
+		behind.NotifyEnd(tai.End())
+		Eventually(behind.current).ShouldNot(HaveKey("a"))
+		Expect(behind.outage("a")).To(BeTrue())
+		Expect(behind.returnedAt()).To(Equal(back))
+	})
+
+	// Guards against records that stay for good at entries that ask one which knew an empty topic before it asked another one.
+	It("learns of a removal if the entry that it asks began with an empty topic", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		asked := &fakePeers{reads: true}
+		behind := newRecordingTailer(sto, asked, clk)
+		Expect(behind.Step(ctx)).To(Succeed())
+		sto.put("b", "")
+		late := newRecordingTailer(sto, &fakePeers{}, clk)
+		Expect(late.Step(ctx)).To(Succeed())
+		began := newRecordingTailer(&fakeStore{}, &fakePeers{other: late.Tailer, reads: true}, clk)
+		Expect(began.Step(ctx)).To(Succeed())
+		go began.Run(ctx)
+		began.NotifyEnd(late.End())
+		Eventually(began.current).Should(Equal(map[string]string{"a": "1"}))
+		asked.other = began.Tailer
+		go behind.Run(ctx)
+		behind.NotifyEnd(began.End())
+		Eventually(behind.current).Should(Equal(map[string]string{"a": "1"}))
+	})
 })
