--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 LINT_VERSION := v2.15.0
 
-.PHONY: build test lint fmt run up down soak faults faults-short seeds measure scale bench tools ci
+.PHONY: build test lint fmt run up down soak faults faults-short clients seeds measure scale bench tools ci
 
 build:
 	go build -o bin/lovagelever .
@@ -23,6 +23,10 @@
 faults-short: build
 	SEEDS=1 LANES=1 SOAK=5s scripts/faults.sh
 
+# The specs of clients outside the limits, one after the other; they bound memory, so nothing should run beside them.
+clients: build
+	scripts/clients.sh
+
 seeds:
 	LOVAGELEVER_SEEDS=$${SEEDS:-1000} go test -count=1 -timeout 60m ./admitter ./claimer ./completer ./forwarder ./keeper ./planner
 
