--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -5,12 +5,16 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/lovagelever/lovagelever/counter"
 )
 
+// acceptPause is the pause after a failed Accept.
+const acceptPause = 50 * time.Millisecond
+
 // Listener serves the RPC methods of one entry.
 type Listener struct {
 	lis         net.Listener
@@ -50,12 +54,17 @@
 	}
 }
 
+// accept accepts connections until the listener is closed. Any other failure may pass, as that for want of descriptors does.
 func (lis *Listener) accept() {
 	for {
 		con, err := lis.lis.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
 		con = lis.cou.Wrap(con)
 		lis.mtx.Lock()
 		lis.connections[con] = true
