--- a/gateserver/readers_test.go
+++ b/gateserver/readers_test.go
@@ -350,7 +350,7 @@
 	It("puts a configuration in force within 2 s though the entries that read the store are of an earlier version and forget removals", func() {
 		sto := &store{recs: map[string][]tailer.Record{}}
 		old := settings("old")
-		lis, err := messenger.Listen(old.Listen.Entries, &forgetfulEntry{}, &counter.Counter{})
+		lis, err := messenger.Listen(old.Listen.Entries, &forgetfulEntry{}, messenger.Options{Counter: &counter.Counter{}})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(lis.Close)
 		for _, name := range peerNames {
@@ -457,7 +457,7 @@
 	It("gets the configuration from an entry of an earlier version", func() {
 		set := settings("edge")
 		old := settings("old")
-		lis, err := messenger.Listen(old.Listen.Entries, &oldEntry{}, &counter.Counter{})
+		lis, err := messenger.Listen(old.Listen.Entries, &oldEntry{}, messenger.Options{Counter: &counter.Counter{}})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(lis.Close)
 		data, err := json.Marshal(advertiser.Entry{Name: "old", EntryAddress: old.Listen.Entries, Incarnation: 1})
--- a/gateserver/run.go
+++ b/gateserver/run.go
@@ -52,7 +52,7 @@
 func (gat *Server) Run(ctx context.Context) error {
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	rpc, err := messenger.Listen(gat.set.Listen.Entries, &receiver{gat: gat}, &gat.rpcBytes)
+	rpc, err := messenger.Listen(gat.set.Listen.Entries, &receiver{gat: gat}, messenger.Options{Counter: &gat.rpcBytes, Calls: 16})
 	if err != nil {
 		return errors.Annotate(err, "gateserver: listen for other entries")
 	}
--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -12,20 +12,43 @@
 	"github.com/lovagelever/lovagelever/counter"
 )
 
-// acceptPause is the pause after a failed Accept.
-const acceptPause = 50 * time.Millisecond
+const (
+	// acceptPause is the pause after a failed Accept.
+	acceptPause = 50 * time.Millisecond
+	// The defaults of Options.
+	defaultMessageBytes = 1 << 20
+	defaultCalls        = 64
+)
 
 // Listener serves the RPC methods of one entry.
 type Listener struct {
 	lis         net.Listener
 	srv         *rpc.Server
-	cou         *counter.Counter
+	opt         Options
 	mtx         sync.Mutex
 	connections map[net.Conn]bool
 }
 
-// Listen serves the exported methods of the receiver on the address IP:PORT and counts the bytes sent and received.
-func Listen(address string, receiver any, cou *counter.Counter) (*Listener, error) {
+// Options configure a Listener: Wrap may replace the network listener, Counter counts the bytes sent and received, MessageBytes is the largest size of a message, and Calls the number of calls of one connection that may have no response yet. Zero means a default.
+type Options struct {
+	Wrap         func(lis net.Listener) net.Listener
+	Counter      *counter.Counter
+	MessageBytes int64
+	Calls        int
+}
+
+func (opt Options) withDefaults() Options {
+	if opt.MessageBytes == 0 {
+		opt.MessageBytes = defaultMessageBytes
+	}
+	if opt.Calls == 0 {
+		opt.Calls = defaultCalls
+	}
+	return opt
+}
+
+// Listen serves the exported methods of the receiver on the address IP:PORT.
+func Listen(address string, receiver any, opt Options) (*Listener, error) {
 	srv := rpc.NewServer()
 	if err := srv.RegisterName("Entry", receiver); err != nil {
 		return nil, errors.Annotate(err, "messenger: register RPC receiver")
@@ -34,7 +57,10 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "messenger: listen")
 	}
-	out := &Listener{lis: lis, srv: srv, cou: cou, connections: map[net.Conn]bool{}}
+	if opt.Wrap != nil {
+		lis = opt.Wrap(lis)
+	}
+	out := &Listener{lis: lis, srv: srv, opt: opt, connections: map[net.Conn]bool{}}
 	go out.accept()
 	return out, nil
 }
@@ -65,7 +91,6 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		con = lis.cou.Wrap(con)
 		lis.mtx.Lock()
 		lis.connections[con] = true
 		lis.mtx.Unlock()
@@ -74,7 +99,7 @@
 }
 
 func (lis *Listener) serve(con net.Conn) {
-	lis.srv.ServeConn(con)
+	lis.srv.ServeCodec(newCodec(con, lis.opt))
 	lis.mtx.Lock()
 	defer lis.mtx.Unlock()
 	delete(lis.connections, con)
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -49,7 +49,7 @@
 	BeforeEach(func() {
 		var err error
 		cal = &callee{started: make(chan struct{}, 1), release: make(chan struct{})}
-		lis, err = Listen("127.0.0.1:0", cal, &counter.Counter{})
+		lis, err = Listen("127.0.0.1:0", cal, Options{Counter: &counter.Counter{}})
 		Expect(err).NotTo(HaveOccurred())
 		mes = New(net.IPv4(127, 0, 0, 1), &counter.Counter{})
 		DeferCleanup(func() {
@@ -158,7 +158,7 @@
 	It("distrusts all connections without data once one is silent", func() {
 		addresses := map[string]string{}
 		for _, name := range []string{"idle", "used"} {
-			oth, err := Listen("127.0.0.1:0", &callee{}, &counter.Counter{})
+			oth, err := Listen("127.0.0.1:0", &callee{}, Options{Counter: &counter.Counter{}})
 			Expect(err).NotTo(HaveOccurred())
 			defer oth.Close()
 			addresses[name] = oth.Address()
--- a/server/server.go
+++ b/server/server.go
@@ -128,7 +128,7 @@
 
 // Run serves until the context is canceled, then shuts down once requests in progress have ended or the stop timeout has passed.
 func (srv *Server) Run(ctx context.Context) error {
-	rpc, err := messenger.Listen(srv.settings.RPCAddress, &receiver{srv: srv}, &srv.rpcBytes)
+	rpc, err := messenger.Listen(srv.settings.RPCAddress, &receiver{srv: srv}, messenger.Options{Counter: &srv.rpcBytes, MessageBytes: 32 << 20, Calls: 256})
 	if err != nil {
 		return errors.Annotate(err, "server: listen for RPC from entries")
 	}
