--- a/gateconfigurer/gateconfigurer_test.go
+++ b/gateconfigurer/gateconfigurer_test.go
@@ -38,6 +38,14 @@
 		Expect(set.Held).To(Equal(want))
 	})
 
+	It("sets the defaults of what clients may cost", func() {
+		set, err := gateconfigurer.Parse([]byte(settings + "clients: {header_kb: 32, header_timeout: 3s}\n"))
+		Expect(err).NotTo(HaveOccurred())
+		want := gateconfigurer.DefaultClients
+		want.HeaderKB, want.HeaderTimeout = 32, 3*time.Second
+		Expect(set.Clients).To(Equal(want))
+	})
+
 	DescribeTable("names the missing or invalid field",
 		func(old, other, field string) {
 			text := strings.Replace(settings, old, other, 1)
@@ -60,6 +68,12 @@
 		Entry("refusals below the room of large bodies", "region: r", "region: r\nheld: {refuse_share: 0.5}", "held.refuse_share"),
 		Entry("streams that hold less than nothing", "region: r", "region: r\nheld: {stream_kb: -1}", "held.stream_kb"),
 		Entry("a negative time", "region: r", "region: r\nheld: {unread_for: -1s}", "held.unread_for"),
+		Entry("too much memory for clients", "region: r", "region: r\nclients: {memory_share: 0.6}", "clients.memory_share"),
+		Entry("all descriptors for clients", "region: r", "region: r\nclients: {descriptor_share: 1}", "clients.descriptor_share"),
+		Entry("too large headers", "region: r", "region: r\nclients: {header_kb: 1025}", "clients.header_kb"),
+		Entry("messages below zero", "region: r", "region: r\nclients: {message_kb: -1}", "clients.message_kb"),
+		Entry("calls below zero", "region: r", "region: r\nclients: {calls: -1}", "clients.calls"),
+		Entry("a negative time for headers", "region: r", "region: r\nclients: {header_timeout: -1s}", "clients.header_timeout"),
 		Entry("memory below zero", "memory_mb: 284", "memory_mb: -1", "memory_mb"),
 	)
 })
--- a/gateconfigurer/load.go
+++ b/gateconfigurer/load.go
@@ -16,6 +16,10 @@
 	maxHeldShare = 0.5
 	// minRefuseShare is the share of the held bytes that large bodies and streams may fill without new requests being refused.
 	minRefuseShare = 0.5
+	// maxClientShare leaves the other half of an entry's memory to everything but the connections of clients.
+	maxClientShare = 0.5
+	// maxHeaderKB is the largest limit of headers that an entry keeps.
+	maxHeaderKB = 1024
 )
 
 // Load reads the settings from a file; it fails with an errors.NotValid that names every invalid field.
@@ -34,6 +38,7 @@
 		return Settings{}, errors.NewNotValid(err, "gateconfigurer: settings"+quoteLines(err, data))
 	}
 	set.Held.setDefaults()
+	set.Clients.setDefaults()
 	if faults := set.faults(); len(faults) > 0 {
 		return Settings{}, errors.NotValidf("gateconfigurer: settings (%s)", strings.Join(faults, "; "))
 	}
@@ -141,5 +146,5 @@
 	if set.Held.UnreadFor < 0 {
 		out = append(out, "held.unread_for must not be below zero")
 	}
-	return out
+	return append(out, set.Clients.faults()...)
 }
--- a/gateconfigurer/settings.go
+++ b/gateconfigurer/settings.go
@@ -1,6 +1,10 @@
 package gateconfigurer
 
-import "time"
+import (
+	"cmp"
+	"fmt"
+	"time"
+)
 
 // Settings holds the settings that a platform gives to one entry; addresses are IP:PORT, except Address, the IP address of the VM that the entry runs on.
 type Settings struct {
@@ -18,6 +22,7 @@
 	Descriptors int     `yaml:"descriptors"`
 	Bounds      Bounds  `yaml:"bounds"`
 	Held        Held    `yaml:"held"`
+	Clients     Clients `yaml:"clients"`
 }
 
 // Listen holds the addresses that the entry listens on, one for each kind of client. Without Forwarding the entry takes no requests that other entries forward.
@@ -75,3 +80,49 @@
 		hel.UnreadFor = DefaultHeld.UnreadFor
 	}
 }
+
+// Clients limits what the connections of clients and other entries cost; zero means the default of a field.
+type Clients struct {
+	// MemoryShare is the share of the entry's memory that connections, heads of requests and messages may need together.
+	MemoryShare float64 `yaml:"memory_share"`
+	// DescriptorShare is the share of the entry's descriptors that connections may use.
+	DescriptorShare float64 `yaml:"descriptor_share"`
+	// HeaderKB is the largest size of the headers of a request in KiB, and HeaderTimeout the time to receive them, where the configuration sets none.
+	HeaderKB      int           `yaml:"header_kb"`
+	HeaderTimeout time.Duration `yaml:"header_timeout"`
+	// MessageKB is the largest size of a call of another entry in KiB, and Calls how many calls of one connection may be without a response.
+	MessageKB int `yaml:"message_kb"`
+	Calls     int `yaml:"calls"`
+}
+
+// DefaultClients holds the defaults of Clients.
+var DefaultClients = Clients{MemoryShare: 0.3, DescriptorShare: 0.5, HeaderKB: 64, HeaderTimeout: 5 * time.Second, MessageKB: 1024, Calls: 16}
+
+func (cli *Clients) setDefaults() {
+	cli.MemoryShare = cmp.Or(cli.MemoryShare, DefaultClients.MemoryShare)
+	cli.DescriptorShare = cmp.Or(cli.DescriptorShare, DefaultClients.DescriptorShare)
+	cli.HeaderKB = cmp.Or(cli.HeaderKB, DefaultClients.HeaderKB)
+	cli.HeaderTimeout = cmp.Or(cli.HeaderTimeout, DefaultClients.HeaderTimeout)
+	cli.MessageKB = cmp.Or(cli.MessageKB, DefaultClients.MessageKB)
+	cli.Calls = cmp.Or(cli.Calls, DefaultClients.Calls)
+}
+
+// faults returns what is wrong with the limits.
+func (cli Clients) faults() []string {
+	var out []string
+	if cli.MemoryShare < 0 || cli.MemoryShare > maxClientShare {
+		out = append(out, fmt.Sprintf("clients.memory_share must be between 0 and %v", maxClientShare))
+	}
+	if cli.DescriptorShare < 0 || cli.DescriptorShare >= 1 {
+		out = append(out, "clients.descriptor_share must be between 0 and 1")
+	}
+	if cli.HeaderKB < 0 || cli.HeaderKB > maxHeaderKB {
+		out = append(out, fmt.Sprintf("clients.header_kb must be between 0 and %d", maxHeaderKB))
+	}
+	for key, val := range map[string]int{"clients.message_kb": cli.MessageKB, "clients.calls": cli.Calls, "clients.header_timeout": int(cli.HeaderTimeout)} {
+		if val < 0 {
+			out = append(out, key+" must not be below zero")
+		}
+	}
+	return out
+}
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lovagelever/lovagelever/acceptor"
 	"github.com/lovagelever/lovagelever/advertiser"
 	"github.com/lovagelever/lovagelever/breaker"
 	"github.com/lovagelever/lovagelever/budgeter"
@@ -103,6 +104,7 @@
 	pru *pruner.Pruner
 	cfm *confirmer.Confirmer
 	stm *stamper.Stamper
+	acc *acceptor.Acceptor
 	// peerSender sends requests to other entries.
 	peerSender *sender.Sender
 
@@ -174,6 +176,7 @@
 	gat.bounds.Store(&set.Bounds)
 	gat.pla.OnLeaving(gat.onLeaving)
 	gat.pla.OnPause(gat.onPause)
+	gat.buildAcceptor()
 	gat.buildLinks(source)
 	gat.buildRequestPath(source)
 	gat.buildPermitter()
@@ -327,6 +330,7 @@
 		gat.per.Tick()
 		if num%memoryTicks == 0 {
 			gat.res.Update()
+			gat.relieveMemory()
 		}
 		gat.dis.DispatchWaiting()
 		if num%sweepTicks == 0 {
@@ -338,6 +342,7 @@
 			gat.reg.SetNoPeers(live == 1)
 			gat.forgetRateLimits()
 			gat.mtr.recordHeld(gat.res)
+			gat.acc.Record(gat.mtr.scope)
 			zon.report()
 			for pool, factor := range gat.dis.Corrections() {
 				gat.mtr.RecordCorrection(pool, factor)
--- a/gateserver/run.go
+++ b/gateserver/run.go
@@ -13,19 +13,19 @@
 	"github.com/labstack/echo/v4"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lovagelever/lovagelever/acceptor"
 	"github.com/lovagelever/lovagelever/explainer"
 	"github.com/lovagelever/lovagelever/gateconfigurer"
 	"github.com/lovagelever/lovagelever/gateway"
-	"github.com/lovagelever/lovagelever/messenger"
 )
 
 const (
-	// headerTimeout limits reading the headers of a request; the configurations of docs/ADAPTER.md allow 3 s.
-	headerTimeout = 5 * time.Second
+	// firstByteTimeout limits waiting for the first request on a connection.
+	firstByteTimeout = 5 * time.Second
 	// idleTimeout limits how long a connection of a caller may be idle; the configurations of docs/ADAPTER.md let callers keep one for 15 s, and others may allow longer.
 	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes limits the headers of a request before the limit of the configuration is applied.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes is the largest limit of headers that a configuration may set.
+	maxHeaderBytes = 1 << 20
 	// forwardedHeaderBytes is what another entry may add to the headers of a request that it forwards.
 	forwardedHeaderBytes = 4 << 10
 	// writeTimeout limits writing a refusal, a directory or metrics, so that a caller that does not read holds up no stop; answers of backend servers have a limit by their deadline.
@@ -52,7 +52,7 @@
 func (gat *Server) Run(ctx context.Context) error {
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	rpc, err := messenger.Listen(gat.set.Listen.Entries, &receiver{gat: gat}, messenger.Options{Counter: &gat.rpcBytes, Calls: 16})
+	rpc, err := gat.listenForEntries()
 	if err != nil {
 		return errors.Annotate(err, "gateserver: listen for other entries")
 	}
@@ -60,11 +60,11 @@
 	failed := make(chan error, 1)
 	web := gat.webServers()
 	for _, srv := range web {
-		srv.lis, err = new(net.ListenConfig).Listen(ctx, "tcp", srv.Addr)
+		lis, err := new(net.ListenConfig).Listen(ctx, "tcp", srv.Addr)
 		if err != nil {
 			return errors.Annotate(err, "gateserver: listen at "+srv.Addr)
 		}
-		gat.dra.Watch(srv.Server)
+		gat.listen(lis, srv)
 		go func() {
 			if err := srv.Serve(srv.lis); !gat.stopping.Load() {
 				failed <- err
@@ -83,7 +83,7 @@
 }
 
 func (gat *Server) start(ctx context.Context) {
-	loops := []func(context.Context){gat.hea.Run, gat.updateUnits, gat.tick, gat.ele.Run, gat.con.Run, gat.keepRegistered, gat.pullEvidence, gat.lin.Run, gat.pru.Run, gat.cfm.Run}
+	loops := []func(context.Context){gat.hea.Run, gat.updateUnits, gat.tick, gat.ele.Run, gat.con.Run, gat.keepRegistered, gat.pullEvidence, gat.lin.Run, gat.pru.Run, gat.cfm.Run, gat.acc.Run}
 	for _, tai := range gat.tailers {
 		loops = append(loops, tai.Run)
 	}
@@ -106,36 +106,46 @@
 	return "unknown"
 }
 
-// webServer is an HTTP server with its listener.
+// webServer is an HTTP server with its listener and the limits of the heads of its requests.
 type webServer struct {
 	*http.Server
-	lis net.Listener
+	lis    net.Listener
+	limits func() acceptor.Limits
 }
 
 func (gat *Server) webServers() []*webServer {
-	callers := &http.Server{
-		Addr: gat.set.Listen.Callers, Handler: gat.noteRequests(gat.gat),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: gateway.ConnContext,
-	}
 	keep := min(directoryValidity, gat.set.Bounds.LongestDirectoryValidity)
 	metrics := echo.New()
 	metrics.GET("/metrics", echo.WrapHandler(gat.mtr.handler()))
 	metrics.GET(explainer.Path, gat.explain)
 	out := []*webServer{
-		{Server: callers},
-		{Server: &http.Server{Addr: gat.set.Listen.Readiness, Handler: gat.pla.Readiness(gat.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout}},
-		{Server: &http.Server{Addr: gat.set.Listen.Directory, Handler: gat.pla.Directory(gat.adv.Addresses, keep), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout}},
-		{Server: &http.Server{Addr: gat.set.Listen.Metrics, Handler: metrics, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout}},
+		gat.requestServer(gat.set.Listen.Callers, gat.gat, gat.headLimits),
+		gat.ownServer(gat.set.Listen.Readiness, gat.pla.Readiness(gat.ready)),
+		gat.ownServer(gat.set.Listen.Directory, gat.pla.Directory(gat.adv.Addresses, keep)),
+		gat.ownServer(gat.set.Listen.Metrics, metrics),
 	}
 	if gat.set.Listen.Forwarding != "" {
-		out = append(out, &webServer{Server: &http.Server{
-			Addr: gat.set.Listen.Forwarding, Handler: gat.noteRequests(gat.gat.Forwarded()),
-			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes + forwardedHeaderBytes, ConnContext: gateway.ConnContext,
-		}})
+		out = append(out, gat.requestServer(gat.set.Listen.Forwarding, gat.gat.Forwarded(), gat.forwardedHeadLimits))
 	}
 	return out
 }
 
+// requestServer returns a server for requests to backend servers.
+func (gat *Server) requestServer(address string, han http.Handler, limits func() acceptor.Limits) *webServer {
+	return &webServer{limits: limits, Server: &http.Server{
+		Addr: address, Handler: gat.noteRequests(han), ConnContext: gateway.ConnContext,
+		ReadHeaderTimeout: firstByteTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}}
+}
+
+// ownServer returns a server for requests that the entry answers itself.
+func (gat *Server) ownServer(address string, han http.Handler) *webServer {
+	return &webServer{limits: gat.headLimits, Server: &http.Server{
+		Addr: address, Handler: han,
+		ReadHeaderTimeout: firstByteTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}}
+}
+
 // noteRequests records that this entry has received a request.
 func (gat *Server) noteRequests(han http.Handler) http.Handler {
 	return http.HandlerFunc(func(wtr http.ResponseWriter, req *http.Request) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -334,10 +335,15 @@
 	if err := ctl.SetReadDeadline(job.deadline); err != nil {
 		return nil, errors.Annotate(err, "gateway: set read deadline for the body")
 	}
+	received, open := job.beginBody()
+	if !open {
+		return nil, errors.Annotate(net.ErrClosed, "gateway: receive the body")
+	}
 	body, err := job.gat.requests.ReadBody(src, job.req.ContentLength)
 	if err != nil {
 		return nil, err
 	}
+	received()
 	job.keep(body)
 	data, err := body.Join()
 	if err != nil {
--- a/gateway/sockets.go
+++ b/gateway/sockets.go
@@ -12,9 +12,21 @@
 // socketKey is the key of a request's connection in its context.
 type socketKey struct{}
 
+// socket is a TCP connection of a caller.
+type socket interface {
+	SetWriteBuffer(num int) error
+	SetLinger(sec int) error
+}
+
+// receiver is a connection whose bytes are counted: Receive reports whether it may stay open while a body of num bytes is received, -1 if their number is unknown, until Received is called.
+type receiver interface {
+	Receive(num int64) bool
+	Received()
+}
+
 // ConnContext limits what the kernel holds for a caller that does not read, and passes the connection on to the gateway; it is for http.Server.ConnContext.
 func ConnContext(ctx context.Context, con net.Conn) context.Context {
-	if tcp, ok := con.(*net.TCPConn); ok {
+	if tcp, ok := con.(socket); ok {
 		// Without the limit the connection still works.
 		_ = tcp.SetWriteBuffer(sendBufferBytes)
 	}
@@ -26,7 +38,7 @@
 	if req.ProtoAtLeast(1, 1) {
 		return
 	}
-	tcp, ok := req.Context().Value(socketKey{}).(*net.TCPConn)
+	tcp, ok := req.Context().Value(socketKey{}).(socket)
 	if !ok {
 		return
 	}
@@ -37,3 +49,15 @@
 	// It fails only once the connection is closed.
 	_ = tcp.SetLinger(linger)
 }
+
+// beginBody records that the body of a request is being received, until received is called, and reports whether the connection is still open.
+func (job *job) beginBody() (received func(), open bool) {
+	rec, ok := job.req.Context().Value(socketKey{}).(receiver)
+	if !ok {
+		return func() {}, true
+	}
+	if !rec.Receive(job.req.ContentLength) {
+		return func() {}, false
+	}
+	return rec.Received, true
+}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -21,6 +21,7 @@
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
+	"github.com/lovagelever/lovagelever/acceptor"
 	"github.com/lovagelever/lovagelever/breaker"
 	"github.com/lovagelever/lovagelever/dispatcher"
 	"github.com/lovagelever/lovagelever/gateway"
@@ -284,6 +285,12 @@
 	wor.gat = gat
 	wor.web, wor.forwarded = httptest.NewUnstartedServer(gat), httptest.NewServer(gat.Forwarded())
 	wor.web.Config.ConnContext = gateway.ConnContext
+	// Connections are wrapped, as those of an entry.
+	acc := acceptor.New(acceptor.Options{Memory: 64 << 20, DescriptorShare: 0.5, Clock: clockwork.NewRealClock(), Logger: logrus.NewEntry(logrus.New())})
+	acc.Watch(wor.web.Config)
+	wor.web.Listener = acc.ListenRequests(wor.web.Listener, func() acceptor.Limits {
+		return acceptor.Limits{HeaderBytes: 64 << 10, HeaderTimeout: 5 * time.Second}
+	})
 	wor.web.Start()
 	DeferCleanup(wor.web.Close)
 	DeferCleanup(wor.forwarded.Close)
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -93,6 +93,11 @@
 	res.processFull.Store(float64(res.opt.ProcessUse()) > processShare*float64(res.opt.ProcessLimit))
 }
 
+// ProcessFull reports whether the process has used up its memory, by the last look at it.
+func (res *Reserver) ProcessFull() bool {
+	return res.processFull.Load()
+}
+
 // Admit returns why a new request is refused now, or an empty reason, and counts refusals.
 func (res *Reserver) Admit() Refusal {
 	why := Refusal("")
--- a/router/config.go
+++ b/router/config.go
@@ -135,8 +135,9 @@
 	Priority *int
 }
 
-// Limits bounds the size of requests.
+// Limits bounds the size of requests and the time to receive their headers; zero means none.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
 }
--- a/server/routes.go
+++ b/server/routes.go
@@ -19,10 +19,10 @@
 	headerReplayed  = "X-Replayed"
 	headerTimeoutMS = "X-Timeout-Ms"
 
-	headerTimeout  = 5 * time.Second
-	bodyTimeout    = 20 * time.Second
-	maxHeaderBytes = 32 << 10
-	requestIDKey   = "request_id"
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 20 * time.Second
+	idleTimeout   = 2 * time.Minute
+	requestIDKey  = "request_id"
 )
 
 func (srv *Server) routes() *echo.Echo {
--- a/server/server.go
+++ b/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lovagelever/lovagelever/acceptor"
 	"github.com/lovagelever/lovagelever/admitter"
 	"github.com/lovagelever/lovagelever/appender"
 	"github.com/lovagelever/lovagelever/claimer"
@@ -74,6 +75,7 @@
 	locator          *locator.Locator
 	metrics          *metrics
 	slocounter       *slocounter.Counter
+	acceptor         *acceptor.Acceptor
 
 	claimer        atomic.Pointer[claimer.Claimer]
 	rpcBytes       counter.Counter
@@ -102,6 +104,7 @@
 		log:      newLogger(set),
 		dialer:   &net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: source}},
 	}
+	srv.buildAcceptor()
 	srv.messenger = messenger.New(source, &srv.rpcBytes)
 	srv.client = newClient(srv.dialer.DialContext)
 	srv.controlClient = newClient(srv.controlBytes.Dial(srv.dialer))
@@ -128,7 +131,7 @@
 
 // Run serves until the context is canceled, then shuts down once requests in progress have ended or the stop timeout has passed.
 func (srv *Server) Run(ctx context.Context) error {
-	rpc, err := messenger.Listen(srv.settings.RPCAddress, &receiver{srv: srv}, messenger.Options{Counter: &srv.rpcBytes, MessageBytes: 32 << 20, Calls: 256})
+	rpc, err := srv.listenForEntries()
 	if err != nil {
 		return errors.Annotate(err, "server: listen for RPC from entries")
 	}
@@ -144,10 +147,12 @@
 		Handler:           srv.router,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	srv.acceptor.Watch(web)
 	failed := make(chan error, 1)
-	go func() { failed <- web.Serve(lis) }()
+	go func() { failed <- web.Serve(srv.acceptor.ListenRequests(lis, srv.headLimits)) }()
 	srv.log.WithFields(logrus.Fields{"address": srv.settings.Address, "rpc_address": srv.settings.RPCAddress}).Info("entry is serving")
 	select {
 	case err := <-failed:
@@ -162,7 +167,7 @@
 func (srv *Server) startLoops(ctx context.Context) {
 	loops := []func(context.Context){
 		srv.follower.Run, srv.joiner.Run, srv.gossiper.Run, srv.evictor.Run, srv.watcher.Prober().Run,
-		srv.lister.Run, srv.keeper.Run, srv.executor.Run, srv.snapshotter.Run, srv.factLoop,
+		srv.lister.Run, srv.keeper.Run, srv.executor.Run, srv.snapshotter.Run, srv.factLoop, srv.acceptor.Run,
 	}
 	for _, loop := range loops {
 		go loop(ctx)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -99,7 +99,7 @@
 	}
 
 	It("refuses headers over the size limit", func() {
-		// The limit is maxHeaderBytes, 32 KiB.
+		// The limit is the default of acceptor.Limits.
 		rep := sit.send("GET", "/healthz", "", "X-Flood", strings.Repeat("x", 128<<10))
 		Expect(rep.status).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 	})
--- a/server/tell.go
+++ b/server/tell.go
@@ -37,6 +37,7 @@
 		srv.mergeLeaving()
 		srv.readStore(ctx)
 		srv.metrics.setControlBytes(&srv.rpcBytes, &srv.controlBytes)
+		srv.acceptor.Record(srv.metrics.scope)
 		select {
 		case <-ctx.Done():
 		case <-srv.clock.After(factInterval):
