--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -88,9 +88,12 @@
 		return context.WithValue(ctx, connKey{}, raw)
 	}
 	srv.Handler = http.HandlerFunc(func(wtr http.ResponseWriter, req *http.Request) {
-		// A request that was sent ahead may be found on a connection that is closed.
-		if con, ok := req.Context().Value(connKey{}).(*requestConn); ok && con.acc.phaseOf(&con.conn) == closed {
-			panic(http.ErrAbortHandler)
+		if con, ok := req.Context().Value(connKey{}).(*requestConn); ok {
+			// A request that was sent ahead may be found on a connection that is closed.
+			if con.acc.phaseOf(&con.conn) == closed {
+				panic(http.ErrAbortHandler)
+			}
+			req = con.withBody(req)
 		}
 		next.ServeHTTP(wtr, req)
 	})
--- a/acceptor/request.go
+++ b/acceptor/request.go
@@ -23,22 +23,6 @@
 	return con.TCPConn.SetReadDeadline(until)
 }
 
-// Receive records that num bytes of a request are being received, -1 if their number is unknown, and reports whether the connection is still open. If there is room, the client may send more at once until Received is called.
-func (con *requestConn) Receive(num int64) bool {
-	cost := con.parsed
-	if (num < 0 || num > windowBytes) && con.acc.fits(receiveBufferBytes) {
-		con.widen(true)
-		cost += receiveBufferBytes
-	}
-	return con.acc.set(&con.conn, receiving, cost)
-}
-
-// Received records that the request is received whole.
-func (con *requestConn) Received() {
-	con.widen(false)
-	con.acc.set(&con.conn, serving, con.parsed)
-}
-
 // onState follows the server from one request to the next.
 func (con *requestConn) onState(sta http.ConnState) {
 	switch sta {
--- a/gateserver/run.go
+++ b/gateserver/run.go
@@ -22,6 +22,8 @@
 const (
 	// firstByteTimeout limits waiting for the first request on a connection.
 	firstByteTimeout = 5 * time.Second
+	// ownReadTimeout limits reading a request that the entry answers itself.
+	ownReadTimeout = firstByteTimeout + time.Second
 	// idleTimeout limits how long a connection of a caller may be idle; the configurations of docs/ADAPTER.md let callers keep one for 15 s, and others may allow longer.
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is the largest limit of headers that a configuration may set.
@@ -142,7 +144,7 @@
 func (gat *Server) ownServer(address string, han http.Handler) *webServer {
 	return &webServer{limits: gat.headLimits, Server: &http.Server{
 		Addr: address, Handler: han,
-		ReadHeaderTimeout: firstByteTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: firstByteTimeout, ReadTimeout: ownReadTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}}
 }
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -75,6 +75,7 @@
 		log = log.WithFields(logrus.Fields{"host": job.req.Host, "prefix": firstSegment(job.target)})
 	}
 	log.Info("request refused")
+	job.limitBody(refusedBodyTimeout)
 	job.markRefusal(err, ref)
 	head := job.wtr.Header()
 	head.Set("Content-Type", "application/json")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -202,6 +201,7 @@
 		wtr.Header().Set("Connection", "close")
 	}
 	defer job.releaseBodies()
+	job.limitBody(unknownBodyTimeout)
 	if err := job.prepare(); err != nil {
 		job.refuse(err)
 		return
@@ -310,6 +310,9 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	if job.req.ContentLength > limit {
+		return refuser.TooLarge("the body is too large")
+	}
 	body, err := job.readByDeadline(http.MaxBytesReader(job.wtr, job.req.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -335,15 +338,10 @@
 	if err := ctl.SetReadDeadline(job.deadline); err != nil {
 		return nil, errors.Annotate(err, "gateway: set read deadline for the body")
 	}
-	received, open := job.beginBody()
-	if !open {
-		return nil, errors.Annotate(net.ErrClosed, "gateway: receive the body")
-	}
 	body, err := job.gat.requests.ReadBody(src, job.req.ContentLength)
 	if err != nil {
 		return nil, err
 	}
-	received()
 	job.keep(body)
 	data, err := body.Join()
 	if err != nil {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -5,6 +5,9 @@
 const (
 	// defaultBodyBytes is the maximum body size in bytes if the configuration sets none.
 	defaultBodyBytes = 4 << 20
+	// unknownBodyTimeout is how long a body may take until the request's deadline is known, refusedBodyTimeout how long the rest of the body of a refused request may: the server reads it first, so that the connection can be kept.
+	unknownBodyTimeout = 3 * time.Second
+	refusedBodyTimeout = 300 * time.Millisecond
 	// queueWaitShare is the fraction of a route's objective that a request may wait for a slot; the rest is left for the backend server to run it.
 	queueWaitShare = 0.6
 	// waitObjectives is how long a stream may wait for a slot where units are chosen by predicted times, in multiples of the route's objective; callers abandon a stream after patienceObjectives.
--- a/gateway/sockets.go
+++ b/gateway/sockets.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 )
 
 // sendBufferBytes is what the kernel may buffer for one caller; at a round trip of 6 ms it allows more than 40 Mbit/s.
@@ -18,12 +19,6 @@
 	SetLinger(sec int) error
 }
 
-// receiver is a connection whose bytes are counted: Receive reports whether it may stay open while a body of num bytes is received, -1 if their number is unknown, until Received is called.
-type receiver interface {
-	Receive(num int64) bool
-	Received()
-}
-
 // ConnContext limits what the kernel holds for a caller that does not read, and passes the connection on to the gateway; it is for http.Server.ConnContext.
 func ConnContext(ctx context.Context, con net.Conn) context.Context {
 	if tcp, ok := con.(socket); ok {
@@ -50,14 +45,12 @@
 	_ = tcp.SetLinger(linger)
 }
 
-// beginBody records that the body of a request is being received, until received is called, and reports whether the connection is still open.
-func (job *job) beginBody() (received func(), open bool) {
-	rec, ok := job.req.Context().Value(socketKey{}).(receiver)
-	if !ok {
-		return func() {}, true
+// limitBody bounds the time that the server takes to receive or discard the rest of a body, if there is one.
+func (job *job) limitBody(within time.Duration) {
+	if job.req.ContentLength == 0 || job.body != nil {
+		return
 	}
-	if !rec.Receive(job.req.ContentLength) {
-		return func() {}, false
+	if err := http.NewResponseController(job.wtr).SetReadDeadline(job.gat.opt.Clock.Now().Add(within)); err != nil {
+		job.log.WithError(err).Debug("failed to set the read deadline")
 	}
-	return rec.Received, true
 }
