--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -29,6 +29,8 @@
 	seldomFactor = 3
 	// SilentAfterIntervals is after how many heartbeat intervals without a datagram an entry counts as gone. It is more than twice seldomFactor.
 	SilentAfterIntervals = 10
+	// maxNames is the number of names above which only registered entries are added: anyone can send a datagram with a name.
+	maxNames = 1024
 )
 
 // Peer is another entry and the address IP:PORT at which it receives heartbeats.
@@ -284,6 +286,9 @@
 	}
 	now := hea.opt.Clock.Now()
 	last, known := hea.totals[tot.Name]
+	if !known && len(hea.totals) >= maxNames && hea.registered(tot.Name) == 0 {
+		return
+	}
 	if known && now.Sub(last.at) < hea.silenceLimit() && !last.isBefore(tot.Incarnation, tot.Seq, hea.registered(tot.Name)) {
 		return
 	}
@@ -331,6 +336,9 @@
 	if known && !old.isBefore(bea.Incarnation, bea.Seq, registered) {
 		return false
 	}
+	if !known && len(hea.heard) >= maxNames && registered == 0 {
+		return false
+	}
 	if !known {
 		hea.opt.Logger.WithField("entry", bea.Name).Debug("heartbeats from entry started")
 	}
