--- a/server/complete.go
+++ b/server/complete.go
@@ -33,10 +33,11 @@
 	if err != nil {
 		return err
 	}
-	data, err := srv.readBody(ctx)
+	data, release, err := srv.readBody(ctx)
 	if err != nil {
 		return err
 	}
+	defer release()
 	cal, chat, err := srv.chatCall(workspace, data)
 	if err != nil {
 		return err
--- a/server/forward.go
+++ b/server/forward.go
@@ -19,10 +19,11 @@
 	if _, known := inv.Services[service]; !known || !allowed(service, inv.Workspaces[workspace].Services) {
 		return refuser.NotFound("service " + quoted(service) + " is not open to the workspace")
 	}
-	body, err := srv.readBody(ctx)
+	body, release, err := srv.readBody(ctx)
 	if err != nil {
 		return err
 	}
+	defer release()
 	srv.inFlight.Add(1)
 	defer srv.inFlight.Done()
 	cal := srv.serviceCall(ctx, workspace, service, body)
--- a/server/gate.go
+++ b/server/gate.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/lovagelever/lovagelever/collector"
 	"github.com/lovagelever/lovagelever/refuser"
 )
 
@@ -55,16 +55,23 @@
 	return workspace, nil
 }
 
-func (srv *Server) readBody(ctx echo.Context) ([]byte, error) {
+// readBody reads the body of a request; release ends the counting of its memory.
+func (srv *Server) readBody(ctx echo.Context) (data []byte, release func(), err error) {
 	limit := int64(srv.settings.MaxBodyBytes)
-	data, err := io.ReadAll(http.MaxBytesReader(ctx.Response(), ctx.Request().Body, limit))
+	bod, err := srv.bodies.ReadBody(http.MaxBytesReader(ctx.Response(), ctx.Request().Body, limit), ctx.Request().ContentLength)
 	if _, over := errors.AsType[*http.MaxBytesError](err); over {
-		return nil, refuser.TooLarge("the body is over " + strconv.FormatInt(limit, 10) + " bytes")
+		return nil, nil, refuser.TooLarge("the body is over " + strconv.FormatInt(limit, 10) + " bytes")
 	}
-	if err != nil {
-		return nil, refuser.Invalid("the body could not be read")
+	if err == nil {
+		if data, err = bod.Join(); err == nil {
+			return data, bod.Release, nil
+		}
+		bod.Release()
 	}
-	return data, nil
+	if errors.Is(err, collector.ErrNoRoom) {
+		return nil, nil, refuser.NotRun("the memory of this entry is in use", retryAfter)
+	}
+	return nil, nil, refuser.Invalid("the body could not be read")
 }
 
 // timeout returns how long the caller waits for the whole answer, at most the request timeout of this entry.
--- a/server/server.go
+++ b/server/server.go
@@ -76,6 +76,7 @@
 	metrics          *metrics
 	slocounter       *slocounter.Counter
 	acceptor         *acceptor.Acceptor
+	bodies           *collector.Collector
 
 	claimer        atomic.Pointer[claimer.Claimer]
 	rpcBytes       counter.Counter
