--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -97,7 +97,7 @@
 	Expect(con.SetReadDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
 	_, err := con.Read(make([]byte, 1))
 	var timeout net.Error
-	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+	return err != nil && (!errors.As(err, &timeout) || !timeout.Timeout())
 }
 
 // fields returns short header fields.
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -95,7 +95,7 @@
 
 // count tells the account what the connection needs.
 func (rea *messageReader) count() error {
-	open := true
+	var open bool
 	switch need := rea.size + callBytes*int64(rea.calls); {
 	case rea.size > 0:
 		open = rea.acc.Message(need)
