--- a/configurer/option.go
+++ b/configurer/option.go
@@ -39,7 +39,7 @@
 		{"max_body_bytes", "1048576", false, count(func(set *Settings) *int { return &set.MaxBodyBytes }), "largest body of a request"},
 		{"max_header_bytes", "32768", false, count(func(set *Settings) *int { return &set.MaxHeaderBytes }), "largest headers of a request, without separators"},
 		{"max_message_bytes", "33554432", false, count(func(set *Settings) *int { return &set.MaxMessageBytes }), "largest call of another entry"},
-		{"max_calls", "256", false, count(func(set *Settings) *int { return &set.MaxCalls }), "most calls of one connection of another entry without a response"},
+		{"max_calls", "4096", false, count(func(set *Settings) *int { return &set.MaxCalls }), "most calls of one connection of another entry without a response"},
 		{"client_memory_mb", "96", false, count(func(set *Settings) *int { return &set.ClientMemoryMB }), "memory in MiB for connections, headers and calls that are being received"},
 		{"client_descriptor_percent", "50", false, count(func(set *Settings) *int { return &set.ClientDescriptorPercent }), "share of the files that the process may open for connections of callers and entries"},
 		{"outcome_window", "5m", false, duration(func(set *Settings) *time.Duration { return &set.OutcomeWindow }), "how long the outcome of an idempotency key is kept"},
