--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -313,6 +313,21 @@
 	acc.close(victims)
 }
 
+// RelieveBodies closes some of the connections whose requests have been received for longest without being whole; it is for a process that has used up its memory for bodies.
+func (acc *Acceptor) RelieveBodies() {
+	acc.mtx.Lock()
+	var victims []*conn
+	for range 1 + int(spareShare*float64(acc.receiving.Len())) {
+		con := front(&acc.receiving)
+		if con == nil || !acc.isOld(con) {
+			break
+		}
+		victims = append(victims, acc.take(con, Receiving))
+	}
+	acc.mtx.Unlock()
+	acc.close(victims)
+}
+
 // onExhausted makes descriptors free after a listener found none. The resource limit may have changed since the start.
 func (acc *Acceptor) onExhausted() {
 	acc.mtx.Lock()
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -272,6 +272,24 @@
 		Expect(status).To(Equal(http.StatusOK))
 	})
 
+	It("closes the bodies that have been received for longest when there is no memory for bodies", func() {
+		sit := newSite(acceptor.Options{})
+		begun := "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe"
+		old := sit.open(begun, 1)
+		time.Sleep(1200 * time.Millisecond)
+		young := sit.open(begun, 2)
+		time.Sleep(20 * time.Millisecond)
+		for range 3 {
+			sit.acc.RelieveBodies()
+		}
+		Expect(ended(old)).To(BeTrue())
+		_, err := io.WriteString(young, "llo")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(young.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		_, _, body := answer(bufio.NewReader(young))
+		Expect(body).To(Equal("POST /b hello"))
+	})
+
 	It("makes room when the process is out of memory", func() {
 		sit := newSite(acceptor.Options{})
 		con := sit.open(unfinished, 1)
--- a/gateserver/clients.go
+++ b/gateserver/clients.go
@@ -5,6 +5,7 @@
 
 	"github.com/lovagelever/lovagelever/acceptor"
 	"github.com/lovagelever/lovagelever/messenger"
+	"github.com/lovagelever/lovagelever/reserver"
 )
 
 // buildAcceptor creates the limits of what the connections of all clients cost.
@@ -56,9 +57,12 @@
 	gat.acc.Watch(srv.Server)
 }
 
-// relieveMemory closes connections of clients without a whole request while the process has used up its memory.
+// relieveMemory closes connections of clients without a whole request while new requests are refused for want of memory.
 func (gat *Server) relieveMemory() {
-	if gat.res.ProcessFull() {
+	switch gat.res.Refusing() {
+	case reserver.ProcessMemory:
 		gat.acc.Relieve()
+	case reserver.HeldBytes:
+		gat.acc.RelieveBodies()
 	}
 }
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -93,23 +93,23 @@
 	res.processFull.Store(float64(res.opt.ProcessUse()) > processShare*float64(res.opt.ProcessLimit))
 }
 
-// ProcessFull reports whether the process has used up its memory, by the last look at it.
-func (res *Reserver) ProcessFull() bool {
-	return res.processFull.Load()
+// Refusing returns why new requests are refused now, or an empty reason.
+func (res *Reserver) Refusing() Refusal {
+	switch {
+	case res.processFull.Load():
+		return ProcessMemory
+	case float64(res.total.Load()) > res.opt.RefuseShare*float64(res.opt.Budget):
+		return HeldBytes
+	}
+	return ""
 }
 
 // Admit returns why a new request is refused now, or an empty reason, and counts refusals.
 func (res *Reserver) Admit() Refusal {
-	why := Refusal("")
-	switch {
-	case res.processFull.Load():
-		why = ProcessMemory
-	case float64(res.total.Load()) > res.opt.RefuseShare*float64(res.opt.Budget):
-		why = HeldBytes
-	default:
-		return why
+	why := res.Refusing()
+	if why != "" {
+		res.refused[why].Add(1)
 	}
-	res.refused[why].Add(1)
 	return why
 }
 
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -60,6 +60,7 @@
 			res := reserver.New(reserver.Options{Budget: budget, ProcessLimit: 200, ProcessUse: func() int64 { return cas.used }})
 			res.Hold(reserver.Requests, cas.held)
 			res.Update()
+			Expect(res.Refusing()).To(Equal(cas.want))
 			Expect(res.Admit()).To(Equal(cas.want))
 			if cas.want != "" {
 				Expect(res.Refused(cas.want)).To(BeNumerically("==", 1))
