--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -101,3 +101,13 @@
 func (con *conn) Calls(num int64) bool {
 	return con.acc.set(con, receiving, num)
 }
+
+// Refused counts a message that is too large.
+func (con *conn) Refused() {
+	con.acc.count(MessageTooLarge)
+}
+
+// Late counts a message that did not end in time.
+func (con *conn) Late() {
+	con.acc.count(MessageLate)
+}
--- a/acceptor/report.go
+++ b/acceptor/report.go
@@ -14,7 +14,7 @@
 // Reason says why a connection was closed or a request refused.
 type Reason string
 
-// The reasons: connections closed for want of room that had sent no whole request, that were idle, or whose request was not received whole; heads that were late or too large, and requests for which there was no room; and failures to accept for want of descriptors.
+// The reasons: connections closed for want of room that had sent no whole request, that were idle, or whose request was not received whole; heads that were late or too large, and requests for which there was no room; messages that were late or too large; and failures to accept for want of descriptors.
 const (
 	Unfinished Reason = "unfinished"
 	Idle       Reason = "idle"
@@ -23,10 +23,13 @@
 	TooLarge   Reason = "head_too_large"
 	NoRoom     Reason = "no_room"
 	Exhausted  Reason = "no_descriptors"
+
+	MessageLate     Reason = "message_late"
+	MessageTooLarge Reason = "message_too_large"
 )
 
 // Reasons lists all reasons.
-var Reasons = []Reason{Unfinished, Idle, Receiving, Late, TooLarge, NoRoom, Exhausted}
+var Reasons = []Reason{Unfinished, Idle, Receiving, Late, TooLarge, NoRoom, Exhausted, MessageLate, MessageTooLarge}
 
 // counts has how often each reason occurred; the acceptor's lock guards it.
 type counts map[Reason]int64
--- a/gateserver/gateserver.go
+++ b/gateserver/gateserver.go
@@ -224,7 +224,7 @@
 	})
 	gat.hea, err = heartbeater.New(heartbeater.Options{
 		Address: address, Peers: gat.peers, Collectors: gat.collectorPeers, Rate: gat.heartbeatRate, Heartbeat: gat.heartbeat, Totals: gat.totalsFor, OnHeartbeat: gat.onHeartbeat, OnTotals: gat.onTotals, OnSilent: gat.onPeerSilent,
-		Evidence: gat.inv.Due, OnEvidence: gat.inv.Receive, OnLimits: gat.onLimits, Registered: gat.adv.Incarnation,
+		Evidence: gat.inv.Due, OnEvidence: gat.inv.Receive, OnLimits: gat.onLimits, Registered: gat.adv.Incarnation, OnDrop: gat.mtr.RecordDroppedDatagram,
 		Clock: gat.clk, Logger: gat.log,
 	})
 	return errors.Annotate(err, "gateserver: listen for heartbeats")
--- a/gateserver/meter.go
+++ b/gateserver/meter.go
@@ -85,6 +85,11 @@
 	mtr.scope.Histogram("heartbeat_delay_seconds", latencyBuckets).RecordDuration(delay)
 }
 
+// RecordDroppedDatagram counts a datagram of an entry that is not registered, of which there are too many.
+func (mtr *meter) RecordDroppedDatagram() {
+	mtr.scope.Counter("datagrams_dropped").Inc(1)
+}
+
 // RecordUnconfirmed counts that no entry confirmed the newest records, so that the store is read.
 func (mtr *meter) RecordUnconfirmed() {
 	mtr.scope.Counter("unconfirmed_checks").Inc(1)
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -80,6 +80,7 @@
 	OnEvidence  func(evi quarantiner.Evidence)
 	OnLimits    func(msg ratelimiter.Message)
 	Registered  func(name string) uint64
+	OnDrop      func()
 	Clock       clockwork.Clock
 	Logger      *logrus.Entry
 }
@@ -287,6 +288,7 @@
 	now := hea.opt.Clock.Now()
 	last, known := hea.totals[tot.Name]
 	if !known && len(hea.totals) >= maxNames && hea.registered(tot.Name) == 0 {
+		hea.drop()
 		return
 	}
 	if known && now.Sub(last.at) < hea.silenceLimit() && !last.isBefore(tot.Incarnation, tot.Seq, hea.registered(tot.Name)) {
@@ -337,6 +339,7 @@
 		return false
 	}
 	if !known && len(hea.heard) >= maxNames && registered == 0 {
+		hea.drop()
 		return false
 	}
 	if !known {
@@ -346,6 +349,13 @@
 	return true
 }
 
+// drop reports a datagram of an entry that is not registered, of which there are too many.
+func (hea *Heartbeater) drop() {
+	if hea.opt.OnDrop != nil {
+		hea.opt.OnDrop()
+	}
+}
+
 // expire removes the entries that have become silent and reports them to OnSilent.
 func (hea *Heartbeater) expire() {
 	hea.mux.Lock()
--- a/messenger/codec.go
+++ b/messenger/codec.go
@@ -18,11 +18,13 @@
 	writeTimeout = 5 * time.Second
 )
 
-// account counts what a connection needs; each method reports whether the connection may stay open. Idle says that it waits for a message, Message that one of num bytes is being received, and Calls that num bytes are needed for calls without a response.
+// account counts what a connection needs; each method reports whether the connection may stay open. Idle says that it waits for a message, Message that one of num bytes is being received, and Calls that num bytes are needed for calls without a response. Refused counts a message that is too large, Late one that does not end in time.
 type account interface {
 	Idle() bool
 	Message(num int64) bool
 	Calls(num int64) bool
+	Refused()
+	Late()
 }
 
 // noAccount is the account of a connection that nothing counts.
@@ -31,6 +33,8 @@
 func (noAccount) Idle() bool         { return true }
 func (noAccount) Message(int64) bool { return true }
 func (noAccount) Calls(int64) bool   { return true }
+func (noAccount) Refused()           {}
+func (noAccount) Late()              {}
 
 // codec is the server's side of an RPC connection. It reads no further calls while too many have no response.
 type codec struct {
--- a/messenger/limits_test.go
+++ b/messenger/limits_test.go
@@ -19,9 +19,10 @@
 
 // ledger is the account of the connections of a listener, which has room for a number of bytes.
 type ledger struct {
-	mtx  sync.Mutex
-	room int64
-	most int64
+	mtx     sync.Mutex
+	room    int64
+	most    int64
+	refused int
 }
 
 func (led *ledger) use(num int64) bool {
@@ -47,6 +48,13 @@
 func (con countedConn) Idle() bool             { return con.led.use(0) }
 func (con countedConn) Message(num int64) bool { return con.led.use(num) }
 func (con countedConn) Calls(num int64) bool   { return con.led.use(num) }
+func (con countedConn) Late()                  {}
+
+func (con countedConn) Refused() {
+	con.led.mtx.Lock()
+	defer con.led.mtx.Unlock()
+	con.led.refused++
+}
 
 // countedListener fails once for want of descriptors before it accepts connections with an account.
 type countedListener struct {
@@ -119,6 +127,9 @@
 			_, err := io.ReadAll(con)
 			Expect(os.IsTimeout(err)).To(BeFalse())
 			Expect(led.mostUsed()).To(BeZero())
+			led.mtx.Lock()
+			defer led.mtx.Unlock()
+			Expect(led.refused).To(Equal(1))
 		})
 	}
 
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -39,6 +40,9 @@
 		return 0, err
 	}
 	num, err := rea.con.Read(buf)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		rea.acc.Late()
+	}
 	for data := buf[:num]; len(data) > 0; {
 		if rea.left == 0 {
 			if data = rea.len.add(data); !rea.len.whole() {
@@ -76,6 +80,7 @@
 // begin begins a message; a size of 0 ends the last one.
 func (rea *messageReader) begin(size int64) error {
 	if size < 0 || size > rea.max {
+		rea.acc.Refused()
 		return errors.Annotatef(ErrTooLarge, "messenger: %d bytes", size)
 	}
 	rea.left = size
