--- a/review/6/stand/network.go
+++ b/review/6/stand/network.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -29,9 +28,9 @@
 	open    map[net.Conn]struct{}
 	// requests counts the bytes that were sent to the peer.
 	requests int
-	// awaited is what a request contains whose answer is waited for, and answered is closed when that comes; nil if none is.
-	awaited  []byte
-	answered chan struct{}
+	// awaited is what a request contains that is waited for, and asked is closed when it passes; nil if none is.
+	awaited []byte
+	asked   chan struct{}
 }
 
 func newLink(ctx context.Context, address, to string) (*link, error) {
@@ -69,35 +68,28 @@
 	return lin.cut, lin.changed
 }
 
-// awaitAnswer waits until the peer answers a request that contains a text and is sent after the call.
-func (lin *link) awaitAnswer(ctx context.Context, text string) error {
-	answered := make(chan struct{})
+// awaitRequest waits until a request that contains a text passes to the peer after the call.
+func (lin *link) awaitRequest(ctx context.Context, text string) error {
+	asked := make(chan struct{})
 	lin.mux.Lock()
-	lin.awaited, lin.answered = []byte(text), answered
+	lin.awaited, lin.asked = []byte(text), asked
 	lin.mux.Unlock()
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-answered:
+	case <-asked:
 		return nil
 	}
 }
 
-// noteRequest counts bytes to the peer, and reports whether they are the awaited request.
-func (lin *link) noteRequest(data []byte) bool {
+// noteRequest counts bytes that pass to the peer.
+func (lin *link) noteRequest(data []byte) {
 	lin.mux.Lock()
 	defer lin.mux.Unlock()
 	lin.requests += len(data)
-	return lin.answered != nil && bytes.Contains(data, lin.awaited)
-}
-
-// noteAnswer records that the awaited request is answered.
-func (lin *link) noteAnswer() {
-	lin.mux.Lock()
-	defer lin.mux.Unlock()
-	if lin.answered != nil {
-		close(lin.answered)
-		lin.answered = nil
+	if lin.asked != nil && bytes.Contains(data, lin.awaited) {
+		close(lin.asked)
+		lin.asked = nil
 	}
 }
 
@@ -124,15 +116,8 @@
 	}
 	defer lin.track(out)()
 	var both sync.WaitGroup
-	var asked atomic.Bool
-	both.Go(func() { lin.pass(con, out, func(data []byte) { asked.Store(lin.noteRequest(data)) }) })
-	both.Go(func() {
-		lin.pass(out, con, func([]byte) {
-			if asked.Swap(false) {
-				lin.noteAnswer()
-			}
-		})
-	})
+	both.Go(func() { lin.pass(con, out, lin.noteRequest) })
+	both.Go(func() { lin.pass(out, con, func([]byte) {}) })
 	both.Wait()
 }
 
--- a/review/6/stand/outage.go
+++ b/review/6/stand/outage.go
@@ -6,14 +6,14 @@
 )
 
 const (
-	outageCycles = 7
+	outageCycles = 9
 	// storeCut is how long one entry is cut off from the store.
 	storeCut = 4 * time.Second
 	// lingerTime is how long a worker goes on serving after the store has accepted that it leaves.
 	lingerTime = 3500 * time.Millisecond
 )
 
-// playOutage cuts one entry that reads the store off from it. As soon as that entry reads the store again, a worker leaves. The rule is broken by each request that another entry sends to the worker later than drainTime after the store's acknowledgement.
+// playOutage cuts one entry that reads the store off from it. As that entry reads the list of workers again, a worker leaves. The rule is broken by each request that another entry sends to the worker later than drainTime after the store's acknowledgement.
 func playOutage(ctx context.Context, sys *system, trouble bool) (int, error) {
 	cli := newClients(ctx, sys, 8)
 	if !wait(ctx, 4*time.Second) {
@@ -47,10 +47,10 @@
 	if trouble {
 		reader.store.setCut(false)
 		sys.rec.add("%s reaches the store again", reader.name)
-		if err := reader.store.awaitAnswer(ctx, "topic=keyed.servers"); err != nil {
+		if err := reader.store.awaitRequest(ctx, "topic=keyed.servers"); err != nil {
 			return 0, err
 		}
-		sys.rec.add("%s reads the list of workers in the store again", reader.name)
+		sys.rec.add("%s reads the list of workers again", reader.name)
 	}
 	// The store has been without disruption all the while; the entry's own link is the only one that was cut.
 	left := leaving.leave()
--- a/review/6/stand/system.go
+++ b/review/6/stand/system.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	entryCount   = 5
+	entryCount   = 7
 	zoneCount    = 3
 	program      = "target/lovagelever"
 	startTimeout = 15 * time.Second
